Lay the foundation: settings, links, curl transport, parts, edge, command line

Cause: an empty tree. The inner protocol is Cap'n Proto in frames with a mutual proof of the shared key; curl's multi interface runs on the event loop, because tornado's client queues each chunk and cannot cancel one transfer. curl forbids removing a handle inside its own callbacks (seen: pycurl.error), so releases are deferred one loop turn. Settings errors name section, key, value and what is allowed.

--- /dev/null
+++ b/celerywharf/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m celerywharf``."""
+
+import sys
+
+from celerywharf.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/celerywharf/adapters/_curl.py
@@ -0,0 +1,316 @@
+"""A transport on curl's multi interface, driven by the event loop.
+
+tornado's own curl client queues each chunk as a callback, has no
+back-pressure and cannot cancel one transfer; this one does all three.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import io
+from collections.abc import Mapping
+
+import pycurl
+
+from celerywharf.adapters.transports import (
+    HttpRequest,
+    HttpResponse,
+    StreamSink,
+    Transfer,
+    Transport,
+)
+from celerywharf.exceptions import TransportError
+from celerywharf.structures import Verdict
+
+MILLISECONDS = 1000
+MAX_CONNECTIONS = 4096
+FIRST_FINAL_STATUS = 200
+NEVER_SENT_CODES = frozenset(
+    (
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    )
+)
+
+
+class CurlTransport(Transport):
+    """Runs any number of exchanges on one event loop."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.multi = pycurl.CurlMulti()
+        self.multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
+        self.multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
+        self.multi.setopt(pycurl.M_MAXCONNECTS, MAX_CONNECTIONS)
+        self.timer: asyncio.TimerHandle | None = None
+        self.transfers: dict[pycurl.Curl, CurlTransfer] = {}
+        self.released: set[pycurl.Curl] = set()
+        self.handles = 0
+        self.watched: set[int] = set()
+
+    async def fetch(self, request: HttpRequest) -> HttpResponse:
+        """Send a request and return its whole answer."""
+        sink = _Collector(self.loop.create_future())
+        transfer = self.stream(request, sink)
+        try:
+            return await sink.done
+        finally:
+            transfer.cancel()
+
+    def stream(self, request: HttpRequest, sink: StreamSink) -> CurlTransfer:
+        """Send a request whose answer goes to ``sink`` as it arrives."""
+        transfer = CurlTransfer(self, request, sink)
+        self.transfers[transfer.curl] = transfer
+        self.handles += 1
+        self.multi.add_handle(transfer.curl)
+        return transfer
+
+    def close(self) -> None:
+        """Cancel everything."""
+        for transfer in tuple(self.transfers.values()):
+            transfer.cancel()
+        for curl in tuple(self.released):
+            self._remove(curl)
+        if self.timer is not None:
+            self.timer.cancel()
+        for descriptor in self.watched:
+            self.loop.remove_reader(descriptor)
+            self.loop.remove_writer(descriptor)
+        self.watched.clear()
+        self.multi.close()
+
+    def release(self, transfer: CurlTransfer) -> None:
+        """Forget a transfer; its connection is closed unless idle.
+
+        curl forbids removal inside its own callbacks, hence the delay.
+        """
+        if self.transfers.pop(transfer.curl, None) is None:
+            return
+        self.released.add(transfer.curl)
+        self.loop.call_soon(self._remove, transfer.curl)
+
+    def wake(self) -> None:
+        """Let curl look at transfers that were resumed."""
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _remove(self, curl: pycurl.Curl) -> None:
+        if curl not in self.released:
+            return
+        self.released.discard(curl)
+        self.handles -= 1
+        self.multi.remove_handle(curl)
+        curl.close()
+
+    def _on_socket(
+        self,
+        event: int,
+        descriptor: int,
+        _multi: pycurl.CurlMulti,
+        _data: bytes,
+    ) -> None:
+        if descriptor in self.watched:
+            self.loop.remove_reader(descriptor)
+            self.loop.remove_writer(descriptor)
+            self.watched.discard(descriptor)
+        if event == pycurl.POLL_REMOVE:
+            return
+        self.watched.add(descriptor)
+        if event & pycurl.POLL_IN:
+            self.loop.add_reader(
+                descriptor,
+                self._act,
+                descriptor,
+                pycurl.CSELECT_IN,
+            )
+        if event & pycurl.POLL_OUT:
+            self.loop.add_writer(
+                descriptor,
+                self._act,
+                descriptor,
+                pycurl.CSELECT_OUT,
+            )
+
+    def _on_timer(self, milliseconds: int) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if milliseconds >= 0:
+            self.timer = self.loop.call_later(
+                milliseconds / MILLISECONDS,
+                self._act,
+                pycurl.SOCKET_TIMEOUT,
+                0,
+            )
+
+    def _act(self, descriptor: int, flags: int) -> None:
+        _, active = self.multi.socket_action(descriptor, flags)
+        if active < self.handles:
+            self._collect()
+
+    def _collect(self) -> None:
+        left = 1
+        while left:
+            left, succeeded, failed = self.multi.info_read()
+            for curl in succeeded:
+                self._end(curl, None)
+            for curl, code, message in failed:
+                self._end(curl, (code, message))
+
+    def _end(self, curl: pycurl.Curl, failure: tuple[int, str] | None) -> None:
+        transfer = self.transfers.get(curl)
+        if transfer is None:
+            return
+        error = failure and transfer.error(*failure)
+        self.release(transfer)
+        transfer.ended(error)
+
+
+class CurlTransfer(Transfer):
+    """One exchange; see ``Transfer``."""
+
+    def __init__(
+        self,
+        transport: CurlTransport,
+        request: HttpRequest,
+        sink: StreamSink,
+    ) -> None:
+        self.transport = transport
+        self.sink = sink
+        self.request = request
+        self.headers: dict[str, str] = {}
+        self.status = 0
+        self.cancelled = False
+        self.curl = pycurl.Curl()
+        self._set_up(self.curl)
+
+    def cancel(self) -> None:
+        """Close the connection; the sink hears nothing more."""
+        self.cancelled = True
+        self.transport.release(self)
+
+    def pause(self) -> None:
+        """Stop reading from the socket until ``resume``."""
+        if self.curl in self.transport.transfers:
+            self.curl.pause(pycurl.PAUSE_RECV)
+
+    def resume(self) -> None:
+        """Read on after ``pause``."""
+        if self.curl in self.transport.transfers:
+            self.curl.pause(pycurl.PAUSE_CONT)
+            self.transport.wake()
+
+    def ended(self, error: TransportError | None) -> None:
+        """Tell the sink, unless cancelled."""
+        if self.cancelled:
+            return
+        self.cancelled = True
+        if error is None and not self.status:
+            error = TransportError('no status line')
+        self.sink.on_end(error)
+
+    def error(self, code: int, message: str) -> TransportError:
+        """Describe a failure of curl with its verdict."""
+        sent = self.curl.getinfo(pycurl.REQUEST_SIZE)
+        verdict = Verdict.may_have_run
+        if code in NEVER_SENT_CODES or not sent:
+            verdict = Verdict.not_run
+        return TransportError(message or f'curl error {code}', verdict=verdict)
+
+    def _set_up(self, curl: pycurl.Curl) -> None:
+        request = self.request
+        curl.setopt(pycurl.URL, request.url)
+        curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.PROXY, '')
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        headers = {'Expect': '', **request.headers}
+        curl.setopt(
+            pycurl.HTTPHEADER,
+            [f'{name}: {value}' for name, value in headers.items()],
+        )
+        self._set_times(curl)
+        self._set_body(curl)
+        curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        curl.setopt(pycurl.WRITEFUNCTION, self._on_write)
+        if request.fresh:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+            curl.setopt(pycurl.FORBID_REUSE, 1)
+
+    def _set_times(self, curl: pycurl.Curl) -> None:
+        request = self.request
+        connect_ms = int(request.connect_timeout_s * MILLISECONDS)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, connect_ms))
+        if request.timeout_s is not None:
+            timeout_ms = int(request.timeout_s * MILLISECONDS)
+            curl.setopt(pycurl.TIMEOUT_MS, max(1, timeout_ms))
+
+    def _set_body(self, curl: pycurl.Curl) -> None:
+        body = self.request.body
+        if self.request.method == 'HEAD':
+            curl.setopt(pycurl.NOBODY, 1)
+        if body is None:
+            return
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDSIZE_LARGE, len(body))
+        curl.setopt(pycurl.READFUNCTION, io.BytesIO(body).read)
+        curl.setopt(pycurl.CUSTOMREQUEST, self.request.method)
+
+    def _on_header(self, line: bytes) -> None:
+        text = line.decode('latin-1').strip()
+        if text.startswith('HTTP/'):
+            self.status = int(text.split(maxsplit=2)[1])
+            self.headers = {}
+            return
+        if text:
+            name, _, value = text.partition(':')
+            self.headers[name.strip().lower()] = value.strip()
+            return
+        if self.status >= FIRST_FINAL_STATUS:
+            self._tell(
+                functools.partial(
+                    self.sink.on_headers,
+                    self.status,
+                    self.headers,
+                ),
+            )
+
+    def _on_write(self, chunk: bytes) -> None:
+        if not self.cancelled:
+            self.sink.on_chunk(chunk)
+
+    def _tell(self, call) -> None:
+        if not self.cancelled:
+            call()
+
+
+class _Collector:
+    """Gathers an answer for ``fetch``."""
+
+    def __init__(self, done: asyncio.Future) -> None:
+        self.done = done
+        self.status = 0
+        self.headers: Mapping[str, str] = {}
+        self.chunks: list[bytes] = []
+
+    def on_headers(self, status: int, headers: Mapping[str, str]) -> None:
+        """Keep status and headers."""
+        self.status = status
+        self.headers = headers
+
+    def on_chunk(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        self.chunks.append(chunk)
+
+    def on_end(self, error: TransportError | None) -> None:
+        """Complete the future."""
+        if self.done.done():
+            return
+        if error is not None:
+            self.done.set_exception(error)
+            return
+        body = b''.join(self.chunks)
+        self.done.set_result(HttpResponse(self.status, self.headers, body))
--- /dev/null
+++ b/celerywharf/edge/_handlers.py
@@ -0,0 +1,198 @@
+"""What every HTTP handler shares: keys, limits, errors, request ids."""
+
+from __future__ import annotations
+
+import json
+import logging
+import secrets
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+from tornado.web import HTTPError, RequestHandler, stream_request_body
+
+from celerywharf.exceptions import (
+    BadRequestError,
+    CelerywharfError,
+    ForbiddenError,
+    HeadersTooLargeError,
+    NotFoundError,
+    PayloadTooLargeError,
+    UnauthorizedError,
+)
+from celerywharf.structures import Verdict
+from celerywharf.tables import ClientAccount
+
+if TYPE_CHECKING:
+    from celerywharf.hosts import Host
+
+logger = logging.getLogger(__name__)
+
+BEARER = 'Bearer '
+REQUEST_ID_BYTES = 8
+REQUEST_ID_LIMIT_CHARACTERS = 64
+
+
+@stream_request_body
+class EdgeHandler(RequestHandler):
+    """Base of all handlers.
+
+    Attributes:
+        host: the host that serves.
+        request_id: taken from the ``Request-Id`` header or made here.
+        body: the request body, complete when the verb method runs.
+    """
+
+    def initialize(self, host: Host) -> None:
+        """Take what the route passes."""
+        self.host = host
+        self.body = bytearray()
+        given = self.request.headers.get('Request-Id', '')
+        self.request_id = given[:REQUEST_ID_LIMIT_CHARACTERS]
+        if not given.isprintable() or not given:
+            self.request_id = secrets.token_hex(REQUEST_ID_BYTES)
+
+    def prepare(self) -> None:
+        """Check sizes before the body is read."""
+        limits = self.host.settings.limits
+        self.set_header('Request-Id', self.request_id)
+        headers = self.request.headers.get_all()
+        size = sum(len(name) + len(text) for name, text in headers)
+        if size > limits.header_bytes:
+            raise HeadersTooLargeError(
+                f'headers of {size} bytes; limit {limits.header_bytes}',
+            )
+        length = self.request.headers.get('Content-Length', '0')
+        if length.isdigit() and int(length) > limits.body_bytes:
+            self.set_header('Connection', 'close')
+            raise PayloadTooLargeError(
+                f'body of {length} bytes; limit {limits.body_bytes}',
+            )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Gather the body."""
+        self.body += chunk
+        if len(self.body) > self.host.settings.limits.body_bytes:
+            raise PayloadTooLargeError('body too large')
+
+    def json_body(self) -> dict[str, Any]:
+        """Return the body read as a JSON object.
+
+        Raises:
+            BadRequestError: it is not one.
+        """
+        try:
+            content = json.loads(bytes(self.body))
+        except ValueError as error:
+            raise BadRequestError(f'body is not JSON: {error}') from None
+        if not isinstance(content, dict):
+            raise BadRequestError('body is not a JSON object')
+        return content
+
+    def client_account(self) -> ClientAccount:
+        """Return the account whose key the request bears.
+
+        Raises:
+            UnauthorizedError: no account has this key.
+        """
+        account = self.host.catalogue.account_of_key(self._bearer())
+        if account is None:
+            raise UnauthorizedError('unknown or missing key')
+        return account
+
+    def require_operator(self) -> None:
+        """Let only operators pass.
+
+        Raises:
+            UnauthorizedError: no key.
+            ForbiddenError: another key than the operators'.
+        """
+        keys = self.host.settings.keys
+        expected = keys.operator.get_secret_value()
+        if not secrets.compare_digest(
+            self._bearer().encode(),
+            expected.encode(),
+        ):
+            raise ForbiddenError('not the key of an operator')
+
+    def write_json(
+        self,
+        content: Any,
+        status: HTTPStatus = HTTPStatus.OK,
+    ) -> None:
+        """Answer with a JSON document."""
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.write(json.dumps(content))
+
+    def write_failure(self, error: CelerywharfError) -> None:
+        """Answer with an error: code, message, verdict, request id."""
+        if error.retry_after_s is not None:
+            self.set_header(
+                'Retry-After', str(max(1, round(error.retry_after_s)))
+            )
+        content = failure_content(error, self.request_id)
+        self.write_json(content, error.http_status)
+
+    def write_error(self, status_code: int, **options: Any) -> None:
+        """Answer for an exception that left the verb method."""
+        error = options.get('exc_info', (None, None, None))[1]
+        if isinstance(error, CelerywharfError):
+            self.write_failure(error)
+            return
+        if isinstance(error, HTTPError):
+            content = {
+                'code': HTTPStatus(status_code).name.lower(),
+                'message': error.log_message or self._reason,
+                'verdict': Verdict.not_run.value,
+                'request_id': self.request_id,
+            }
+            self.write_json({'error': content}, HTTPStatus(status_code))
+            return
+        self.write_failure(CelerywharfError('internal error'))
+
+    def log_exception(self, kind: Any, error: Any, traceback: Any) -> None:
+        """Log refusals as one line and faults with their traceback."""
+        fields = {'request_id': self.request_id, 'path': self.request.path}
+        if isinstance(error, CelerywharfError):
+            fields.update(code=error.code, verdict=error.verdict.value)
+            logger.info('request refused: %s', error, extra=fields)
+            return
+        if isinstance(error, HTTPError):
+            logger.info('request refused: %s', error, extra=fields)
+            return
+        logger.error(
+            'request failed',
+            exc_info=(kind, error, traceback),
+            extra=fields,
+        )
+
+    def _bearer(self) -> str:
+        header = self.request.headers.get('Authorization', '')
+        if not header.startswith(BEARER):
+            raise UnauthorizedError('Authorization: Bearer KEY is missing')
+        return header.removeprefix(BEARER).strip()
+
+
+class UnknownPathHandler(EdgeHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuse."""
+        super().prepare()
+        raise NotFoundError(f'no such path: {self.request.path}')
+
+
+def failure_content(error: CelerywharfError, request_id: str) -> dict[str, Any]:
+    """Return the JSON object that describes an error to a caller."""
+    content: dict[str, Any] = {
+        'code': error.code,
+        'message': error.message,
+        'verdict': error.verdict.value,
+        'request_id': request_id,
+    }
+    if error.retry_after_s is not None:
+        content['retry_after_s'] = error.retry_after_s
+    current = getattr(error, 'current', None)
+    if current is not None:
+        content['current'] = current
+    return {'error': content}
--- /dev/null
+++ b/celerywharf/hosts/_health.py
@@ -0,0 +1,27 @@
+"""The health check that the platform's balancer asks."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from celerywharf.edge import EdgeHandler
+
+
+class HealthHandler(EdgeHandler):
+    """``GET /healthz``: 200 while the host takes new work."""
+
+    def get(self) -> None:
+        """Answer 503 once the host is leaving."""
+        status = HTTPStatus.OK
+        if self.host.leaving:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        content = {
+            'host': self.host.identity.name,
+            'incarnation': self.host.identity.incarnation,
+            'leaving': self.host.leaving,
+            'revision': self.host.catalogue.revision,
+        }
+        self.write_json(content, status)
+
+
+HEALTH_ROUTES = (('/healthz', HealthHandler),)
--- /dev/null
+++ b/celerywharf/hosts/_host.py
@@ -0,0 +1,104 @@
+"""One entry host."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+from tornado.netutil import bind_sockets
+
+from celerywharf.adapters import CurlTransport
+from celerywharf.edge import build_server
+from celerywharf.exceptions import SettingsError
+from celerywharf.hosts._health import HEALTH_ROUTES
+from celerywharf.settings import HostSettings
+from celerywharf.structures import Address, HostIdentity
+from celerywharf.tables import Catalogue
+from celerywharf.timeline import HybridClock, Recorder
+from celerywharf.timers import TimerService
+from celerywharf.wire import LinkService, default_codec
+
+logger = logging.getLogger(__name__)
+
+NANOSECONDS_PER_MICROSECOND = 1000
+
+
+class Host:
+    """Builds, starts and stops the parts of an entry host.
+
+    Attributes:
+        settings: what the settings file said.
+        identity: name, place, inner address and incarnation.
+        timers: the timer service all parts subscribe to.
+        recorder: the time line of this process.
+        catalogue: the rows in force here.
+        links: links to peers.
+        transport: HTTP towards backend servers and the platform.
+        leaving: True once a graceful stop began.
+    """
+
+    def __init__(self, settings: HostSettings) -> None:
+        self.settings = settings
+        self.identity = HostIdentity(
+            name=settings.host.name,
+            region=settings.host.region,
+            availability_zone=settings.host.availability_zone,
+            inner=settings.host.inner,
+            incarnation=time.time_ns() // NANOSECONDS_PER_MICROSECOND,
+        )
+        self.timers = TimerService()
+        self.recorder = Recorder(
+            settings.host.name,
+            HybridClock(self.timers.wall),
+        )
+        self.catalogue = Catalogue()
+        self.leaving = False
+        self.stopped = asyncio.Event()
+        self.transport = CurlTransport()
+        self.links = LinkService(
+            self.identity,
+            settings.keys.inner.get_secret_value().encode(),
+            default_codec(),
+        )
+        self.server = build_server(self, self.routes())
+
+    def routes(self) -> list:
+        """Collect the HTTP routes of all parts."""
+        return list(HEALTH_ROUTES)
+
+    async def start(self) -> None:
+        """Listen on both ports and start the parts.
+
+        Raises:
+            SettingsError: an address cannot be listened on.
+        """
+        inner = self.settings.host.inner
+        self.links.add_sockets(_bind('inner', inner))
+        self.server.add_sockets(_bind('listen', self.settings.host.listen))
+        logger.info('host started', extra={'inner': str(inner)})
+
+    async def drain(self) -> None:
+        """Stop taking work, finish what runs, then stop."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.recorder.record('host_leaving')
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        self.server.stop()
+        await self.server.close_all_connections()
+        await self.links.close()
+        self.transport.close()
+        self.stopped.set()
+
+
+def _bind(key: str, address: Address) -> list:
+    try:
+        return bind_sockets(address.port, address.ip)
+    except OSError as error:
+        raise SettingsError(
+            f'[host] {key} = {address}: cannot listen: {error.strerror}',
+        ) from None
--- /dev/null
+++ b/celerywharf/settings/__init__.py
@@ -0,0 +1,28 @@
+"""Checked settings of a host, read from an INI file."""
+
+from celerywharf.settings._loading import load, loads
+from celerywharf.settings._models import (
+    GenerationSettings,
+    HostSection,
+    HostSettings,
+    KeySection,
+    LimitSection,
+    LogSection,
+    MembershipSettings,
+    PeerSection,
+    PlatformSection,
+)
+
+__all__ = (
+    'GenerationSettings',
+    'HostSection',
+    'HostSettings',
+    'KeySection',
+    'LimitSection',
+    'LogSection',
+    'MembershipSettings',
+    'PeerSection',
+    'PlatformSection',
+    'load',
+    'loads',
+)
--- /dev/null
+++ b/celerywharf/settings/_loading.py
@@ -0,0 +1,70 @@
+"""Reading settings files with errors that name section, key and value."""
+
+from __future__ import annotations
+
+import configparser
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel, ValidationError
+
+from celerywharf.exceptions import SettingsError
+from celerywharf.settings._models import HostSettings
+
+SECRET_SECTION = 'keys'
+
+
+def load(path: str | Path) -> HostSettings:
+    """Read a settings file.
+
+    Raises:
+        SettingsError: one line for each wrong key.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f'{path}: cannot be read: {error}') from None
+    return loads(text, source=str(path))
+
+
+def loads(text: str, source: str = 'settings') -> HostSettings:
+    """Read settings from INI text; see ``load``."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source=source)
+    except configparser.Error as error:
+        message = ' '.join(str(error).split())
+        raise SettingsError(f'{source}: {message}') from None
+    values = {name: dict(parser[name]) for name in parser.sections()}
+    try:
+        return HostSettings.model_validate(values)
+    except ValidationError as error:
+        lines = [_describe(details, values) for details in error.errors()]
+        raise SettingsError(
+            '\n'.join(f'{source}: {line}' for line in lines),
+        ) from None
+
+
+def _describe(details: Mapping[str, Any], values: Mapping[str, Any]) -> str:
+    section, *rest = map(str, details['loc'])
+    if not rest:
+        return f'[{section}]: {details["msg"]}'
+    key = rest[0]
+    shown = repr(values.get(section, {}).get(key, 'missing'))
+    if section == SECRET_SECTION and shown != repr('missing'):
+        shown = '[redacted]'
+    allowed = _allowed(section, key)
+    return f'[{section}] {key} = {shown}: {details["msg"]}; {allowed}'
+
+
+def _allowed(section: str, key: str) -> str:
+    field = HostSettings.model_fields.get(section)
+    model = field.annotation if field else None
+    if not isinstance(model, type) or not issubclass(model, BaseModel):
+        return 'the section is unknown'
+    known = model.model_fields.get(key)
+    if known is None:
+        names = ', '.join(model.model_fields)
+        return f'allowed keys: {names}'
+    return f'allowed: {known.description}'
--- /dev/null
+++ b/celerywharf/tables/catalogues.py
@@ -0,0 +1,121 @@
+"""The typed view of all rows that are in force."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+from typing import Any
+
+from celerywharf.tables.rows import (
+    BackendServer,
+    BackendState,
+    ClientAccount,
+    Policy,
+    Row,
+    RowKind,
+    Service,
+    ServiceKind,
+    Share,
+)
+
+ANY_BACKEND_SERVER = '*'
+DEFAULT_SHARE_WEIGHT = 1.0
+DEFAULT_SHARE_LIMIT = 1000
+
+
+class Catalogue:
+    """Rows by kind and name; changed only by ``apply``."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.client_accounts: dict[str, ClientAccount] = {}
+        self.services: dict[str, Service] = {}
+        self.backend_servers: dict[str, BackendServer] = {}
+        self.shares: dict[str, Share] = {}
+        self.accounts_by_digest: dict[str, ClientAccount] = {}
+
+    def apply(self, rows: Iterable[Row]) -> None:
+        """Put rows in force; the caller has ordered them by revision."""
+        for row in rows:
+            self.revision = max(self.revision, row.revision)
+            self._table(row.kind).pop(row.key, None)
+            if row.fields is not None:
+                self._table(row.kind)[row.key] = build(row.kind, row.fields)
+        self.accounts_by_digest = {
+            account.key_digest: account
+            for account in self.client_accounts.values()
+        }
+
+    def account_of_key(self, key: str) -> ClientAccount | None:
+        """Find the client account of a bearer key."""
+        return self.accounts_by_digest.get(digest_key(key))
+
+    def backends_of(self, service: str) -> list[BackendServer]:
+        """List the active backend servers of a service."""
+        return [
+            backend
+            for backend in self.backend_servers.values()
+            if backend.service == service
+            and backend.state is BackendState.active
+        ]
+
+    def share_of(self, backend_server: str, client_account: str) -> Share:
+        """Return the share in force, by default one of weight 1."""
+        for name in (backend_server, ANY_BACKEND_SERVER):
+            share = self.shares.get(f'{name}:{client_account}')
+            if share is not None:
+                return share
+        return Share(
+            backend_server,
+            client_account,
+            DEFAULT_SHARE_WEIGHT,
+            DEFAULT_SHARE_LIMIT,
+        )
+
+    def _table(self, kind: RowKind) -> dict[str, Any]:
+        match kind:
+            case RowKind.client_account:
+                return self.client_accounts
+            case RowKind.service:
+                return self.services
+            case RowKind.backend_server:
+                return self.backend_servers
+        return self.shares
+
+
+def digest_key(key: str) -> str:
+    """Return the digest under which a bearer key is stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def build(kind: RowKind, fields: Any) -> Any:
+    """Make the typed row of a JSON object that was validated before."""
+    match kind:
+        case RowKind.client_account:
+            return ClientAccount(**fields)
+        case RowKind.service:
+            return _service(**fields)
+        case RowKind.backend_server:
+            return _backend_server(**fields)
+    return Share(**fields)
+
+
+def _service(
+    *,
+    kind: str,
+    policy: str = Policy.patient.value,
+    idempotent_methods: Iterable[str] = ('GET', 'HEAD', 'OPTIONS'),
+    idempotent_paths: Iterable[str] = (),
+    **fields: Any,
+) -> Service:
+    return Service(
+        kind=ServiceKind(kind),
+        policy=Policy(policy),
+        idempotent_methods=tuple(idempotent_methods),
+        idempotent_paths=tuple(idempotent_paths),
+        **fields,
+    )
+
+
+def _backend_server(*, state: str = 'active', **fields: Any) -> BackendServer:
+    return BackendServer(state=BackendState(state), **fields)
--- /dev/null
+++ b/celerywharf/tasks/__init__.py
@@ -0,0 +1,5 @@
+"""Parts: tasks that own their state and talk by messages."""
+
+from celerywharf.tasks._part import Ask, Part
+
+__all__ = ('Ask', 'Part')
--- /dev/null
+++ b/celerywharf/wire/_links.py
@@ -0,0 +1,302 @@
+"""Authenticated links between entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import inspect
+import itertools
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from celerywharf.exceptions import (
+    CelerywharfError,
+    PeerUnreachableError,
+    ProtocolError,
+)
+from celerywharf.structures import Address, HostIdentity
+from celerywharf.wire._codec import Codec, Envelope, Kind
+from celerywharf.wire._frames import FRAME_LIMIT_BYTES, FrameReader, frame
+from celerywharf.wire._handshake import Handshake, Sender
+from celerywharf.wire.basics import Acknowledged, Failure
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 2.0
+IDLE_CLOSE_S = 60.0
+WRITE_BUFFER_LIMIT_BYTES = 8 * FRAME_LIMIT_BYTES
+
+Handler = Callable[['Sender', Any], Any | Awaitable[Any]]
+
+
+@dataclass(slots=True)
+class Link:
+    """One TCP connection after its handshake."""
+
+    stream: IOStream
+    peer: Sender
+    waiting: dict[int, asyncio.Future] = field(default_factory=dict)
+    last_used_s: float = 0
+    unwritten_bytes: int = 0
+
+    def close(self) -> None:
+        """Close the connection; whoever waits for an answer learns so."""
+        self.stream.close()
+        for reply in self.waiting.values():
+            if not reply.done():
+                reply.set_exception(
+                    PeerUnreachableError(f'link to {self.peer.host} closed'),
+                )
+        self.waiting.clear()
+
+
+class LinkService(TCPServer):
+    """Connects to peers on demand and serves their messages.
+
+    Handlers are found by the class of the message.  A handler's answer, or
+    the awaitable it returns, is sent back when the message was a request.
+    """
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        key: bytes,
+        codec: Codec,
+    ) -> None:
+        super().__init__()
+        self.identity = identity
+        self.codec = codec
+        self.handshake = Handshake(identity, key, codec)
+        self.handlers: dict[type, Handler] = {}
+        self.outgoing: dict[Address, Link] = {}
+        self.connecting: dict[Address, asyncio.Task] = {}
+        self.incoming: set[IOStream] = set()
+        self.correlations = itertools.count(1)
+        self.client = TCPClient()
+        self.tasks: set[asyncio.Task] = set()
+        self.bytes_sent: dict[str, int] = {}
+        self.bytes_received: dict[str, int] = {}
+        self.rejected_links = 0
+
+    def subscribe(self, kind: type, handler: Handler) -> None:
+        """Let ``handler(sender, message)`` serve messages of this class."""
+        self.handlers[kind] = handler
+
+    async def request(
+        self,
+        address: Address,
+        message: Any,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> Any:
+        """Send a message and return the peer's answer.
+
+        Raises:
+            PeerUnreachableError: no connection, or no answer in time.
+            CelerywharfError: the error the peer answered with.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(address, message)
+        except TimeoutError:
+            raise PeerUnreachableError(
+                f'{address} did not answer within {timeout_s} s',
+            ) from None
+
+    def send(self, address: Address, message: Any) -> None:
+        """Send a message without waiting; it may be lost."""
+        link = self.outgoing.get(address)
+        if link is not None and not link.stream.closed():
+            self._write(link, Envelope(Kind.one_way, 0, message))
+            return
+        self._spawn(self._send_later(address, message))
+
+    async def close(self) -> None:
+        """Close all links and the listening socket."""
+        self.stop()
+        for link in tuple(self.outgoing.values()):
+            link.close()
+        for stream in tuple(self.incoming):
+            stream.close()
+        for task in tuple(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def close_idle(self) -> None:
+        """Close outgoing links unused for a while; call it now and then."""
+        oldest = asyncio.get_running_loop().time() - IDLE_CLOSE_S
+        for link in tuple(self.outgoing.values()):
+            if link.last_used_s < oldest and not link.waiting:
+                link.close()
+
+    async def handle_stream(
+        self,
+        stream: IOStream,
+        address: tuple[str, int],
+    ) -> None:
+        """Serve one incoming connection until it ends."""
+        stream.set_nodelay(True)
+        self.incoming.add(stream)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                peer = await self.handshake.greet(stream, initiator=False)
+            await self._read_all(Link(stream, peer))
+        except ProtocolError as error:
+            self.rejected_links += 1
+            logger.warning(
+                'inner link closed',
+                extra={'peer': str(address), 'reason': error.message},
+            )
+        except (StreamClosedError, TimeoutError):
+            logger.debug('inner link ended', extra={'peer': str(address)})
+        finally:
+            stream.close()
+            self.incoming.discard(stream)
+
+    async def _exchange(self, address: Address, message: Any) -> Any:
+        link = await self._link(address)
+        correlation = next(self.correlations)
+        reply = asyncio.get_running_loop().create_future()
+        link.waiting[correlation] = reply
+        try:
+            self._write(link, Envelope(Kind.request, correlation, message))
+            answer = await reply
+        finally:
+            link.waiting.pop(correlation, None)
+        if isinstance(answer, Failure):
+            raise answer.error()
+        return answer
+
+    async def _send_later(self, address: Address, message: Any) -> None:
+        try:
+            link = await self._link(address)
+        except CelerywharfError:
+            return
+        self._write(link, Envelope(Kind.one_way, 0, message))
+
+    async def _link(self, address: Address) -> Link:
+        link = self.outgoing.get(address)
+        if link is not None and not link.stream.closed():
+            return link
+        task = self.connecting.get(address)
+        if task is None:
+            task = self._spawn(self._connect(address))
+            self.connecting[address] = task
+            task.add_done_callback(
+                lambda _done: self.connecting.pop(address, None),
+            )
+        return await asyncio.shield(task)
+
+    async def _connect(self, address: Address) -> Link:
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await self.client.connect(address.ip, address.port)
+                stream.set_nodelay(True)
+                peer = await self.handshake.greet(stream, initiator=True)
+        except (OSError, StreamClosedError, TimeoutError, ProtocolError):
+            raise PeerUnreachableError(f'cannot connect {address}') from None
+        link = Link(stream, peer)
+        link.last_used_s = asyncio.get_running_loop().time()
+        self.outgoing[address] = link
+        self._spawn(self._serve_outgoing(address, link))
+        return link
+
+    async def _serve_outgoing(self, address: Address, link: Link) -> None:
+        try:
+            await self._read_all(link)
+        except (StreamClosedError, ProtocolError):
+            logger.debug('inner link ended', extra={'peer': str(address)})
+        finally:
+            link.close()
+            if self.outgoing.get(address) is link:
+                self.outgoing.pop(address)
+
+    async def _read_all(self, link: Link) -> None:
+        reader = FrameReader(link.stream)
+        zone = link.peer.availability_zone
+        while True:
+            content = await reader.read()
+            received = self.bytes_received.get(zone, 0)
+            self.bytes_received[zone] = received + len(content)
+            self._dispatch(link, self.codec.decode(content))
+
+    def _dispatch(self, link: Link, envelope: Envelope) -> None:
+        if envelope.kind is Kind.reply:
+            reply = link.waiting.get(envelope.correlation)
+            if reply is not None and not reply.done():
+                reply.set_result(envelope.body)
+            return
+        handler = self.handlers.get(type(envelope.body))
+        if handler is None:
+            raise ProtocolError(f'no handler for {type(envelope.body)}')
+        self._serve(link, envelope, handler)
+
+    def _serve(self, link: Link, envelope: Envelope, handler: Handler) -> None:
+        try:
+            outcome = handler(link.peer, envelope.body)
+        except CelerywharfError as error:
+            outcome = Failure.of(error)
+        if inspect.isawaitable(outcome):
+            self._spawn(self._answer_later(link, envelope, outcome))
+            return
+        self._answer(link, envelope, outcome)
+
+    async def _answer_later(
+        self,
+        link: Link,
+        envelope: Envelope,
+        outcome: Awaitable[Any],
+    ) -> None:
+        try:
+            answer = await outcome
+        except CelerywharfError as error:
+            answer = Failure.of(error)
+        self._answer(link, envelope, answer)
+
+    def _answer(self, link: Link, envelope: Envelope, answer: Any) -> None:
+        if envelope.kind is not Kind.request:
+            return
+        body = Acknowledged() if answer is None else answer
+        self._write(link, Envelope(Kind.reply, envelope.correlation, body))
+
+    def _write(self, link: Link, envelope: Envelope) -> None:
+        if link.stream.closed():
+            return
+        if link.unwritten_bytes > WRITE_BUFFER_LIMIT_BYTES:
+            link.close()
+            return
+        content = frame(self.codec.encode(envelope))
+        zone = link.peer.availability_zone
+        self.bytes_sent[zone] = self.bytes_sent.get(zone, 0) + len(content)
+        link.last_used_s = asyncio.get_running_loop().time()
+        link.unwritten_bytes += len(content)
+        written = link.stream.write(content)
+        written.add_done_callback(
+            functools.partial(_written, link, len(content)),
+        )
+
+    def _spawn(self, coroutine: Any) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._reap)
+        return task
+
+    def _reap(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        if not isinstance(error, PeerUnreachableError):
+            logger.error('link task failed', exc_info=error)
+
+
+def _written(link: Link, size: int, write: asyncio.Future) -> None:
+    link.unwritten_bytes -= size
+    if not write.cancelled():
+        write.exception()
--- /dev/null
+++ b/celerywharf/wire/_registry.py
@@ -0,0 +1,20 @@
+"""Which message modules make up the protocol."""
+
+from __future__ import annotations
+
+import functools
+from types import ModuleType
+
+from celerywharf.wire import basics
+from celerywharf.wire._codec import Codec
+
+MODULES: tuple[ModuleType, ...] = (basics,)
+
+
+@functools.cache
+def default_codec() -> Codec:
+    """Return the codec that knows every message of the protocol."""
+    codec = Codec()
+    for module in MODULES:
+        codec.register(module)
+    return codec
