--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -12,6 +12,7 @@
 from celerywharf.edge import build_server
 from celerywharf.exceptions import SettingsError
 from celerywharf.hosts._health import HEALTH_ROUTES
+from celerywharf.metrics import METRIC_ROUTES, Metrics
 from celerywharf.settings import HostSettings
 from celerywharf.structures import Address, HostIdentity
 from celerywharf.tables import Catalogue
@@ -32,6 +33,7 @@
         identity: name, place, inner address and incarnation.
         timers: the timer service all parts subscribe to.
         recorder: the time line of this process.
+        metrics: histograms and counters of this process.
         catalogue: the rows in force here.
         links: links to peers.
         transport: HTTP towards backend servers and the platform.
@@ -52,6 +54,7 @@
             settings.host.name,
             HybridClock(self.timers.wall),
         )
+        self.metrics = Metrics()
         self.catalogue = Catalogue()
         self.leaving = False
         self.stopped = asyncio.Event()
@@ -65,7 +68,7 @@
 
     def routes(self) -> list:
         """Collect the HTTP routes of all parts."""
-        return list(HEALTH_ROUTES)
+        return [*HEALTH_ROUTES, *METRIC_ROUTES]
 
     async def start(self) -> None:
         """Listen on both ports and start the parts.
--- /dev/null
+++ b/celerywharf/metrics/_exposition.py
@@ -0,0 +1,75 @@
+"""``/metrics`` in the text exposition format."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from prometheus_client.metrics_core import Metric
+
+from celerywharf.edge import EdgeHandler
+from celerywharf.metrics._registry import HISTOGRAMS, MICROSECONDS, Metrics
+
+PERCENTILES = (50, 90, 95, 99, 99.9)
+PERCENT = 100
+
+
+class Collector:
+    """Shows a host's metrics to the exposition library."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.metrics = metrics
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield each metric family."""
+        for name, histogram in self.metrics.histograms.items():
+            count = histogram.get_total_count()
+            family = SummaryMetricFamily(
+                f'celerywharf_{name}_seconds',
+                HISTOGRAMS[name],
+                count_value=count,
+                sum_value=histogram.get_mean_value() * count / MICROSECONDS,
+            )
+            for percentile in PERCENTILES:
+                micros = histogram.get_value_at_percentile(percentile)
+                family.add_sample(
+                    f'celerywharf_{name}_seconds',
+                    {'quantile': str(percentile / PERCENT)},
+                    micros / MICROSECONDS,
+                )
+            yield family
+        yield from self._counters()
+
+    def _counters(self) -> Iterator[Metric]:
+        for name, by_labels in self.metrics.counters.items():
+            label_names = sorted(
+                {label for labels in by_labels for label, _ in labels}
+            )
+            family = CounterMetricFamily(
+                f'celerywharf_{name}',
+                name.replace('_', ' '),
+                labels=label_names,
+            )
+            for labels, amount in by_labels.items():
+                texts = dict(labels)
+                family.add_metric(
+                    [texts.get(label, '') for label in label_names],
+                    amount,
+                )
+            yield family
+
+
+class MetricsHandler(EdgeHandler):
+    """``GET /metrics``: for scrapers, without a key."""
+
+    def get(self) -> None:
+        """Answer with the text exposition."""
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(Collector(self.host.metrics))
+        self.set_header('Content-Type', CONTENT_TYPE_LATEST)
+        self.write(generate_latest(registry))
+
+
+METRIC_ROUTES = (('/metrics', MetricsHandler),)
