Add the platform adapter and announce each host

Cause: parts need the table service, object store, host list and weight store behind one narrow module, with the difference between 'not applied' and 'unknown' kept. Ruled out: retries inside the adapter; only the caller knows how to resolve an ambiguous write. Tried by hand: a host with no platform starts and logs the failed announcement.

--- a/celerywharf/adapters/__init__.py
+++ b/celerywharf/adapters/__init__.py
@@ -1,6 +1,12 @@
 """The systems around a host, each behind one narrow adapter."""
 
 from celerywharf.adapters._curl import CurlTransport
+from celerywharf.adapters.platforms import (
+    ListedHost,
+    Platform,
+    ScanPage,
+    StoredRow,
+)
 from celerywharf.adapters.transports import (
     HttpRequest,
     HttpResponse,
@@ -13,6 +19,10 @@
     'CurlTransport',
     'HttpRequest',
     'HttpResponse',
+    'ListedHost',
+    'Platform',
+    'ScanPage',
+    'StoredRow',
     'StreamSink',
     'Transfer',
     'Transport',
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -8,9 +8,10 @@
 
 from tornado.netutil import bind_sockets
 
-from celerywharf.adapters import CurlTransport
+from celerywharf.adapters import CurlTransport, Platform
 from celerywharf.edge import build_server
 from celerywharf.exceptions import SettingsError
+from celerywharf.hosts._announcer import Announce, Announcer
 from celerywharf.hosts._health import HEALTH_ROUTES
 from celerywharf.metrics import METRIC_ROUTES, Metrics
 from celerywharf.settings import HostSettings
@@ -37,6 +38,8 @@
         catalogue: the rows in force here.
         links: links to peers.
         transport: HTTP towards backend servers and the platform.
+        announcer: keeps the host on the platform's list.
+        platform: table service, object store and host list.
         leaving: True once a graceful stop began.
     """
 
@@ -59,11 +62,17 @@
         self.leaving = False
         self.stopped = asyncio.Event()
         self.transport = CurlTransport()
+        self.platform = Platform(
+            self.transport,
+            settings.platform.url,
+            settings.platform.timeout_s,
+        )
         self.links = LinkService(
             self.identity,
             settings.keys.inner.get_secret_value().encode(),
             default_codec(),
         )
+        self.announcer = Announcer(self)
         self.server = build_server(self, self.routes())
 
     def routes(self) -> list:
@@ -79,6 +88,7 @@
         inner = self.settings.host.inner
         self.links.add_sockets(_bind('inner', inner))
         self.server.add_sockets(_bind('listen', self.settings.host.listen))
+        self.announcer.start()
         logger.info('host started', extra={'inner': str(inner)})
 
     async def drain(self) -> None:
@@ -87,11 +97,13 @@
             return
         self.leaving = True
         self.recorder.record('host_leaving')
+        self.announcer.post(Announce())
         await self.stop()
 
     async def stop(self) -> None:
         """Stop at once."""
         self.server.stop()
+        await self.announcer.stop()
         await self.server.close_all_connections()
         await self.links.close()
         self.transport.close()
