Stamp inner messages with hybrid time; keep links through handler faults

Cause: a fault that is not one of our errors inside a peer's handler ended the read loop of the whole link (seen failing: the scenario 'a fault inside a peer's handler closes no link' hung until its timeout). It now answers an internal failure. Frames carry the sender's hybrid stamp, so that an effect is stamped after its cause also where a clock is 100 s behind. Links count bytes by region and zone.

--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -56,6 +56,7 @@
         self.recorder = Recorder(
             settings.host.name,
             HybridClock(self.timers.wall),
+            self.identity.incarnation,
         )
         self.metrics = Metrics()
         self.catalogue = Catalogue()
@@ -71,6 +72,7 @@
             self.identity,
             settings.keys.inner.get_secret_value().encode(),
             default_codec(),
+            self.recorder.clock,
         )
         self.announcer = Announcer(self)
         self.server = build_server(self, self.routes())
--- a/celerywharf/timeline/__init__.py
+++ b/celerywharf/timeline/__init__.py
@@ -1,6 +1,6 @@
 """The time line: what happened, in an order that respects causes."""
 
-from celerywharf.timeline._clock import HybridClock, Stamp
+from celerywharf.timeline._clock import NO_STAMP, HybridClock, Stamp
 from celerywharf.timeline._recorder import Event, Recorder
 
-__all__ = ('Event', 'HybridClock', 'Recorder', 'Stamp')
+__all__ = ('NO_STAMP', 'Event', 'HybridClock', 'Recorder', 'Stamp')
--- a/celerywharf/timeline/_clock.py
+++ b/celerywharf/timeline/_clock.py
@@ -16,16 +16,19 @@
     count: int
 
 
+NO_STAMP = Stamp(0, 0)
+
+
 class HybridClock:
     """Gives stamps that rise, also over messages between hosts."""
 
     def __init__(self, wall: Callable[[], float]) -> None:
         self.wall = wall
-        self.last = Stamp(0, 0)
+        self.last = NO_STAMP
 
     def tick(self) -> Stamp:
         """Stamp a local event."""
-        return self._advance(Stamp(0, 0))
+        return self._advance(NO_STAMP)
 
     def merge(self, seen: Stamp) -> Stamp:
         """Stamp the receipt of a message that carries ``seen``."""
--- a/celerywharf/wire/_codec.py
+++ b/celerywharf/wire/_codec.py
@@ -18,6 +18,7 @@
 import capnp
 
 from celerywharf.exceptions import ProtocolError
+from celerywharf.timeline import NO_STAMP, Stamp
 
 VERSION = 1
 SCHEMAS = Path(__file__).parent / 'schemas'
@@ -36,11 +37,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Envelope:
-    """A message with what is needed to answer it."""
+    """A message with what is needed to answer it.
+
+    Attributes:
+        kind: whether an answer is expected, or this is one.
+        correlation: number that ties an answer to its question.
+        body: a message dataclass.
+        stamp: hybrid time at which it was sent.
+    """
 
     kind: Kind
     correlation: int
     body: Any
+    stamp: Stamp = NO_STAMP
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,12 +83,14 @@
                 struct = getattr(schema, struct_name)
                 self.plans[struct_name] = _Plan(kind, struct, _fields(kind))
 
-    def encode(self, envelope: Envelope) -> bytes:
+    def encode(self, envelope: Envelope, stamp: Stamp = NO_STAMP) -> bytes:
         """Return the bytes of one frame's content."""
         message = self.envelope.new_message()
         message.version = VERSION
         message.kind = int(envelope.kind)
         message.correlation = envelope.correlation
+        message.stampMicros = stamp.micros
+        message.stampCount = stamp.count
         plan = self.plans[type(envelope.body).__name__]
         message.name = plan.kind.__name__
         builder = message.body.as_struct(plan.struct)
@@ -112,7 +123,9 @@
             plan = self.plans[message.name]
             reader = message.body.as_struct(plan.struct)
             body = _read(plan.kind, plan.fields, reader)
-            return Envelope(Kind(message.kind), message.correlation, body)
+            stamp = Stamp(message.stampMicros, message.stampCount)
+            kind = Kind(message.kind)
+            return Envelope(kind, message.correlation, body, stamp)
 
 
 def _read(kind: type, fields: tuple[_Field, ...], reader: Any) -> Any:
--- a/celerywharf/wire/_handshake.py
+++ b/celerywharf/wire/_handshake.py
@@ -29,6 +29,11 @@
     inner: Address
     incarnation: int
 
+    @property
+    def place(self) -> tuple[str, str]:
+        """Return region and availability zone."""
+        return self.region, self.availability_zone
+
 
 class Handshake:
     """Greets peers in the name of one host."""
--- a/celerywharf/wire/_links.py
+++ b/celerywharf/wire/_links.py
@@ -7,6 +7,7 @@
 import inspect
 import itertools
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,6 +22,7 @@
     ProtocolError,
 )
 from celerywharf.structures import Address, HostIdentity
+from celerywharf.timeline import HybridClock
 from celerywharf.wire._codec import Codec, Envelope, Kind
 from celerywharf.wire._frames import FRAME_LIMIT_BYTES, FrameReader, frame
 from celerywharf.wire._handshake import Handshake, Sender
@@ -33,6 +35,7 @@
 IDLE_CLOSE_S = 60.0
 WRITE_BUFFER_LIMIT_BYTES = 8 * FRAME_LIMIT_BYTES
 
+Place = tuple[str, str]
 Handler = Callable[['Sender', Any], Any | Awaitable[Any]]
 
 
@@ -69,8 +72,10 @@
         identity: HostIdentity,
         key: bytes,
         codec: Codec,
+        clock: HybridClock | None = None,
     ) -> None:
         super().__init__()
+        self.clock = clock or HybridClock(time.time)
         self.identity = identity
         self.codec = codec
         self.handshake = Handshake(identity, key, codec)
@@ -81,8 +86,8 @@
         self.correlations = itertools.count(1)
         self.client = TCPClient()
         self.tasks: set[asyncio.Task] = set()
-        self.bytes_sent: dict[str, int] = {}
-        self.bytes_received: dict[str, int] = {}
+        self.bytes_sent: dict[Place, int] = {}
+        self.bytes_received: dict[Place, int] = {}
         self.rejected_links = 0
 
     def subscribe(self, kind: type, handler: Handler) -> None:
@@ -219,12 +224,14 @@
 
     async def _read_all(self, link: Link) -> None:
         reader = FrameReader(link.stream)
-        zone = link.peer.availability_zone
+        place = link.peer.place
         while True:
             content = await reader.read()
-            received = self.bytes_received.get(zone, 0)
-            self.bytes_received[zone] = received + len(content)
-            self._dispatch(link, self.codec.decode(content))
+            received = self.bytes_received.get(place, 0)
+            self.bytes_received[place] = received + len(content)
+            envelope = self.codec.decode(content)
+            self.clock.merge(envelope.stamp)
+            self._dispatch(link, envelope)
 
     def _dispatch(self, link: Link, envelope: Envelope) -> None:
         if envelope.kind is Kind.reply:
@@ -242,6 +249,8 @@
             outcome = handler(link.peer, envelope.body)
         except CelerywharfError as error:
             outcome = Failure.of(error)
+        except Exception:
+            outcome = _internal_failure(envelope)
         if inspect.isawaitable(outcome):
             self._spawn(self._answer_later(link, envelope, outcome))
             return
@@ -257,6 +266,8 @@
             answer = await outcome
         except CelerywharfError as error:
             answer = Failure.of(error)
+        except Exception:
+            answer = _internal_failure(envelope)
         self._answer(link, envelope, answer)
 
     def _answer(self, link: Link, envelope: Envelope, answer: Any) -> None:
@@ -271,9 +282,9 @@
         if link.unwritten_bytes > WRITE_BUFFER_LIMIT_BYTES:
             link.close()
             return
-        content = frame(self.codec.encode(envelope))
-        zone = link.peer.availability_zone
-        self.bytes_sent[zone] = self.bytes_sent.get(zone, 0) + len(content)
+        content = frame(self.codec.encode(envelope, self.clock.tick()))
+        place = link.peer.place
+        self.bytes_sent[place] = self.bytes_sent.get(place, 0) + len(content)
         link.last_used_s = asyncio.get_running_loop().time()
         link.unwritten_bytes += len(content)
         written = link.stream.write(content)
@@ -296,6 +307,12 @@
             logger.error('link task failed', exc_info=error)
 
 
+def _internal_failure(envelope: Envelope) -> Failure:
+    name = type(envelope.body).__name__
+    logger.exception('inner message failed', extra={'inner_message': name})
+    return Failure.of(CelerywharfError(f'{name} failed at the peer'))
+
+
 def _written(link: Link, size: int, write: asyncio.Future) -> None:
     link.unwritten_bytes -= size
     if not write.cancelled():
--- a/celerywharf/wire/schemas/envelope.capnp
+++ b/celerywharf/wire/schemas/envelope.capnp
@@ -6,4 +6,6 @@
   correlation @2 :UInt64;
   name @3 :Text;
   body @4 :AnyPointer;
+  stampMicros @5 :UInt64;
+  stampCount @6 :UInt32;
 }
