Add thin membership and admissions behind their final interfaces

Cause: generations and claims need host.membership and host.admissions. Change: seeds and known hosts are asked for their view each probe period; three misses in a row forget a host. Admission is local: least in flight of the nearest place, limits per client account counted on this host only.

--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -9,10 +9,12 @@
 from tornado.netutil import bind_sockets
 
 from celerywharf.adapters import CurlTransport, Platform
+from celerywharf.admissions import Admissions
 from celerywharf.edge import build_server
 from celerywharf.exceptions import SettingsError
 from celerywharf.hosts._announcer import Announce, Announcer
 from celerywharf.hosts._health import HEALTH_ROUTES
+from celerywharf.membership import Membership
 from celerywharf.metrics import METRIC_ROUTES, Metrics
 from celerywharf.settings import HostSettings
 from celerywharf.structures import Address, HostIdentity
@@ -40,6 +42,8 @@
         transport: HTTP towards backend servers and the platform.
         announcer: keeps the host on the platform's list.
         platform: table service, object store and host list.
+        membership: which hosts are alive.
+        admissions: grants to use backend servers.
         leaving: True once a graceful stop began.
     """
 
@@ -75,6 +79,8 @@
             self.recorder.clock,
         )
         self.announcer = Announcer(self)
+        self.membership = Membership(self)
+        self.admissions = Admissions(self)
         self.server = build_server(self, self.routes())
 
     def routes(self) -> list:
@@ -91,6 +97,7 @@
         self.links.add_sockets(_bind('inner', inner))
         self.server.add_sockets(_bind('listen', self.settings.host.listen))
         self.announcer.start()
+        self.membership.start()
         logger.info('host started', extra={'inner': str(inner)})
 
     async def drain(self) -> None:
@@ -107,6 +114,7 @@
         self.server.stop()
         await self.announcer.stop()
         await self.server.close_all_connections()
+        await self.membership.stop()
         await self.links.close()
         self.transport.close()
         self.stopped.set()
--- /dev/null
+++ b/celerywharf/membership/peers.py
@@ -0,0 +1,44 @@
+"""Entry hosts as the other parts see them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from celerywharf.structures import Address
+from celerywharf.wire.membership import PeerState
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """An entry host.
+
+    Attributes:
+        name: unique among hosts.
+        region: where it stands.
+        availability_zone: where it stands.
+        inner: address for other hosts.
+        edge: address for callers, None when unknown.
+        incarnation: rises with each start of the process.
+        leaving: it takes no new work.
+    """
+
+    name: str
+    region: str
+    availability_zone: str
+    inner: Address
+    edge: Address | None
+    incarnation: int
+    leaving: bool
+
+    @classmethod
+    def of(cls, state: PeerState) -> Peer:
+        """Read a peer from the message about it."""
+        return cls(
+            name=state.name,
+            region=state.region,
+            availability_zone=state.availability_zone,
+            inner=Address.parse(state.inner),
+            edge=Address.parse(state.edge) if state.edge else None,
+            incarnation=state.incarnation,
+            leaving=state.leaving,
+        )
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -5,10 +5,10 @@
 import functools
 from types import ModuleType
 
-from celerywharf.wire import basics
+from celerywharf.wire import basics, membership
 from celerywharf.wire._codec import Codec
 
-MODULES: tuple[ModuleType, ...] = (basics,)
+MODULES: tuple[ModuleType, ...] = (basics, membership)
 
 
 @functools.cache
