Pass calls through to applications, non-idempotent ones at most once

A call that may not be repeated goes over a fresh connection that is closed after use; only a refusal by contract or a failed connection lets it go to another backend server, anything else ends in ambiguous_call. Idempotent calls are retried under a per-host budget with full jitter.

Ruled out: judging idempotence by the raw path alone; a path with dot segments or escaped separators never matches a prefix, since the application may read it as another path.

--- /dev/null
+++ b/celerywharf/applications/_calls.py
@@ -0,0 +1,202 @@
+"""Carries calls out: placement, attempts, verdicts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from celerywharf.adapters.applications import (
+    Answer,
+    ApplicationClient,
+    Call,
+)
+from celerywharf.admissions import Demand, Grant, Outcome
+from celerywharf.applications._ejection import EjectionLogic
+from celerywharf.applications._retries import (
+    FIRST_SERVER_ERROR_STATUS,
+    Answered,
+    Deliver,
+    Failed,
+    GiveUp,
+    RetryBudget,
+    RetryLogic,
+    Send,
+    Started,
+)
+from celerywharf.exceptions import (
+    AmbiguousCallError,
+    CelerywharfError,
+    NoBackendServerError,
+)
+from celerywharf.structures import Verdict
+from celerywharf.tables import BackendServer
+
+if TYPE_CHECKING:
+    from celerywharf.hosts import Host
+
+RETRY_AFTER_S = 1.0
+
+
+class Caller:
+    """Makes the attempts of calls that may be sent.
+
+    Attributes:
+        attempts: attempts made since the start.
+        calls: calls made since the start.
+    """
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.client = ApplicationClient(host.transport)
+        self.budget = RetryBudget()
+        self.generator = random.Random(host.identity.incarnation)
+        self.ejection = EjectionLogic()
+        self.attempts = 0
+        self.calls = 0
+
+    async def run(
+        self,
+        call: Call,
+        *,
+        idempotent: bool,
+        deadline_s: float,
+    ) -> Answer:
+        """Send a call until it is answered or given up.
+
+        Args:
+            call: what to send.
+            idempotent: may be sent again after it may have run.
+            deadline_s: monotonic time at which it is given up.
+
+        Raises:
+            NoBackendServerError: not run.
+            AmbiguousCallError: may have run.
+        """
+        logic = RetryLogic(
+            idempotent=idempotent,
+            deadline_s=deadline_s,
+            budget=self.budget,
+            generator=self.generator,
+        )
+        self.calls += 1
+        return await _Attempts(self, call, logic).run()
+
+
+class _Attempts:
+    """The attempts of one call."""
+
+    def __init__(self, caller: Caller, call: Call, logic: RetryLogic) -> None:
+        self.caller = caller
+        self.host = caller.host
+        self.call = call
+        self.logic = logic
+        self.tried: frozenset[str] = frozenset()
+        self.answer: Answer | None = None
+
+    async def run(self) -> Answer:
+        """Carry out what the logic decides."""
+        action = self.logic.decide(Started(), self._now())
+        while True:
+            match action:
+                case Send():
+                    outcome = await self._attempt(action)
+                    action = self.logic.decide(outcome, self._now())
+                case Deliver():
+                    return self.answer
+                case GiveUp(verdict):
+                    raise self._failure(verdict)
+
+    async def _attempt(self, send: Send) -> Answered | Failed:
+        if send.delay_s:
+            await asyncio.sleep(send.delay_s)
+        grant = await self._admit()
+        backend = grant.backend_server
+        self.tried |= {backend.name}
+        self.caller.ejection.started(backend.name, self._now())
+        ending = Outcome.failed
+        try:
+            outcome = await self._send(backend, send.timeout_s)
+            ending = _ending(outcome)
+        finally:
+            self.host.admissions.release(grant, ending)
+        self._count(backend.name, ending)
+        return outcome
+
+    async def _admit(self) -> Grant:
+        ejected = self.caller.ejection.ejected(self._now())
+        try:
+            return await self._ask_for_grant(self.tried | ejected)
+        except NoBackendServerError:
+            if not ejected - self.tried:
+                raise
+        return await self._ask_for_grant(self.tried)
+
+    async def _ask_for_grant(self, exclude: frozenset[str]) -> Grant:
+        demand = Demand(
+            service=self.call.service,
+            client_account=self.call.client_account,
+            deadline_s=self._left_s(),
+            exclude=exclude,
+        )
+        try:
+            return await self.host.admissions.admit(demand)
+        except CelerywharfError as error:
+            error.verdict = self.logic.verdict
+            raise
+
+    def _count(self, backend: str, ending: Outcome) -> None:
+        failed = ending is Outcome.failed
+        self.caller.ejection.ended(backend, failed=failed, now=self._now())
+        if failed:
+            self.host.admissions.report_failure(backend, 'call_failed')
+
+    async def _send(
+        self, backend: BackendServer, timeout_s: float
+    ) -> Answered | Failed:
+        self.caller.attempts += 1
+        self._record('call_sent', backend.name)
+        try:
+            self.answer = await self.caller.client.send(
+                backend.url,
+                self.call,
+                timeout_s=min(timeout_s, self._left_s()),
+                once=not self.logic.idempotent,
+            )
+        except CelerywharfError as error:
+            self._record('call_failed', backend.name, error.verdict.value)
+            return Failed(error.verdict)
+        self._record('call_answered', backend.name)
+        return Answered(self.answer.status)
+
+    def _record(self, name: str, backend: str, verdict: str = '') -> None:
+        self.host.recorder.record(
+            name,
+            request=self.call.request_id,
+            backend_server=backend,
+            verdict=verdict,
+        )
+
+    def _failure(self, verdict: Verdict) -> CelerywharfError:
+        if verdict is Verdict.not_run:
+            return NoBackendServerError(
+                f'no backend server of {self.call.service} took the call',
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return AmbiguousCallError(
+            'the call was sent and its answer was lost',
+        )
+
+    def _left_s(self) -> float:
+        return max(0, self.logic.deadline_s - self._now())
+
+    def _now(self) -> float:
+        return self.host.timers.now()
+
+
+def _ending(outcome: Answered | Failed) -> Outcome:
+    if isinstance(outcome, Failed):
+        return Outcome.failed
+    if outcome.status >= FIRST_SERVER_ERROR_STATUS:
+        return Outcome.failed
+    return Outcome.finished
--- /dev/null
+++ b/celerywharf/applications/_idempotency.py
@@ -0,0 +1,27 @@
+"""Which calls may be repeated, by the settings of their service."""
+
+from __future__ import annotations
+
+from celerywharf.tables import Service
+
+UNSAFE_PARTS = ('/..', '/.', '//', '%2e', '%2f', '%5c', '\\')
+
+
+def is_idempotent(service: Service, method: str, path: str) -> bool:
+    """Tell whether a call may be sent again after it may have run.
+
+    A path with dot segments or escaped separators is never matched by
+    prefix: the application may read it as another path.
+    """
+    if method in service.idempotent_methods:
+        return True
+    plain = path.partition('?')[0]
+    if any(part in plain.lower() for part in UNSAFE_PARTS):
+        return False
+    return any(_is_below(plain, prefix) for prefix in service.idempotent_paths)
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    if prefix.endswith('/'):
+        return path.startswith(prefix)
+    return path == prefix or path.startswith(f'{prefix}/')
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -10,6 +10,7 @@
 
 from celerywharf.adapters import CurlTransport, Platform
 from celerywharf.admissions import Admissions
+from celerywharf.applications import APPLICATION_ROUTES, Applications
 from celerywharf.edge import build_server
 from celerywharf.exceptions import SettingsError
 from celerywharf.hosts._announcer import Announce, Announcer
@@ -44,6 +45,7 @@
         platform: table service, object store and host list.
         membership: which hosts are alive.
         admissions: grants to use backend servers.
+        applications: calls to plain services.
         leaving: True once a graceful stop began.
     """
 
@@ -81,11 +83,12 @@
         self.announcer = Announcer(self)
         self.membership = Membership(self)
         self.admissions = Admissions(self)
+        self.applications = Applications(self)
         self.server = build_server(self, self.routes())
 
     def routes(self) -> list:
         """Collect the HTTP routes of all parts."""
-        return [*HEALTH_ROUTES, *METRIC_ROUTES]
+        return [*HEALTH_ROUTES, *METRIC_ROUTES, *APPLICATION_ROUTES]
 
     async def start(self) -> None:
         """Listen on both ports and start the parts.
@@ -107,6 +110,7 @@
         self.leaving = True
         self.recorder.record('host_leaving')
         self.announcer.post(Announce())
+        await self.applications.drain()
         await self.stop()
 
     async def stop(self) -> None:
