Add the stand-ins: platform, engines, plain service, link, fleet and checker

Cause: tests and benches need the systems around the hosts, with switches for their failures, and a ground truth to compare with. Change: plain tornado processes under standins/, started by Fleet; tokens are drawn from each run's recorded nonce, so the checker explains what a caller received by the engines' records. Ruled out: tornado's handler writes for streams; one raw chunk a stream and step is written on the detached connection.

--- /dev/null
+++ b/standins/launching.py
@@ -0,0 +1,164 @@
+"""Starts stand-ins and entry hosts for tests and benches.
+
+The product starts no process; tests and benches do, through `Fleet`, and
+every process that it started ends with it.
+"""
+
+import json
+import select
+import socket
+import subprocess
+import time
+from collections.abc import Callable, Mapping
+from configparser import ConfigParser
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+
+from standins.calls import call
+from standins.processes import ProcessGroup, Started
+from standins.records import rebuild_runs
+
+START_TIMEOUT_S = 10
+POLL_S = 0.02
+
+SettingsMapping = Mapping[str, Mapping[str, Any]]
+
+
+class Fleet(ProcessGroup):
+    """Processes by name; a context manager that stops them all."""
+
+    def start_platform(self, name: str = 'platform', **options: Any) -> Started:
+        """Start a platform; options as on the command line."""
+        return self._start_standin('platform', name, options)
+
+    def start_engine(self, name: str, **options: Any) -> Started:
+        """Start an engine; `token_interval_ms=5` is its option."""
+        record_path = self.folder / f'{name}.runs'
+        named = {'name': name, 'record': record_path, **options}
+        started = self._start_standin('engine', name, named)
+        started.record_path = record_path
+        return started
+
+    def start_application(self, name: str, **options: Any) -> Started:
+        """Start a plain service."""
+        return self._start_standin(
+            'application', name, {'name': name, **options}
+        )
+
+    def start_link(self, name: str, to: str, **options: Any) -> Started:
+        """Start a link to an address; `address` is its near end."""
+        return self._start_standin('link', name, {'to': to, **options})
+
+    def start_host(
+        self,
+        name: str,
+        settings: str | SettingsMapping,
+        address: str,
+    ) -> Started:
+        """Start an entry host and wait until it accepts connections.
+
+        Args:
+            name: name of the process in the fleet.
+            settings: text of the INI file, or options by section.
+            address: ``ip:port`` at which it must answer `/healthz` with 200.
+        """
+        path = self.folder / f'{name}.ini'
+        if isinstance(settings, str):
+            path.write_text(settings)
+        else:
+            _write_ini(path, settings)
+        arguments = ['celerywharf', 'serve', '--config', str(path)]
+        with (self.folder / f'{name}.out').open('a') as output:
+            process = self.spawn(name, arguments, output)
+        started = Started(name, process, address, '')
+        self.members[name] = started
+        _wait_until(lambda: self._is_ready(started), f'{name} to be ready')
+        return started
+
+    def control(self, name: str, **switches: Any) -> dict[str, Any]:
+        """Set switches of a stand-in; return all of them."""
+        address = self.members[name].control
+        status, body = call(address, 'POST', '/control', switches)
+        if status != HTTPStatus.OK:
+            raise KeyError(body)
+        return body
+
+    def record(self, name: str) -> dict[str, Any]:
+        """Return what a stand-in really did, of a killed engine its runs."""
+        member = self.members[name]
+        if member.is_running:
+            return call(member.control, 'GET', '/record')[1]
+        if member.record_path is None:
+            raise ProcessLookupError(name)
+        with member.record_path.open() as lines:
+            return {'name': name, 'runs': rebuild_runs(lines)}
+
+    def _start_standin(
+        self,
+        kind: str,
+        name: str,
+        options: Mapping[str, Any],
+    ) -> Started:
+        arguments = ['standins', kind, *format_options(options)]
+        process = self.spawn(name, arguments, subprocess.PIPE)
+        line = _read_line(process, name)
+        address = line['listening']
+        control = line.get('control', address)
+        started = Started(name, process, address, control)
+        self.members[name] = started
+        return started
+
+    def _is_ready(self, started: Started) -> bool:
+        if not started.is_running:
+            raise ChildProcessError(f'{started.name}: {self.log(started.name)}')
+        try:
+            status, _ = call(started.address, 'GET', '/healthz')
+        except OSError:
+            return False
+        return status == HTTPStatus.OK
+
+
+def format_options(options: Mapping[str, Any]) -> list[str]:
+    """Return command line options; true is a bare flag, false is left out."""
+    arguments: list[str] = []
+    for name, setting in options.items():
+        flag = '--{}'.format(name.replace('_', '-'))
+        if setting is True:
+            arguments.append(flag)
+        elif setting is not False:
+            arguments.extend((flag, str(setting)))
+    return arguments
+
+
+def find_free_port(ip: str = '127.0.0.1') -> int:
+    """Return a port that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+def _read_line(process: subprocess.Popen[str], name: str) -> dict[str, Any]:
+    stdout = process.stdout
+    ready, _, _ = select.select([stdout], [], [], START_TIMEOUT_S)
+    line = stdout.readline() if ready and stdout else ''
+    if not line:
+        process.kill()
+        process.wait()
+        raise ChildProcessError(f'{name} did not start')
+    return json.loads(line)
+
+
+def _wait_until(condition: Callable[[], bool], what: str) -> None:
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f'waited for {what}')
+        time.sleep(POLL_S)
+
+
+def _write_ini(path: Path, settings: SettingsMapping) -> None:
+    parser = ConfigParser(interpolation=None)
+    parser.read_dict(settings)
+    with path.open('w') as ini:
+        parser.write(ini)
--- /dev/null
+++ b/standins/links.py
@@ -0,0 +1,139 @@
+"""A TCP link between two places that can be cut, delayed or narrowed."""
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.locks import Condition
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from standins import control, serving
+
+CHUNK_BYTES = 65536
+MAX_QUEUED_CHUNKS = 64
+
+
+@dataclass(slots=True)
+class LinkSwitches(control.Switches):
+    """Failures of a link.
+
+    `cut` holds all bytes back without closing, as a lost route does, and they
+    arrive once it is mended; `cut_sources` does so for those who connect from
+    the given IPs. `refuse` resets new connections; `close` all open ones,
+    once. `delay_ms` is one way.
+    """
+
+    cut: bool = False
+    cut_sources: list[str] = field(default_factory=list)
+    close: bool = False
+    delay_ms: float = 0
+    bytes_per_s: float = 0
+
+
+class Link(TCPServer):
+    """Forwards each connection to one target and counts bytes."""
+
+    def __init__(self, target: str) -> None:
+        super().__init__()
+        self.target = target
+        self.switches = LinkSwitches()
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+        self.open: set[IOStream] = set()
+        self.connections = 0
+        self.free_at = time.monotonic()
+        self.changed = Condition()
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Forward one connection both ways until either side closes."""
+        source = address[0]
+        self.connections += 1
+        if self.switches.refuse:
+            control.reset(stream)
+            return
+        await self._uncut(source)
+        host, port = serving.split_address(self.target)
+        try:
+            onward = await TCPClient().connect(host, port)
+        except OSError:
+            control.reset(stream)
+            return
+        self.open.update((stream, onward))
+        await asyncio.gather(
+            self._forward(stream, onward, source, self.sent),
+            self._forward(onward, stream, source, self.received),
+        )
+        self.open.difference_update((stream, onward))
+
+    def on_switched(self) -> None:
+        """Close open connections when told."""
+        if self.switches.close:
+            self.switches.close = False
+            for stream in tuple(self.open):
+                control.reset(stream)
+
+    def record(self) -> dict[str, Any]:
+        """Return bytes passed to and from the target, by source IP."""
+        return {
+            'target': self.target,
+            'connections': self.connections,
+            'sent_bytes': self.sent,
+            'received_bytes': self.received,
+        }
+
+    async def _forward(
+        self,
+        reader: IOStream,
+        writer: IOStream,
+        source: str,
+        counter: Counter[str],
+    ) -> None:
+        chunks: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(
+            MAX_QUEUED_CHUNKS,
+        )
+        writing = asyncio.ensure_future(
+            self._write_late(chunks, writer, source, counter),
+        )
+        reader.set_nodelay(True)
+        try:
+            while True:
+                chunk = await reader.read_bytes(CHUNK_BYTES, partial=True)
+                await chunks.put((time.monotonic(), chunk))
+        except StreamClosedError:
+            await chunks.put((time.monotonic(), b''))
+        await writing
+
+    async def _write_late(
+        self,
+        chunks: asyncio.Queue[tuple[float, bytes]],
+        writer: IOStream,
+        source: str,
+        counter: Counter[str],
+    ) -> None:
+        while True:
+            arrived_at, chunk = await chunks.get()
+            due = arrived_at + self.switches.delay_ms / control.MS_PER_S
+            await asyncio.sleep(max(0, due - time.monotonic()))
+            await self._uncut(source)
+            if not chunk or writer.closed():
+                writer.close()
+                return
+            await self._take_room(len(chunk))
+            counter[source] += len(chunk)
+            writer.write(chunk)
+
+    async def _uncut(self, source: str) -> None:
+        while self.switches.cut or source in self.switches.cut_sources:
+            await self.changed.wait()
+
+    async def _take_room(self, size: int) -> None:
+        if self.switches.bytes_per_s <= 0:
+            return
+        now = time.monotonic()
+        duration_s = size / self.switches.bytes_per_s
+        self.free_at = max(self.free_at, now) + duration_s
+        await asyncio.sleep(self.free_at - now)
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,127 @@
+"""Processes by name, which all end with the group that started them."""
+
+import atexit
+import ctypes
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Self, TextIO
+
+STOP_TIMEOUT_S = 3
+PR_SET_PDEATHSIG = 1
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@dataclass(slots=True)
+class Started:
+    """A process of a fleet.
+
+    `address` is where it serves and `control` where it takes switches, both
+    as ``ip:port``; a host has no control address.
+    """
+
+    name: str
+    process: subprocess.Popen[str]
+    address: str
+    control: str
+    record_path: Path | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+
+class ProcessGroup:
+    """Starts, pauses and ends processes; a context manager."""
+
+    def __init__(self) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix='fleet-'))
+        self.members: dict[str, Started] = {}
+        atexit.register(self.close)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.close()
+
+    def kill(self, name: str) -> None:
+        """End a process at once; its record stays readable."""
+        member = self.members[name]
+        member.process.kill()
+        member.process.wait()
+
+    def stop(self, name: str) -> int:
+        """Ask a process to end; return its exit code."""
+        member = self.members[name]
+        member.process.terminate()
+        return member.process.wait(STOP_TIMEOUT_S)
+
+    def pause(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.members[name].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        self.members[name].process.send_signal(signal.SIGCONT)
+
+    def log(self, name: str) -> str:
+        """Return what a process wrote to stdout (hosts only) and stderr."""
+        paths = sorted(self.folder.glob(f'{name}.[eo]*'))
+        return ''.join(path.read_text() for path in paths)
+
+    def close(self) -> None:
+        """Stop all processes and remove their files."""
+        atexit.unregister(self.close)
+        running = [one for one in self.members.values() if one.is_running]
+        for member in running:
+            member.process.send_signal(signal.SIGCONT)
+            member.process.terminate()
+        deadline = time.monotonic() + STOP_TIMEOUT_S
+        for member in running:
+            _end(member.process, deadline)
+        self.members.clear()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def spawn(
+        self,
+        name: str,
+        arguments: list[str],
+        output: TextIO | int,
+    ) -> subprocess.Popen[str]:
+        """Start a Python module with arguments; stderr goes to a file."""
+        if name in self.members and self.members[name].is_running:
+            raise FileExistsError(name)
+        with (self.folder / f'{name}.err').open('a') as errors:
+            return subprocess.Popen(
+                [sys.executable, '-m', *arguments],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=errors,
+                text=True,
+                preexec_fn=_end_with_parent,
+            )
+
+
+def _end(process: subprocess.Popen[str], deadline: float) -> None:
+    try:
+        process.wait(max(0, deadline - time.monotonic()))
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+def _end_with_parent() -> None:
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
--- /dev/null
+++ b/standins/streams.py
@@ -0,0 +1,98 @@
+"""One caller's event stream of a run, and the faults it may suffer."""
+
+import json
+
+from tornado.iostream import IOStream
+
+from standins.batches import AttemptKey, Run
+from standins.control import reset
+
+HEADERS = (
+    b'HTTP/1.1 200 OK\r\n'
+    b'Content-Type: text/event-stream\r\n'
+    b'Transfer-Encoding: chunked\r\n'
+    b'Connection: close\r\n\r\n'
+)
+LAST_CHUNK = b'0\r\n\r\n'
+
+
+class TokenStream:
+    """Writes a run's tokens to one connection, one write a step."""
+
+    def __init__(self, connection: IOStream, run: Run, offset: int) -> None:
+        self.connection = connection
+        self.run = run
+        self.key = run.key
+        self.cursor = offset
+        self.head = _format_head(run.key)
+        self.held: list[bytes] = []
+        self.replacement = b''
+        connection.set_nodelay(True)
+        connection.write(HEADERS)
+
+    @property
+    def pending(self) -> int:
+        """Tokens that can be written now; none while the peer is slow."""
+        if self.connection.closed() or self.connection.writing():
+            return 0
+        return self.run.offset - self.cursor
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether all tokens of an ended run were taken."""
+        return bool(self.run.end) and self.cursor == self.run.offset
+
+    def format_next(self) -> bytes:
+        """Return the event of the next token."""
+        return self._format(self.cursor)
+
+    def take(self, limit: int) -> list[bytes]:
+        """Return events of at most `limit` pending tokens and pass them."""
+        stop = self.cursor + min(limit, self.pending)
+        events = [self._format(offset) for offset in range(self.cursor, stop)]
+        self.cursor = stop
+        if events and self.replacement:
+            events[0] = self.replacement
+            self.replacement = b''
+        return events
+
+    def write(self, events: list[bytes]) -> None:
+        """Send events as one chunk."""
+        if events and not self.connection.closed():
+            self.connection.write(_frame(b''.join(events)))
+
+    def finish(self) -> None:
+        """Send the end event and close after it."""
+        if self.connection.closed():
+            return
+        end = b'%b%d,"end":"%b"}\n\n' % (
+            self.head,
+            self.cursor,
+            str(self.run.end).encode(),
+        )
+        sent = self.connection.write(_frame(end) + LAST_CHUNK)
+        sent.add_done_callback(lambda _: self.connection.close())
+
+    def truncate(self, event: bytes) -> None:
+        """Send half an event and close."""
+        half = event[: len(event) // 2]
+        sent = self.connection.write(_frame(half))
+        sent.add_done_callback(lambda _: self.connection.close())
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        reset(self.connection)
+
+    def _format(self, offset: int) -> bytes:
+        token = self.run.read_token(offset).encode()
+        return b'%b%d,"t":"%b"}\n\n' % (self.head, offset, token)
+
+
+def _format_head(key: AttemptKey) -> bytes:
+    generation = json.dumps(key.generation)
+    head = f'data: {{"g":{generation},"e":{key.epoch},"a":{key.attempt},"o":'  # noqa: WPS221
+    return head.encode()
+
+
+def _frame(payload: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(payload), payload)
