--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -21,6 +21,8 @@
 from celerywharf.structures import Address, HostIdentity
 from celerywharf.tables import Catalogue
 from celerywharf.timeline import HybridClock, Recorder
+from celerywharf.timeline.queries import TIMELINE_ROUTES, TimelineService
+from celerywharf.timeline.shipping import Shipper
 from celerywharf.timers import TimerService
 from celerywharf.wire import LinkService, default_codec
 
@@ -29,7 +31,7 @@
 NANOSECONDS_PER_MICROSECOND = 1000
 
 
-class Host:
+class Host:  # noqa: WPS230
     """Builds, starts and stops the parts of an entry host.
 
     Attributes:
@@ -46,6 +48,8 @@
         membership: which hosts are alive.
         admissions: grants to use backend servers.
         applications: calls to plain services.
+        timelines: answers questions about events.
+        shipper: keeps events in the object store.
         leaving: True once a graceful stop began.
     """
 
@@ -84,11 +88,18 @@
         self.membership = Membership(self)
         self.admissions = Admissions(self)
         self.applications = Applications(self)
+        self.timelines = TimelineService(self)
+        self.shipper = Shipper(self)
         self.server = build_server(self, self.routes())
 
     def routes(self) -> list:
         """Collect the HTTP routes of all parts."""
-        return [*HEALTH_ROUTES, *METRIC_ROUTES, *APPLICATION_ROUTES]
+        return [
+            *APPLICATION_ROUTES,
+            *HEALTH_ROUTES,
+            *METRIC_ROUTES,
+            *TIMELINE_ROUTES,
+        ]
 
     async def start(self) -> None:
         """Listen on both ports and start the parts.
@@ -101,6 +112,7 @@
         self.server.add_sockets(_bind('listen', self.settings.host.listen))
         self.announcer.start()
         self.membership.start()
+        self.shipper.start()
         logger.info('host started', extra={'inner': str(inner)})
 
     async def drain(self) -> None:
@@ -116,6 +128,8 @@
     async def stop(self) -> None:
         """Stop at once."""
         self.server.stop()
+        await self.shipper.stop()
+        await self.shipper.flush()
         await self.announcer.stop()
         await self.server.close_all_connections()
         await self.membership.stop()
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -5,10 +5,18 @@
 import functools
 from types import ModuleType
 
-from celerywharf.wire import basics, membership
+from celerywharf.wire import (
+    basics,
+    membership,
+    timelines,
+)
 from celerywharf.wire._codec import Codec
 
-MODULES: tuple[ModuleType, ...] = (basics, membership)
+MODULES: tuple[ModuleType, ...] = (
+    basics,
+    membership,
+    timelines,
+)
 
 
 @functools.cache
