Claim idempotency keys before a call is sent

A repeat of a call that may not be repeated has to find out whether the first one ran. A claim row with the attempt's id is written to the platform's table before sending; claims and answers of a few milliseconds share a transaction, one at a time per host. A conflict settles only its own change; a write in doubt is written again under the same condition, and the conflict shows whose attempt id the row bears. A claim that was given up in doubt is overwritten by a released row, so that a late transaction cannot bring it back.

Keys minted by a host are claimed in that host's memory over the inner link and need no platform; once the minter is gone the answer is may_have_run.

Ruled out: deleting released claims (a transaction still on its way could insert them again); admission before the claim (a retry would be told not_run of a call that ran).

While the platform is down a host answers not_run at once, but may_have_run for keys under which it sent a call itself.

--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -113,6 +113,7 @@
         self.announcer.start()
         self.membership.start()
         self.shipper.start()
+        self.applications.start()
         logger.info('host started', extra={'inner': str(inner)})
 
     async def drain(self) -> None:
@@ -132,6 +133,7 @@
         await self.shipper.flush()
         await self.announcer.stop()
         await self.server.close_all_connections()
+        await self.applications.stop()
         await self.membership.stop()
         await self.links.close()
         self.transport.close()
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -7,6 +7,7 @@
 
 from celerywharf.wire import (
     basics,
+    claims,
     membership,
     timelines,
 )
@@ -14,6 +15,7 @@
 
 MODULES: tuple[ModuleType, ...] = (
     basics,
+    claims,
     membership,
     timelines,
 )
