Add the shared table: changes, replicas, spread and operators' calls

Cause: edited rows have to be in force on every host within seconds, never revert, and outlive an outage of the platform. Change: one platform row holds the table's revision and is a condition of every commit, so revisions are unique and ordered; after a lost answer the record at that revision says whose commit took it, and repeating the same commit is harmless. A replica applies a delta only onto the revision it starts from. News goes down a tree inside a zone, through two hosts into each other zone; random peers compare digests; one host a zone polls the platform, with others standing in when its reads stay away. healthz is 503 until the platform or the most advanced reachable peer has been read. Ruled out: sending every change record between peers (rows set since a revision carry the same and need no log in memory); deleting stored rows (their versions would restart, so deleted rows stay as tombstones); handlers inside celerywharf.tables (edge imports it), so they are celerywharf.operators.

--- a/celerywharf/edge/_handlers.py
+++ b/celerywharf/edge/_handlers.py
@@ -16,6 +16,7 @@
     ForbiddenError,
     HeadersTooLargeError,
     NotFoundError,
+    OverloadedError,
     PayloadTooLargeError,
     UnauthorizedError,
 )
@@ -29,6 +30,7 @@
 
 BEARER = 'Bearer '
 REQUEST_ID_BYTES = 8
+TABLE_RETRY_AFTER_S = 1.0
 REQUEST_ID_LIMIT_CHARACTERS = 64
 
 
@@ -93,9 +95,11 @@
 
         Raises:
             UnauthorizedError: no account has this key.
+            OverloadedError: the table has not been read yet.
         """
         account = self.host.catalogue.account_of_key(self._bearer())
         if account is None:
+            self._require_table()
             raise UnauthorizedError('unknown or missing key')
         return account
 
@@ -166,6 +170,13 @@
             extra=fields,
         )
 
+    def _require_table(self) -> None:
+        if not self.host.tables.ready:
+            raise OverloadedError(
+                'this host has not read the table yet',
+                retry_after_s=TABLE_RETRY_AFTER_S,
+            )
+
     def _bearer(self) -> str:
         header = self.request.headers.get('Authorization', '')
         if not header.startswith(BEARER):
--- a/celerywharf/exceptions.py
+++ b/celerywharf/exceptions.py
@@ -58,6 +58,12 @@
     http_status = HTTPStatus.BAD_REQUEST
 
 
+class InvalidRowError(BadRequestError):
+    """A row of the table is wrong; the message names row and column."""
+
+    code = 'invalid_row'
+
+
 class UnauthorizedError(NotRunError):
     """No client account or operator has this key."""
 
@@ -150,21 +156,6 @@
     http_status = HTTPStatus.BAD_GATEWAY
 
 
-class AnswerNotKeptError(CelerywharfError):
-    """The call ran; its answer was too large to keep or cannot be read."""
-
-    code = 'answer_not_kept'
-    http_status = HTTPStatus.CONFLICT
-    default_verdict = Verdict.ran
-
-
-class KeyReusedError(NotRunError):
-    """The idempotency key was used for another call; this one was not run."""
-
-    code = 'key_reused'
-    http_status = HTTPStatus.UNPROCESSABLE_ENTITY
-
-
 class BackendServerError(CelerywharfError):
     """A backend server failed or broke its protocol."""
 
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -17,12 +17,11 @@
 from celerywharf.hosts._health import HEALTH_ROUTES
 from celerywharf.membership import Membership
 from celerywharf.metrics import METRIC_ROUTES, Metrics
+from celerywharf.operators import OPERATOR_ROUTES
 from celerywharf.settings import HostSettings
 from celerywharf.structures import Address, HostIdentity
-from celerywharf.tables import Catalogue
+from celerywharf.tables import Catalogue, TableService
 from celerywharf.timeline import HybridClock, Recorder
-from celerywharf.timeline.queries import TIMELINE_ROUTES, TimelineService
-from celerywharf.timeline.shipping import Shipper
 from celerywharf.timers import TimerService
 from celerywharf.wire import LinkService, default_codec
 
@@ -31,7 +30,7 @@
 NANOSECONDS_PER_MICROSECOND = 1000
 
 
-class Host:  # noqa: WPS230
+class Host:
     """Builds, starts and stops the parts of an entry host.
 
     Attributes:
@@ -40,16 +39,14 @@
         timers: the timer service all parts subscribe to.
         recorder: the time line of this process.
         metrics: histograms and counters of this process.
-        catalogue: the rows in force here.
         links: links to peers.
         transport: HTTP towards backend servers and the platform.
         announcer: keeps the host on the platform's list.
         platform: table service, object store and host list.
+        tables: the shared table, kept in step with all hosts.
         membership: which hosts are alive.
         admissions: grants to use backend servers.
         applications: calls to plain services.
-        timelines: answers questions about events.
-        shipper: keeps events in the object store.
         leaving: True once a graceful stop began.
     """
 
@@ -69,7 +66,6 @@
             self.identity.incarnation,
         )
         self.metrics = Metrics()
-        self.catalogue = Catalogue()
         self.leaving = False
         self.stopped = asyncio.Event()
         self.transport = CurlTransport()
@@ -85,20 +81,30 @@
             self.recorder.clock,
         )
         self.announcer = Announcer(self)
+        self.tables = TableService(self)
         self.membership = Membership(self)
         self.admissions = Admissions(self)
         self.applications = Applications(self)
-        self.timelines = TimelineService(self)
-        self.shipper = Shipper(self)
         self.server = build_server(self, self.routes())
 
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return the rows in force here."""
+        return self.tables.catalogue
+
+    def not_serving_reason(self) -> str:
+        """Say why this host takes no new work; empty when it does."""
+        if self.leaving:
+            return 'leaving'
+        return '' if self.tables.ready else 'the table has not been read yet'
+
     def routes(self) -> list:
         """Collect the HTTP routes of all parts."""
         return [
-            *APPLICATION_ROUTES,
             *HEALTH_ROUTES,
             *METRIC_ROUTES,
-            *TIMELINE_ROUTES,
+            *OPERATOR_ROUTES,
+            *APPLICATION_ROUTES,
         ]
 
     async def start(self) -> None:
@@ -112,8 +118,7 @@
         self.server.add_sockets(_bind('listen', self.settings.host.listen))
         self.announcer.start()
         self.membership.start()
-        self.shipper.start()
-        self.applications.start()
+        self.tables.start()
         logger.info('host started', extra={'inner': str(inner)})
 
     async def drain(self) -> None:
@@ -129,11 +134,9 @@
     async def stop(self) -> None:
         """Stop at once."""
         self.server.stop()
-        await self.shipper.stop()
-        await self.shipper.flush()
         await self.announcer.stop()
         await self.server.close_all_connections()
-        await self.applications.stop()
+        await self.tables.stop()
         await self.membership.stop()
         await self.links.close()
         self.transport.close()
--- /dev/null
+++ b/celerywharf/operators/__init__.py
@@ -0,0 +1,9 @@
+"""What operators ask of a host: the table, its status, its leaving."""
+
+from celerywharf.operators._handlers import OperatorHandler
+from celerywharf.operators._hosts import HOST_ROUTES
+from celerywharf.operators._tables import TABLE_ROUTES
+
+OPERATOR_ROUTES = (*TABLE_ROUTES, *HOST_ROUTES)
+
+__all__ = ('OPERATOR_ROUTES', 'OperatorHandler')
--- a/celerywharf/tables/__init__.py
+++ b/celerywharf/tables/__init__.py
@@ -1,6 +1,8 @@
 """The shared table: accounts, services, backend servers, weights, limits."""
 
+from celerywharf.tables._service import TableService
 from celerywharf.tables.catalogues import Catalogue
+from celerywharf.tables.changes import Change, ChangeRequest, Delta, Edit
 from celerywharf.tables.rows import (
     BackendServer,
     BackendState,
@@ -17,11 +19,16 @@
     'BackendServer',
     'BackendState',
     'Catalogue',
+    'Change',
+    'ChangeRequest',
     'ClientAccount',
+    'Delta',
+    'Edit',
     'Policy',
     'Row',
     'RowKind',
     'Service',
     'ServiceKind',
     'Share',
+    'TableService',
 )
--- /dev/null
+++ b/celerywharf/tables/_reader.py
@@ -0,0 +1,107 @@
+"""Reads news of the table from the platform."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from celerywharf.adapters import Platform, ScanPage
+from celerywharf.tables import _storage, documents
+from celerywharf.tables.changes import Change, Delta
+from celerywharf.tables.rows import Row, RowKind
+
+PAGE_CHANGES = 200
+PAGE_ROWS = 500
+
+
+@dataclass(slots=True)
+class _Snapshot:
+    """Rows gathered while the table may go on changing."""
+
+    revision: int
+    rows: dict[tuple[RowKind, str], Row] = field(default_factory=dict)
+
+    def add(self, row: Row) -> None:
+        """Keep the row unless a later state of it is known."""
+        known = self.rows.get((row.kind, row.key))
+        if known is None or row.revision > known.revision:
+            self.rows[row.kind, row.key] = row
+
+    def follow(self, change: Change) -> None:
+        """Take a change that was committed during the scan."""
+        for row in change.rows:
+            self.add(row)
+        self.revision = change.revision
+
+    def delta(self) -> Delta:
+        """Return everything as one delta from the beginning."""
+        return Delta(0, self.revision, tuple(self.rows.values()))
+
+
+async def read_news(platform: Platform, revision: int) -> list[Delta]:
+    """Return what was committed after a revision, in order.
+
+    A fresh replica, or one so far behind that the change records it needs
+    are gone, gets a snapshot of all rows.
+
+    Raises:
+        PlatformUnavailableError: the platform does not answer.
+    """
+    if not revision:
+        return await _read_snapshot(platform)
+    changes = await _read_changes(platform, revision)
+    if changes and changes[0].revision != revision + 1:
+        return await _read_snapshot(platform)
+    return [Delta.of_change(change) for change in changes]
+
+
+async def read_history(
+    platform: Platform,
+    after: int,
+    limit: int,
+) -> list[Change]:
+    """Return up to ``limit`` changes that follow a revision."""
+    page = await _scan_changes(platform, after, limit)
+    return [documents.change_of(stored.value) for stored in page.rows]
+
+
+async def _scan_changes(
+    platform: Platform,
+    after: int,
+    limit: int,
+) -> ScanPage:
+    return await platform.scan(
+        _storage.CHANGE_PREFIX,
+        _storage.change_key(after),
+        limit,
+    )
+
+
+async def _read_changes(platform: Platform, revision: int) -> list[Change]:
+    changes: list[Change] = []
+    last = revision
+    more = True
+    while more:
+        page = await _scan_changes(platform, last, PAGE_CHANGES)
+        changes.extend(documents.change_of(row.value) for row in page.rows)
+        more = page.more
+        last = changes[-1].revision if changes else last
+    return changes
+
+
+async def _read_snapshot(platform: Platform) -> list[Delta]:
+    stored = await platform.read([_storage.REVISION_KEY])
+    if not stored:
+        return []
+    before = stored[_storage.REVISION_KEY].value['revision']
+    snapshot = _Snapshot(before)
+    after = ''
+    more = True
+    while more:
+        page = await platform.scan(_storage.ROW_PREFIX, after, PAGE_ROWS)
+        for row in page.rows:
+            snapshot.add(documents.row_of(row.value))
+            after = row.key
+        more = page.more
+    for change in await _read_changes(platform, before):
+        snapshot.follow(change)
+    return [snapshot.delta()]
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -5,20 +5,10 @@
 import functools
 from types import ModuleType
 
-from celerywharf.wire import (
-    basics,
-    claims,
-    membership,
-    timelines,
-)
+from celerywharf.wire import basics, membership, tables
 from celerywharf.wire._codec import Codec
 
-MODULES: tuple[ModuleType, ...] = (
-    basics,
-    claims,
-    membership,
-    timelines,
-)
+MODULES: tuple[ModuleType, ...] = (basics, membership, tables)
 
 
 @functools.cache
--- a/tests/conftest.py
+++ /dev/null
@@ -1,3 +0,0 @@
-"""Fixtures for all tests."""
-
-pytest_plugins = ['tests.processes']
