--- a/celerywharf/applications/_service.py
+++ b/celerywharf/applications/_service.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 from celerywharf.adapters.applications import Answer, Call
 from celerywharf.applications._calls import Caller
+from celerywharf.applications._claims import Claims, KeyedCall
 from celerywharf.applications._idempotency import is_idempotent
 from celerywharf.exceptions import NotFoundError, ShuttingDownError
 from celerywharf.tables import Service, ServiceKind
@@ -22,14 +24,24 @@
 
     Attributes:
         caller: makes the attempts.
+        claims: keeps what was sent under which key.
         running: calls under way.
     """
 
     def __init__(self, host: Host) -> None:
         self.host = host
         self.caller = Caller(host)
+        self.claims = Claims(host)
         self.running: set[asyncio.Future] = set()
 
+    def start(self) -> None:
+        """Begin writing claims."""
+        self.claims.start()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.claims.stop()
+
     async def call(self, call: Call) -> Answer:
         """Carry out a call and return the application's answer.
 
@@ -50,18 +62,28 @@
             self.running.discard(done)
             done.set_result(None)
 
+    def mint(self, client_account: str, count: int) -> list[str]:
+        """Return new idempotency keys that need no platform."""
+        return self.claims.mint.mint(client_account, count)
+
     async def drain(self) -> None:
         """Wait until every call under way has ended."""
         while self.running:
             await asyncio.wait(tuple(self.running))
+        await self.claims.drain()
 
     async def _call(self, service: Service, call: Call) -> Answer:
         deadline_s = self.host.timers.now() + service.deadline_s
-        return await self.caller.run(
+        idempotent = is_idempotent(service, call.method, call.path)
+        send = functools.partial(
+            self.caller.run,
             call,
-            idempotent=is_idempotent(service, call.method, call.path),
+            idempotent=idempotent,
             deadline_s=deadline_s,
         )
+        if idempotent or not call.key:
+            return await send()
+        return await self.claims.call(KeyedCall(call, send))
 
     def _service(self, name: str) -> Service:
         service = self.host.catalogue.services.get(name)
--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -8,6 +8,7 @@
 Commands:
   serve      Run an entry host.
   config     Check a settings file.
+  timeline   What happened, over all processes.
   version    Print the version.
 
 See 'celerywharf <command> --help'.
@@ -29,6 +30,7 @@
 from celerywharf.exceptions import CelerywharfError
 
 COMMANDS = {
+    'timeline': 'celerywharf.cli._timeline',
     'serve': 'celerywharf.cli._serve',
     'config': 'celerywharf.cli._config',
     'version': 'celerywharf.cli._version',
--- /dev/null
+++ b/celerywharf/cli/_timeline.py
@@ -0,0 +1,109 @@
+"""celerywharf timeline: what happened, over all processes.
+
+Usage:
+  celerywharf timeline [options] [--file=FILE]...
+  celerywharf timeline (-h | --help)
+
+Options:
+  --request=ID      Only this request and its generations.
+  --generation=ID   Only this generation.
+  --since=SECONDS   How far back [default: 900].
+  --json            One event a line as JSON; --file reads it again.
+  --html=FILE       Write a page with a lane a process.
+  --file=FILE       Read events from saved JSON lines instead of a host.
+  --host=IP:PORT    Host to ask, default from CELERYWHARF_HOST.
+  --key-file=FILE   Operators' key, default from CELERYWHARF_OPERATOR_KEY.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from docopt import docopt
+
+from celerywharf.cli._exits import ExitCode
+from celerywharf.cli._operators import OperatorClient
+from celerywharf.exceptions import BadRequestError
+from celerywharf.timeline import Event
+from celerywharf.timeline.gaps import Gap, find_gaps
+from celerywharf.timeline.pages import page
+from celerywharf.timeline.records import from_json, matches, to_json
+from celerywharf.timeline.tables import align, clock_text, rows
+from celerywharf.wire.timelines import TimelineQuery
+
+
+def run(words: Sequence[str]) -> int:
+    """Print or draw the events."""
+    options = docopt(__doc__, argv=list(words))
+    events, silent = _collect(options)
+    gaps = find_gaps(events, silent)
+    if options['--html']:
+        _write_page(options, events, gaps)
+        return ExitCode.done
+    if options['--json']:
+        for event in events:
+            sys.stdout.write(f'{json.dumps(to_json(event))}\n')
+        return ExitCode.done
+    for line in align(rows(events)):
+        sys.stdout.write(f'{line}\n')
+    for gap in gaps:
+        moment = clock_text(gap.after_micros) if gap.after_micros else 'start'
+        sys.stdout.write(f'gap: {gap.host} after {moment}: {gap.reason}\n')
+    return ExitCode.done
+
+
+def _collect(options: Mapping[str, Any]) -> tuple[list[Event], list[str]]:
+    if options['--file']:
+        return _from_files(options), []
+    answer = OperatorClient.of(options).get(
+        '/operator/timeline',
+        request=options['--request'],
+        generation=options['--generation'],
+        since=options['--since'],
+    )
+    events = [from_json(fields) for fields in answer['events']]
+    return events, answer['silent_hosts']
+
+
+def _from_files(options: Mapping[str, Any]) -> list[Event]:
+    query = TimelineQuery(
+        options['--request'] or '',
+        options['--generation'] or '',
+        0,
+        0,
+    )
+    found = {
+        event.identity: event
+        for name in options['--file']
+        for event in _read(Path(name))
+        if matches(event, query)
+    }
+    return sorted(found.values(), key=lambda event: event.stamp)
+
+
+def _read(path: Path) -> list[Event]:
+    try:
+        lines = path.read_text(encoding='utf-8').splitlines()
+    except OSError as error:
+        raise BadRequestError(f'--file: {error}') from None
+    try:
+        return [from_json(json.loads(line)) for line in lines if line]
+    except (ValueError, KeyError, TypeError) as error:
+        raise BadRequestError(f'{path}: not events: {error}') from None
+
+
+def _write_page(
+    options: Mapping[str, Any],
+    events: list[Event],
+    gaps: list[Gap],
+) -> None:
+    subject = options['--generation'] or options['--request'] or 'all events'
+    text = page(f'Time line of {subject}', events, gaps)
+    try:
+        Path(options['--html']).write_text(text, encoding='utf-8')
+    except OSError as error:
+        raise BadRequestError(f'--html: {error}') from None
--- a/celerywharf/exceptions.py
+++ b/celerywharf/exceptions.py
@@ -156,6 +156,21 @@
     http_status = HTTPStatus.BAD_GATEWAY
 
 
+class AnswerNotKeptError(CelerywharfError):
+    """The call ran; its answer was too large to keep or cannot be read."""
+
+    code = 'answer_not_kept'
+    http_status = HTTPStatus.CONFLICT
+    default_verdict = Verdict.ran
+
+
+class KeyReusedError(NotRunError):
+    """The idempotency key was used for another call; this one was not run."""
+
+    code = 'key_reused'
+    http_status = HTTPStatus.UNPROCESSABLE_ENTITY
+
+
 class BackendServerError(CelerywharfError):
     """A backend server failed or broke its protocol."""
 
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -22,6 +22,8 @@
 from celerywharf.structures import Address, HostIdentity
 from celerywharf.tables import Catalogue, TableService
 from celerywharf.timeline import HybridClock, Recorder
+from celerywharf.timeline.queries import TIMELINE_ROUTES, TimelineService
+from celerywharf.timeline.shipping import Shipper
 from celerywharf.timers import TimerService
 from celerywharf.wire import LinkService, default_codec
 
@@ -30,7 +32,7 @@
 NANOSECONDS_PER_MICROSECOND = 1000
 
 
-class Host:
+class Host:  # noqa: WPS230
     """Builds, starts and stops the parts of an entry host.
 
     Attributes:
@@ -47,6 +49,8 @@
         membership: which hosts are alive.
         admissions: grants to use backend servers.
         applications: calls to plain services.
+        timelines: answers questions about events.
+        shipper: keeps events in the object store.
         leaving: True once a graceful stop began.
     """
 
@@ -85,6 +89,8 @@
         self.membership = Membership(self)
         self.admissions = Admissions(self)
         self.applications = Applications(self)
+        self.timelines = TimelineService(self)
+        self.shipper = Shipper(self)
         self.server = build_server(self, self.routes())
 
     @property
@@ -101,10 +107,11 @@
     def routes(self) -> list:
         """Collect the HTTP routes of all parts."""
         return [
+            *APPLICATION_ROUTES,
             *HEALTH_ROUTES,
             *METRIC_ROUTES,
+            *TIMELINE_ROUTES,
             *OPERATOR_ROUTES,
-            *APPLICATION_ROUTES,
         ]
 
     async def start(self) -> None:
@@ -118,6 +125,8 @@
         self.server.add_sockets(_bind('listen', self.settings.host.listen))
         self.announcer.start()
         self.membership.start()
+        self.shipper.start()
+        self.applications.start()
         self.tables.start()
         logger.info('host started', extra={'inner': str(inner)})
 
@@ -134,8 +143,11 @@
     async def stop(self) -> None:
         """Stop at once."""
         self.server.stop()
+        await self.shipper.stop()
+        await self.shipper.flush()
         await self.announcer.stop()
         await self.server.close_all_connections()
+        await self.applications.stop()
         await self.tables.stop()
         await self.membership.stop()
         await self.links.close()
--- a/celerywharf/utils.py
+++ b/celerywharf/utils.py
@@ -9,7 +9,7 @@
 
 def prefix_hash(prompt: str) -> str:
     """Return the hash engines publish for the start of a prompt."""
-    return xxhash.xxh64_hexdigest(prompt[:PREFIX_CHARACTERS])
+    return xxhash.xxh64_hexdigest(prompt[:PREFIX_CHARACTERS].encode())
 
 
 def rendezvous_order(key: str, names: list[str]) -> list[str]:
@@ -20,6 +20,9 @@
     """
     return sorted(
         names,
-        key=lambda name: (xxhash.xxh64_intdigest(f'{key}\0{name}'), name),
+        key=lambda name: (
+            xxhash.xxh64_intdigest(f'{key}\0{name}'.encode()),
+            name,
+        ),
         reverse=True,
     )
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -5,10 +5,22 @@
 import functools
 from types import ModuleType
 
-from celerywharf.wire import basics, membership, tables
+from celerywharf.wire import (
+    basics,
+    claims,
+    membership,
+    tables,
+    timelines,
+)
 from celerywharf.wire._codec import Codec
 
-MODULES: tuple[ModuleType, ...] = (basics, membership, tables)
+MODULES: tuple[ModuleType, ...] = (
+    basics,
+    claims,
+    membership,
+    tables,
+    timelines,
+)
 
 
 @functools.cache
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""Fixtures for all tests."""
+
+pytest_plugins = ['tests.processes']
