Add the operators' command line: table, account, service, backend, host, status

Cause: operators work by editing rows and by starting and stopping backend servers, from any host. Wrong usage now exits with 2 as documented (docopt exited with 1), and a row that changed meanwhile is printed as it stands. Ruled out: repeating an edit that lost a race; the operator has to see the row. Tried by hand against two hosts: every subcommand, unreachable host, wrong key, platform down.

--- /dev/null
+++ b/celerywharf/cli/_backend.py
@@ -0,0 +1,91 @@
+"""celerywharf backend: backend servers.
+
+Usage:
+  celerywharf backend add NAME --url=URL --region=REGION --zone=ZONE
+                          --service=SERVICE [--ignores-fencing] [options]
+  celerywharf backend list [options]
+  celerywharf backend start NAME [options]
+  celerywharf backend stop NAME [options]
+  celerywharf backend remove NAME [options]
+  celerywharf backend (-h | --help)
+
+Commands:
+  start   Give it new work.
+  stop    Give it no new work; what runs there finishes.
+
+Options:
+  --url=URL           Base URL, http://ip:port.
+  --region=REGION     Where it stands.
+  --zone=ZONE         Availability zone it stands in.
+  --service=SERVICE   Service it serves.
+  --ignores-fencing   It takes orders without checking who gives them.
+  --host=IP:PORT      Any host; by default from CELERYWHARF_HOST.
+  --key-file=FILE     Key of operators; by default from
+                      CELERYWHARF_OPERATOR_KEY.
+  --json              Print JSON.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from docopt import docopt
+
+from celerywharf.cli import _rows
+from celerywharf.cli._client import OperatorClient
+from celerywharf.cli._exits import ExitCode
+from celerywharf.cli._printing import print_change
+from celerywharf.exceptions import NotFoundError
+from celerywharf.tables import BackendState, RowKind
+
+KIND = RowKind.backend_server
+
+
+def run(words: Sequence[str]) -> int:
+    """Run a subcommand."""
+    options = docopt(__doc__, argv=list(words))
+    client = OperatorClient.of_options(options)
+    if options['list']:
+        _rows.list_rows(client, KIND, as_json=options['--json'])
+        return ExitCode.done
+    change = _change(client, options)
+    print_change(change, as_json=options['--json'])
+    return ExitCode.done
+
+
+def _change(
+    client: OperatorClient,
+    options: Mapping[str, Any],
+) -> Mapping[str, Any]:
+    name = options['NAME']
+    if options['add']:
+        return _rows.write_row(client, KIND, name, _fields(options))
+    if options['start']:
+        return _set_state(client, name, BackendState.active)
+    if options['stop']:
+        return _set_state(client, name, BackendState.leaving)
+    return _rows.remove_row(client, KIND, name)
+
+
+def _fields(options: Mapping[str, Any]) -> dict[str, Any]:
+    return {
+        'name': options['NAME'],
+        'url': options['--url'],
+        'region': options['--region'],
+        'availability_zone': options['--zone'],
+        'service': options['--service'],
+        'checks_fencing': not options['--ignores-fencing'],
+    }
+
+
+def _set_state(
+    client: OperatorClient,
+    name: str,
+    state: BackendState,
+) -> Mapping[str, Any]:
+    row = _rows.read_row(client, KIND, name)
+    if row is None:
+        raise NotFoundError(f'no backend_server {name}')
+    fields = {**row['fields'], 'state': state.value}
+    return _rows.write_row(client, KIND, name, fields, row['version'])
--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -8,6 +8,12 @@
 Commands:
   serve      Run an entry host.
   config     Check a settings file.
+  table      Read and change the shared table.
+  account    Client accounts and their keys.
+  service    What callers can ask for.
+  backend    Backend servers.
+  host       Entry hosts.
+  status     A host, and the table's revision at all hosts.
   timeline   What happened, over all processes.
   version    Print the version.
 
@@ -20,10 +26,11 @@
 from __future__ import annotations
 
 import importlib
+import json
 import sys
 from collections.abc import Sequence
 
-from docopt import docopt
+from docopt import DocoptExit, docopt
 
 from celerywharf import __version__
 from celerywharf.cli._exits import ExitCode, exit_code
@@ -33,6 +40,12 @@
     'timeline': 'celerywharf.cli._timeline',
     'serve': 'celerywharf.cli._serve',
     'config': 'celerywharf.cli._config',
+    'table': 'celerywharf.cli._table',
+    'account': 'celerywharf.cli._account',
+    'service': 'celerywharf.cli._service',
+    'backend': 'celerywharf.cli._backend',
+    'host': 'celerywharf.cli._host',
+    'status': 'celerywharf.cli._status',
     'version': 'celerywharf.cli._version',
 }
 
@@ -40,6 +53,22 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run a command and return the exit code."""
     words = list(sys.argv[1:] if argv is None else argv)
+    try:
+        return _run(words)
+    except DocoptExit as error:
+        sys.stderr.write(f'{error}\n')
+        return ExitCode.usage
+    except CelerywharfError as error:
+        _complain(error.message)
+        current = getattr(error, 'current', None)
+        if current is not None:
+            _complain(f'it stands now: {json.dumps(current)}')
+        return exit_code(error)
+    except KeyboardInterrupt:
+        return ExitCode.failed
+
+
+def _run(words: Sequence[str]) -> int:
     options = docopt(
         __doc__,
         argv=words,
@@ -51,14 +80,7 @@
         known = ', '.join(COMMANDS)
         _complain(f'unknown command {command!r}; known: {known}')
         return ExitCode.usage
-    module = importlib.import_module(COMMANDS[command])
-    try:
-        return module.run(words)
-    except CelerywharfError as error:
-        _complain(error.message)
-        return exit_code(error)
-    except KeyboardInterrupt:
-        return ExitCode.failed
+    return importlib.import_module(COMMANDS[command]).run(words)
 
 
 def _complain(message: str) -> None:
