Add usage: a ledger, batches that count once, costs by the table's weights

Cause: owners dispute idle and transfer cost, so each second must be counted once also when the store's answer is lost. A batch keeps its name and content until it is known to be stored. Engine and idle time are fed by the generation, application and admission parts as they land.

--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -15,6 +15,7 @@
   host       Entry hosts.
   status     A host, and the table's revision at all hosts.
   timeline   What happened, over all processes.
+  usage      What each client account cost.
   version    Print the version.
 
 See 'celerywharf <command> --help'.
@@ -38,6 +39,7 @@
 
 COMMANDS = {
     'timeline': 'celerywharf.cli._timeline',
+    'usage': 'celerywharf.cli._usage',
     'serve': 'celerywharf.cli._serve',
     'config': 'celerywharf.cli._config',
     'table': 'celerywharf.cli._table',
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -51,6 +51,7 @@
         applications: calls to plain services.
         timelines: answers questions about events.
         shipper: keeps events in the object store.
+        usage: what client accounts cost.
         leaving: True once a graceful stop began.
     """
 
