Detect failures between hosts by random probes, whole

Cause: the thin membership asks every known host each period, which is all-to-all, accuses falsely and knows no leaving state. Change: a detector apart from I/O (random and indirect probes, suspicion that the accused refutes with a higher serial, tombstones, own pauses recognized), bounded samples of other zones, notices about leaving backend servers, and the platform's list as a hint only. Probe period 0.25 s and suspicion 0.6 s, so that a probe, its indirect probe and the suspicion fit in 2 s.

--- a/celerywharf/membership/_part.py
+++ b/celerywharf/membership/_part.py
@@ -2,124 +2,228 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import TYPE_CHECKING, Any
 
 from celerywharf.exceptions import CelerywharfError
-from celerywharf.membership.peers import Peer
+from celerywharf.membership._boards import NoticeBoard
+from celerywharf.membership._exchanges import Exchanges
+from celerywharf.membership._schedules import Duty, Schedule
+from celerywharf.membership.detectors import Detector, Timing
+from celerywharf.membership.introductions import Introductions
+from celerywharf.membership.messages import (
+    Action,
+    Changed,
+    Learned,
+    Leave,
+    ProbeDirectly,
+    ProbeIndirectly,
+    Spread,
+    Tick,
+    Unreached,
+)
+from celerywharf.membership.peers import Peer, own_state
+from celerywharf.membership.samples import Samples
+from celerywharf.membership.states import Status, is_live
 from celerywharf.structures import Address
 from celerywharf.tasks import Part
-from celerywharf.wire import Sender
-from celerywharf.wire.membership import PeerState, View, ViewRequest
+from celerywharf.wire.membership import Gossip, Notice, PeerState
 
 if TYPE_CHECKING:
     from celerywharf.hosts import Host
 
-ALIVE = 'alive'
-FORGET_AFTER_PROBES = 3
+TICKS_PER_PROBE = 5
 
 OnChange = Callable[[Peer, bool], None]
 
 
-class _Round:
-    """Timer message: ask all known hosts."""
-
-
 class Membership(Part):
-    """Asks seeds and known hosts for their view, forgets the silent.
+    """Full view of the own zone, a bounded sample of each other one.
 
     Attributes:
-        peers: live hosts by name, this host included.
+        detector: decides about the own zone.
+        samples: hosts known of other zones.
+        notices: backend servers found to be leaving.
     """
 
     def __init__(self, host: Host) -> None:
         super().__init__()
         self.host = host
-        self.peers: dict[str, Peer] = {}
-        self.misses: dict[Address, int] = {}
-        self.callbacks: list[OnChange] = []
-        self.host.links.subscribe(ViewRequest, self._asked)
+        timing = host.settings.membership
+        self.rng = Random(f'{host.identity.name}:{host.identity.incarnation}')
+        self.detector = Detector(
+            own_state(host),
+            Timing(timing.probe_s, timing.suspicion_s),
+            self.rng,
+        )
+        self.samples = Samples(self.rng)
+        self.notices = NoticeBoard(self)
+        self.introductions = Introductions(
+            host.settings.peers.seeds,
+            self.rng,
+        )
+        self.schedule = Schedule(self.rng)
+        self.exchanges = Exchanges(self)
+        self.change_callbacks: list[OnChange] = []
 
     def start(self) -> None:
-        """Begin asking."""
+        """Begin probing."""
         super().start()
-        self._learn(self.self_state())
-        self.post(_Round())
-        period_s = self.host.settings.membership.probe_s
-        self.host.timers.every(period_s, self.post, _Round())
+        self.post(Tick())
+        period_s = self.host.settings.membership.probe_s / TICKS_PER_PROBE
+        self.host.timers.every(period_s, self.post, Tick())
 
     def live(self, availability_zone: str | None = None) -> list[Peer]:
-        """List live hosts, this one included, of one zone or all known."""
+        """List live hosts, this one included, of one zone or all known.
+
+        Of other zones only a few hosts are known.
+        """
+        states = [
+            self.detector.own,
+            *self.detector.live(),
+            *self.samples.all(),
+        ]
         return [
-            peer
-            for peer in self.peers.values()
-            if availability_zone in {None, peer.availability_zone}
+            Peer.of(state)
+            for state in states
+            if availability_zone in {None, state.availability_zone}
         ]
 
     def peer(self, name: str) -> Peer | None:
-        """Find a live host by name."""
-        return self.peers.get(name)
+        """Find a live host among those known here."""
+        if name == self.detector.own.name:
+            return Peer.of(self.detector.own)
+        member = self.detector.members.get(name)
+        state = member.state if member else self.samples.find(name)
+        return Peer.of(state) if state and is_live(state) else None
+
+    async def find(self, name: str) -> Peer | None:
+        """Find a live host anywhere, asking one host of each other zone."""
+        known = self.peer(name)
+        if known is not None:
+            return known
+        for state in self.samples.one_a_zone():
+            found = await self.exchanges.find(state, name)
+            if found is not None:
+                return Peer.of(found)
+        return None
 
     def on_change(self, callback: OnChange) -> None:
         """Call ``callback(peer, alive)`` when a host comes, changes, goes."""
-        self.callbacks.append(callback)
-
-    def self_state(self) -> PeerState:
-        """Describe this host."""
-        identity = self.host.identity
-        return PeerState(
-            name=identity.name,
-            region=identity.region,
-            availability_zone=identity.availability_zone,
-            inner=str(identity.inner),
-            edge=str(self.host.settings.host.listen),
-            incarnation=identity.incarnation,
-            serial=int(self.host.leaving),
-            status=ALIVE,
-            leaving=self.host.leaving,
-        )
+        self.change_callbacks.append(callback)
+
+    def leave(self) -> None:
+        """Tell the other hosts at once that this one is leaving."""
+        self._carry_out(self.detector.decide(Leave(), self.host.timers.now()))
+        own = self.detector.own
+        for state in (*self.detector.live(), *self.samples.all()):
+            self.send(state, Gossip([own], []))
+
+    def hear(
+        self,
+        states: Iterable[PeerState],
+        notices: Iterable[Notice],
+    ) -> None:
+        """Learn what another host says."""
+        now = self.host.timers.now()
+        zone = self.detector.own.availability_zone
+        near: list[PeerState] = []
+        far: list[PeerState] = []
+        for state in states:
+            mine = state.availability_zone == zone
+            (near if mine else far).append(state)
+        self._carry_out(self.detector.decide(Learned(tuple(near)), now))
+        for state in self.samples.learn(far, now):
+            self._changed(state, alive=is_live(state))
+        self.notices.hear(notices)
+
+    def handle(self, message: Any) -> None:
+        """Take a timer message or the outcome of a probe."""
+        now = self.host.timers.now()
+        self.detector.outsiders = tuple(self.samples.all())
+        self._carry_out(self.detector.decide(message, now))
+        if isinstance(message, Tick):
+            alone = not self.detector.live()
+            for duty in self.schedule.due(now, alone=alone):
+                self._perform(duty)
+
+    def _perform(self, duty: Duty) -> None:
+        match duty:
+            case Duty.introduce:
+                for address in self.introductions.choose(*self._addresses()):
+                    self.spawn(self.exchanges.view(address))
+            case Duty.refresh_sample:
+                state = self.samples.next_to_ask()
+                if state is not None:
+                    self.spawn(self._refresh(state))
+            case Duty.synchronize:
+                live = self.detector.live()
+                if live:
+                    inner = Address.parse(self.rng.choice(live).inner)
+                    self.spawn(self.exchanges.view(inner))
+            case Duty.read_hints:
+                self.spawn(self._read_hints())
+
+    def _addresses(self) -> tuple[list[Address], list[Address]]:
+        live = [peer.inner for peer in self.live()]
+        dead = [
+            Address.parse(member.state.inner)
+            for member in self.detector.members.values()
+            if member.state.status == Status.dead
+        ]
+        return live, dead
 
-    def handle(self, message: object) -> None:
-        """Take a timer message."""
-        known = {peer.inner for peer in self.peers.values()}
-        known.update(self.host.settings.peers.seeds)
-        for address in known - {self.host.identity.inner}:
-            self.spawn(self._ask(address))
+    async def _refresh(self, state: PeerState) -> None:
+        if await self.exchanges.sample(state):
+            return
+        if self.samples.drop(state.name) is not None:
+            self._changed(state, alive=False)
 
-    async def _ask(self, address: Address) -> None:
-        request = ViewRequest([self.self_state()])
+    async def _read_hints(self) -> None:
         try:
-            view = await self.host.links.request(address, request)
+            listed = await self.host.platform.hosts()
         except CelerywharfError:
-            self._missed(address)
             return
-        self.misses.pop(address, None)
-        self._learn(*view.states)
-
-    def _asked(self, sender: Sender, message: ViewRequest) -> View:
-        self._learn(*message.states)
-        return View([self.self_state()])
+        self.introductions.hinted(host.address for host in listed)
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case ProbeDirectly(target):
+                    self.spawn(self._probe(target))
+                case ProbeIndirectly(target, helpers):
+                    self.spawn(self._probe_through(target, helpers))
+                case Spread(targets, states):
+                    for target in targets:
+                        self.send(target, Gossip(list(states), []))
+                case Changed(state, alive):
+                    self._changed(state, alive=alive)
+
+    async def _probe(self, target: PeerState) -> None:
+        started_s = self.host.timers.now()
+        if not await self.exchanges.probe(target):
+            self.post(Unreached(target, started_s, indirect=False))
+
+    async def _probe_through(
+        self,
+        target: PeerState,
+        helpers: tuple[PeerState, ...],
+    ) -> None:
+        started_s = self.host.timers.now()
+        if not await self.exchanges.probe_through(target, helpers):
+            self.post(Unreached(target, started_s, indirect=True))
+
+    def _changed(self, state: PeerState, *, alive: bool) -> None:
+        self.host.recorder.record(
+            'host_changed',
+            host=state.name,
+            alive=alive,
+            leaving=state.leaving,
+        )
+        for callback in self.change_callbacks:
+            callback(Peer.of(state), alive)
 
-    def _learn(self, *states: PeerState) -> None:
-        for state in states:
-            peer = Peer.of(state)
-            known = self.peers.get(peer.name)
-            if known == peer:
-                continue
-            if known and known.incarnation > peer.incarnation:
-                continue
-            self.peers[peer.name] = peer
-            self._changed(peer, alive=True)
-
-    def _missed(self, address: Address) -> None:
-        self.misses[address] = self.misses.get(address, 0) + 1
-        if self.misses[address] < FORGET_AFTER_PROBES:
-            return
-        for peer in tuple(self.peers.values()):
-            if peer.inner == address:
-                self.peers.pop(peer.name)
-                self._changed(peer, alive=False)
-
-    def _changed(self, peer: Peer, *, alive: bool) -> None:
-        for callback in self.callbacks:
-            callback(peer, alive)
+    def send(self, target: PeerState, message: Gossip) -> None:
+        """Send news to a host; it may be lost."""
+        self.host.links.send(Address.parse(target.inner), message)
--- a/celerywharf/membership/peers.py
+++ b/celerywharf/membership/peers.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
+from celerywharf.membership.states import Status
 from celerywharf.structures import Address
 from celerywharf.wire.membership import PeerState
 
+if TYPE_CHECKING:
+    from celerywharf.hosts import Host
+
 
 @dataclass(frozen=True, slots=True)
 class Peer:
@@ -42,3 +47,19 @@
             incarnation=state.incarnation,
             leaving=state.leaving,
         )
+
+
+def own_state(host: Host) -> PeerState:
+    """Describe this host to others."""
+    identity = host.identity
+    return PeerState(
+        name=identity.name,
+        region=identity.region,
+        availability_zone=identity.availability_zone,
+        inner=str(identity.inner),
+        edge=str(host.settings.host.listen),
+        incarnation=identity.incarnation,
+        serial=0,
+        status=Status.alive.value,
+        leaving=False,
+    )
--- a/celerywharf/settings/_models.py
+++ b/celerywharf/settings/_models.py
@@ -154,15 +154,15 @@
     """``[membership]``: failure detection between hosts."""
 
     probe_s: Seconds = Field(
-        default=0.4,
+        default=0.25,
         description='seconds between probes',
     )
     probe_timeout_s: Seconds = Field(
-        default=0.25,
+        default=0.2,
         description='seconds to wait for a direct answer',
     )
     suspicion_s: Seconds = Field(
-        default=1.0,
+        default=0.6,
         description='seconds a suspected host has to refute',
     )
 
