--- a/celerywharf/membership/detectors.py
+++ b/celerywharf/membership/detectors.py
@@ -35,7 +35,6 @@
 HELPERS = 3
 SPREAD_TARGETS = 4
 TOMBSTONE_KEEP_S = 300.0
-PAUSE_PERIODS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +126,7 @@
         before = now if self.last_message_s is None else self.last_message_s
         self.last_message_s = now
         gap_s = now - before
-        if gap_s <= PAUSE_PERIODS * self.timing.probe_s:
+        if gap_s <= self.timing.probe_s:
             return
         self.resumed_s = now
         for member in self.members.values():
