--- a/celerywharf/cli/_timeline.py
+++ b/celerywharf/cli/_timeline.py
@@ -22,11 +22,12 @@
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
+from urllib.parse import urlencode
 
 from docopt import docopt
 
+from celerywharf.cli._client import OperatorClient
 from celerywharf.cli._exits import ExitCode
-from celerywharf.cli._operators import OperatorClient
 from celerywharf.exceptions import BadRequestError
 from celerywharf.timeline import Event
 from celerywharf.timeline.gaps import Gap, find_gaps
@@ -59,12 +60,13 @@
 def _collect(options: Mapping[str, Any]) -> tuple[list[Event], list[str]]:
     if options['--file']:
         return _from_files(options), []
-    answer = OperatorClient.of(options).get(
-        '/operator/timeline',
-        request=options['--request'],
-        generation=options['--generation'],
-        since=options['--since'],
-    )
+    query = {
+        'request': options['--request'] or '',
+        'generation': options['--generation'] or '',
+        'since': options['--since'],
+    }
+    client = OperatorClient.of_options(options)
+    answer = client.call('GET', f'/timeline?{urlencode(query)}')
     events = [from_json(fields) for fields in answer['events']]
     return events, answer['silent_hosts']
 
--- a/celerywharf/cli/_usage.py
+++ b/celerywharf/cli/_usage.py
@@ -16,11 +16,12 @@
 import json
 import sys
 from collections.abc import Sequence
+from urllib.parse import urlencode
 
 from docopt import docopt
 
+from celerywharf.cli._client import OperatorClient
 from celerywharf.cli._exits import ExitCode
-from celerywharf.cli._operators import OperatorClient
 from celerywharf.timeline.tables import align
 
 COLUMNS = (
@@ -35,8 +36,9 @@
 def run(words: Sequence[str]) -> int:
     """Print a row for each client account and a total."""
     options = docopt(__doc__, argv=list(words))
-    client = OperatorClient.of(options)
-    answer = client.get('/operator/usage', since=options['--since'])
+    query = urlencode({'since': options['--since']})
+    client = OperatorClient.of_options(options)
+    answer = client.call('GET', f'/usage?{query}')
     if options['--json']:
         sys.stdout.write(f'{json.dumps(answer)}\n')
         return ExitCode.done
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -25,6 +25,8 @@
 from celerywharf.timeline.queries import TIMELINE_ROUTES, TimelineService
 from celerywharf.timeline.shipping import Shipper
 from celerywharf.timers import TimerService
+from celerywharf.usage.batches import UsageKeeper
+from celerywharf.usage.reports import USAGE_ROUTES
 from celerywharf.wire import LinkService, default_codec
 
 logger = logging.getLogger(__name__)
@@ -52,6 +54,7 @@
         timelines: answers questions about events.
         shipper: keeps events in the object store.
         usage: what client accounts cost.
+        parts: everything with a task, in the order of starting.
         leaving: True once a graceful stop began.
     """
 
@@ -92,6 +95,15 @@
         self.applications = Applications(self)
         self.timelines = TimelineService(self)
         self.shipper = Shipper(self)
+        self.usage = UsageKeeper(self)
+        self.parts = (
+            self.announcer,
+            self.membership,
+            self.shipper,
+            self.usage,
+            self.applications,
+            self.tables,
+        )
         self.server = build_server(self, self.routes())
 
     @property
@@ -113,6 +125,7 @@
             *METRIC_ROUTES,
             *TIMELINE_ROUTES,
             *OPERATOR_ROUTES,
+            *USAGE_ROUTES,
         ]
 
     async def start(self) -> None:
@@ -124,11 +137,8 @@
         inner = self.settings.host.inner
         self.links.add_sockets(_bind('inner', inner))
         self.server.add_sockets(_bind('listen', self.settings.host.listen))
-        self.announcer.start()
-        self.membership.start()
-        self.shipper.start()
-        self.applications.start()
-        self.tables.start()
+        for part in self.parts:
+            part.start()
         logger.info('host started', extra={'inner': str(inner)})
 
     async def drain(self) -> None:
@@ -144,13 +154,9 @@
     async def stop(self) -> None:
         """Stop at once."""
         self.server.stop()
-        await self.shipper.stop()
-        await self.shipper.flush()
-        await self.announcer.stop()
         await self.server.close_all_connections()
-        await self.applications.stop()
-        await self.tables.stop()
-        await self.membership.stop()
+        for part in reversed(self.parts):
+            await part.stop()
         await self.links.close()
         self.transport.close()
         self.stopped.set()
--- a/celerywharf/timeline/shipping.py
+++ b/celerywharf/timeline/shipping.py
@@ -78,8 +78,13 @@
             case NotShipped():
                 self.busy = False
 
+    async def stop(self) -> None:
+        """Ship what is left, then stop."""
+        await super().stop()
+        await self.flush()
+
     async def flush(self) -> None:
-        """Ship what is left before the host stops."""
+        """Ship what is left."""
         events = self.host.recorder.since(self.shipped)
         if events:
             await self._ship(events)
--- a/celerywharf/usage/batches.py
+++ b/celerywharf/usage/batches.py
@@ -75,8 +75,13 @@
             case NotStored():
                 self.busy = False
 
+    async def stop(self) -> None:
+        """Store what is left, then stop."""
+        await super().stop()
+        await self.flush()
+
     async def flush(self) -> None:
-        """Store what is left before the host stops."""
+        """Store what is left."""
         while self.mailbox:
             self.handle(self.mailbox.popleft())
         while batch := self.ledger.cut():
