Own, replicate and hand over generations: the thin path

Cause: a caller's completion had no way through the system. Change: engine adapter that checks each event's generation, epoch and attempt; decision classes for attempts, replication and replicas, apart from I/O; owner, channels that batch journals per replica, followers on other hosts, takeover with a higher epoch, idempotency keys; completions and reconnect over HTTP; a rig of real processes for experiments. xxhash 4 takes bytes only, so the shared hashes encode. Ruled out: one epoch counter for all owners, since two hosts that take over from different replicas of a split network would choose the same one. Seen by hand with two hosts and two stand-in engines: a stream, a whole JSON answer, a second read on the same and on the other host, 400 for a broken Last-Event-ID.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: `python -m bench NAME --seed N`."""
--- /dev/null
+++ b/bench/rigs.py
@@ -0,0 +1,136 @@
+"""A small system for experiments: platform, engines and entry hosts."""
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+from standins.calls import call
+from standins.launching import Fleet, find_free_port
+
+OPERATOR_KEY = 'operator-key-of-the-bench'
+INNER_KEY = 'inner-key-of-the-bench-hosts'
+ACCOUNT = 'bench'
+ACCOUNT_KEY = 'caller-key-of-the-bench'
+SERVICE = 'narratives'
+MODEL = 'narrative'
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a host or engine stands."""
+
+    region: str = 'region-a'
+    availability_zone: str = 'zone-a1'
+
+
+@dataclass(slots=True)
+class Rig:
+    """Started processes and the rows to put into the table.
+
+    Attributes:
+        fleet: all processes; whoever made it ends it.
+        seeds: inner addresses of hosts.
+        rows: table rows of engines, service and account.
+    """
+
+    fleet: Fleet
+    seeds: list[str]
+    rows: list[dict[str, Any]]
+
+    @classmethod
+    def start(cls, fleet: Fleet, policy: str = 'patient') -> 'Rig':
+        """Start the platform."""
+        fleet.start_platform()
+        digest = hashlib.sha256(ACCOUNT_KEY.encode()).hexdigest()
+        account = {'name': ACCOUNT, 'key_digest': digest}
+        service = {
+            'name': SERVICE,
+            'kind': 'generation',
+            'model': MODEL,
+            'policy': policy,
+        }
+        rows = [
+            _row('client_account', ACCOUNT, account),
+            _row('service', SERVICE, service),
+        ]
+        return cls(fleet, [], rows)
+
+    def add_engine(self, name: str, place: Place, **options: Any) -> None:
+        """Start an engine."""
+        started = self.fleet.start_engine(name, models=MODEL, **options)
+        backend = {
+            'name': name,
+            'url': f'http://{started.address}',
+            'region': place.region,
+            'availability_zone': place.availability_zone,
+            'service': SERVICE,
+        }
+        self.rows.append(_row('backend_server', name, backend))
+
+    def add_host(self, name: str, place: Place, **sections: Any) -> str:
+        """Start an entry host; return its address for callers."""
+        listen = f'127.0.0.1:{find_free_port()}'
+        inner = f'127.0.0.1:{find_free_port()}'
+        settings = {
+            'host': {
+                'name': name,
+                'region': place.region,
+                'availability_zone': place.availability_zone,
+                'listen': listen,
+                'inner': inner,
+            },
+            'peers': {'seeds': ' '.join(self.seeds)},
+            'keys': {'inner': INNER_KEY, 'operator': OPERATOR_KEY},
+            'platform': {
+                'url': f'http://{self.fleet.members["platform"].address}',
+            },
+            **sections,
+        }
+        self.seeds.append(inner)
+        self.fleet.start_host(name, settings, listen)
+        return listen
+
+    def fill_table(self, address: str) -> None:
+        """Write the rows through a host.
+
+        Raises:
+            ConnectionError: the host refused them.
+        """
+        status, body = call(
+            address,
+            'POST',
+            '/operator/table/import',
+            {'rows': self.rows},
+            {'Authorization': f'Bearer {OPERATOR_KEY}'},
+        )
+        if status != HTTPStatus.OK:
+            raise ConnectionError(str(body))
+
+
+def caller_headers(**more: str) -> dict[str, str]:
+    """Return the headers of a caller of the rig's account."""
+    return {'Authorization': f'Bearer {ACCOUNT_KEY}', **more}
+
+
+def completion(prompt: str, max_tokens: int) -> dict[str, Any]:
+    """Return the body of a streamed completion."""
+    return {
+        'model': SERVICE,
+        'prompt': prompt,
+        'max_tokens': max_tokens,
+        'stream': True,
+    }
+
+
+def two_hosts(rig: Rig) -> Sequence[str]:
+    """Start a host in each of two zones; return their addresses."""
+    first = rig.add_host('host-a', Place())
+    second = rig.add_host('host-b', Place(availability_zone='zone-a2'))
+    rig.fill_table(first)
+    return first, second
+
+
+def _row(kind: str, key: str, fields: dict[str, Any]) -> dict[str, Any]:
+    return {'kind': kind, 'key': key, 'version': 0, 'fields': fields}
--- /dev/null
+++ b/celerywharf/generations/journals.py
@@ -0,0 +1,151 @@
+"""The journal of a generation and the positions of callers on it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import xxhash
+
+from celerywharf.exceptions import BadRequestError, GenerationLostError
+from celerywharf.wire.journals import JournalLine, JournalOpen, JournalSpec
+
+OWNER_BITS = 16
+OWNER_MASK = (1 << OWNER_BITS) - 1
+POSITION_PARTS = 3
+EPOCH_BITS = 63
+OFFSET_BITS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """How far a caller got: the ``id`` of the last event it received.
+
+    Attributes:
+        generation: id of the generation.
+        epoch: epoch of the owner that delivered, 0 for the beginning.
+        offset: number of tokens received.
+    """
+
+    generation: str
+    epoch: int = 0
+    offset: int = 0
+
+    @classmethod
+    def parse(cls, text: str) -> Position:
+        """Read ``<generation>.<epoch>.<offset>``.
+
+        Raises:
+            BadRequestError: the text has another form.
+        """
+        generation, epoch, offset = _split(text)
+        position = cls(generation, int(epoch), int(offset))
+        if position.epoch >> EPOCH_BITS or position.offset >> OFFSET_BITS:
+            raise BadRequestError('Last-Event-ID is out of range')
+        return position
+
+    def __str__(self) -> str:
+        """Write the position the way ``parse`` reads it."""
+        return f'{self.generation}.{self.epoch}.{self.offset}'
+
+
+@dataclass(slots=True)
+class Journal:
+    """All that must survive of a generation.
+
+    Attributes:
+        spec: what the caller asked for.
+        lines: stretches by epoch, in order of offsets.
+        tokens: every accepted token by offset.
+        finish_reason: empty while the generation runs.
+        attempt: number of the latest attempt, 0 before the first.
+        attempt_epoch: epoch the attempt was started in.
+        backend_server: name of the server that runs it, or empty.
+    """
+
+    spec: JournalSpec
+    lines: list[JournalLine]
+    tokens: list[str] = field(default_factory=list)
+    finish_reason: str = ''
+    attempt: int = 0
+    attempt_epoch: int = 0
+    backend_server: str = ''
+
+    @classmethod
+    def of(cls, message: JournalOpen) -> Journal:
+        """Copy the journal out of a message."""
+        return cls(
+            message.spec,
+            list(message.lines),
+            list(message.tokens),
+            message.finish_reason,
+            message.attempt,
+            message.attempt_epoch,
+            message.backend_server,
+        )
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the last stretch."""
+        return self.lines[-1].epoch
+
+    def message(self, owner: str) -> JournalOpen:
+        """Return the whole journal as a message of its owner."""
+        return JournalOpen(
+            self.spec,
+            owner,
+            list(self.lines),
+            list(self.tokens),
+            self.finish_reason,
+            self.attempt,
+            self.attempt_epoch,
+            self.backend_server,
+        )
+
+    def begin_epoch(self, epoch: int) -> None:
+        """Begin the stretch of a new owner after all tokens so far."""
+        self.lines.append(JournalLine(epoch, len(self.tokens)))
+
+    def check(self, position: Position) -> None:
+        """Make sure that a caller's tokens are the first of this journal.
+
+        An epoch that is not in the journal belongs to an owner whose tokens
+        nobody here has seen, so even a small offset proves nothing.
+
+        Raises:
+            GenerationLostError: they may be others.
+        """
+        if position.offset == 0:
+            return
+        if position.offset > self._end_of(position.epoch):
+            raise GenerationLostError(
+                f'{position} is not on the journal of the generation',
+            )
+
+    def _end_of(self, epoch: int) -> int:
+        ends = [line.offset for line in self.lines[1:]]
+        ends.append(len(self.tokens))
+        for line, end in zip(self.lines, ends, strict=True):
+            if line.epoch == epoch:
+                return end
+        return -1
+
+
+def next_epoch(epoch: int, owner: str, incarnation: int) -> int:
+    """Return an epoch above ``epoch`` that no other owner would choose.
+
+    Two hosts that take over from different replicas of a split network pick
+    different epochs, so that a position always tells whose tokens it counts.
+    """
+    digest = xxhash.xxh32_intdigest(f'{owner}\0{incarnation}'.encode())
+    return ((epoch >> OWNER_BITS) + 1) << OWNER_BITS | (digest & OWNER_MASK)
+
+
+def _split(text: str) -> list[str]:
+    parts = text.strip().rsplit('.', POSITION_PARTS - 1)
+    numbers = parts[1:]
+    readable = all(one.isascii() and one.isdigit() for one in numbers)
+    if readable and len(parts) == POSITION_PARTS and parts[0]:
+        return parts
+    raise BadRequestError(
+        'Last-Event-ID must be <generation>.<epoch>.<offset>',
+    )
--- /dev/null
+++ b/celerywharf/generations/messages/_replicas.py
@@ -0,0 +1,39 @@
+"""What is heard of replicas and other owners."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaStored:
+    """The replica holds all tokens before ``offset``.
+
+    Attributes:
+        replica: name of the host.
+        offset: number of tokens it holds.
+        finished: it holds the finish reason too.
+        sent_s: when the acknowledged request left.
+    """
+
+    replica: str
+    offset: int
+    finished: bool
+    sent_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaLost:
+    """The replica cannot be reached, or lost the journal."""
+
+    replica: str
+
+
+@dataclass(frozen=True, slots=True)
+class NoReplica:
+    """There is no host that could be replica now."""
+
+
+@dataclass(frozen=True, slots=True)
+class NewerOwner:
+    """A replica or engine knows a newer owner."""
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -6,20 +6,19 @@
 import logging
 import time
 
-from tornado.netutil import bind_sockets
-
 from celerywharf.adapters import CurlTransport, Platform
 from celerywharf.admissions import Admissions
 from celerywharf.applications import APPLICATION_ROUTES, Applications
 from celerywharf.edge import build_server
-from celerywharf.exceptions import SettingsError
+from celerywharf.generations import GENERATION_ROUTES, Generations
 from celerywharf.hosts._announcer import Announce, Announcer
 from celerywharf.hosts._health import HEALTH_ROUTES
+from celerywharf.hosts._sockets import bind
 from celerywharf.membership import Membership
 from celerywharf.metrics import METRIC_ROUTES, Metrics
 from celerywharf.operators import OPERATOR_ROUTES
 from celerywharf.settings import HostSettings
-from celerywharf.structures import Address, HostIdentity
+from celerywharf.structures import HostIdentity
 from celerywharf.tables import Catalogue, TableService
 from celerywharf.timeline import HybridClock, Recorder
 from celerywharf.timeline.queries import TIMELINE_ROUTES, TimelineService
@@ -55,6 +54,7 @@
         shipper: keeps events in the object store.
         usage: what client accounts cost.
         parts: everything with a task, in the order of starting.
+        generations: generations owned, followed and replicated here.
         leaving: True once a graceful stop began.
     """
 
@@ -96,6 +96,7 @@
         self.timelines = TimelineService(self)
         self.shipper = Shipper(self)
         self.usage = UsageKeeper(self)
+        self.generations = Generations(self)
         self.parts = (
             self.announcer,
             self.membership,
@@ -103,6 +104,7 @@
             self.usage,
             self.applications,
             self.tables,
+            self.generations,
         )
         self.server = build_server(self, self.routes())
 
@@ -126,6 +128,7 @@
             *TIMELINE_ROUTES,
             *OPERATOR_ROUTES,
             *USAGE_ROUTES,
+            *GENERATION_ROUTES,
         ]
 
     async def start(self) -> None:
@@ -135,8 +138,8 @@
             SettingsError: an address cannot be listened on.
         """
         inner = self.settings.host.inner
-        self.links.add_sockets(_bind('inner', inner))
-        self.server.add_sockets(_bind('listen', self.settings.host.listen))
+        self.links.add_sockets(bind('inner', inner))
+        self.server.add_sockets(bind('listen', self.settings.host.listen))
         for part in self.parts:
             part.start()
         logger.info('host started', extra={'inner': str(inner)})
@@ -149,6 +152,7 @@
         self.recorder.record('host_leaving')
         self.announcer.post(Announce())
         await self.applications.drain()
+        await self.generations.drain()
         await self.stop()
 
     async def stop(self) -> None:
@@ -160,12 +164,3 @@
         await self.links.close()
         self.transport.close()
         self.stopped.set()
-
-
-def _bind(key: str, address: Address) -> list:
-    try:
-        return bind_sockets(address.port, address.ip)
-    except OSError as error:
-        raise SettingsError(
-            f'[host] {key} = {address}: cannot listen: {error.strerror}',
-        ) from None
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -8,6 +8,8 @@
 from celerywharf.wire import (
     basics,
     claims,
+    idempotency,
+    journals,
     membership,
     tables,
     timelines,
@@ -20,6 +22,8 @@
     membership,
     tables,
     timelines,
+    idempotency,
+    journals,
 )
 
 
