Watch generations: first token, resume silence, engine time, events

Cause: the time line of the quick start's request was empty and usage had no engine time. Each attempt's end charges slot seconds and received tokens, and the answer's bytes where the engine stands in another region.

--- a/celerywharf/adapters/engines.py
+++ b/celerywharf/adapters/engines.py
@@ -95,6 +95,7 @@
     Attributes:
         attempt: the run every event must name.
         transfer: the exchange, to pause, resume or cancel.
+        received_bytes: size of the answer so far.
     """
 
     transfer: Transfer
@@ -105,6 +106,7 @@
         self.status = 0
         self.rest = b''
         self.ended = False
+        self.received_bytes = 0
 
     def cancel(self) -> None:
         """Close the connection; the listener hears nothing more."""
@@ -119,6 +121,7 @@
         """Read whole events; keep the rest of a broken one."""
         if self.ended:
             return
+        self.received_bytes += len(chunk)
         if self.rest:
             chunk = self.rest + chunk
             self.rest = b''
--- a/celerywharf/generations/_handlers.py
+++ b/celerywharf/generations/_handlers.py
@@ -116,6 +116,13 @@
         wanted: CompletionRequest,
     ) -> None:
         reader = await self._read(generation, client_account, wanted)
+        self.host.recorder.record(
+            'request_accepted',
+            request=self.request_id,
+            generation=reader.generation,
+            client_account=client_account,
+            service=wanted.model,
+        )
         if isinstance(reader, EventReader):
             await self.send_events(reader)
             return
--- a/celerywharf/generations/_running.py
+++ b/celerywharf/generations/_running.py
@@ -10,6 +10,7 @@
 from celerywharf.exceptions import CelerywharfError, GenerationLostError
 from celerywharf.generations._channels import Channel, open_replica
 from celerywharf.generations._logic import ONLY_REPLICATE, GenerationLogic
+from celerywharf.generations._observations import Observations
 from celerywharf.generations._placement import replica_order
 from celerywharf.generations._readers import Reader
 from celerywharf.generations._runs import Runs
@@ -51,6 +52,7 @@
         logic: its decisions.
         readers: who receives its tokens.
         runs: attempts under way.
+        observations: what metrics, time line and usage get.
         channel: the way to its replica, None without one.
         sent: number of tokens sent to the replica.
         marked: it waits in the channel.
@@ -71,6 +73,7 @@
         self.logic = logic
         self.readers: list[Reader] = []
         self.runs = Runs(part, self)
+        self.observations = Observations(self, part.now())
         self.channel: Channel | None = None
         self.sent = len(journal.tokens)
         self.marked = False
@@ -90,12 +93,9 @@
 
     def on_tokens(self, attempt: int, offset: int, tokens: list[str]) -> None:
         """Take tokens of an attempt."""
-        actions = self.logic.take_tokens(
-            attempt,
-            offset,
-            tokens,
-            self.part.now(),
-        )
+        now = self.part.now()
+        actions = self.logic.take_tokens(attempt, offset, tokens, now)
+        self.observations.took(attempt, len(tokens), now)
         if actions is ONLY_REPLICATE and self.channel is not None:
             self.channel.mark(self)
             return
@@ -109,6 +109,7 @@
     def on_failure(self, attempt: int, failure: StreamFailure) -> None:
         """Take the failure of an attempt's stream."""
         self.part.host.metrics.count('attempt_failures', kind=failure.kind)
+        self.observations.interrupted(attempt, failure.kind)
         self.hear(AttemptFailed(attempt, failure.kind))
 
     # What the part and its channels say.
@@ -226,7 +227,9 @@
                 self.runs.perform(action)
 
     def _deliver(self, offset: int, *, finished: bool) -> None:
-        self.deliverable = max(self.deliverable, offset)
+        if offset > self.deliverable:
+            self.deliverable = offset
+            self.observations.delivered(self.part.now())
         if finished and not self.complete:
             self.complete = True
             self.ended_s = self.part.now()
--- a/celerywharf/generations/_runs.py
+++ b/celerywharf/generations/_runs.py
@@ -29,12 +29,19 @@
 
 @dataclass(slots=True)
 class Run:
-    """An attempt's stream and what it occupies."""
+    """An attempt's stream and what it occupies.
+
+    Attributes:
+        started_s: monotonic time of its start.
+        tokens: tokens received.
+    """
 
     attempt: AttemptId
     backend_server: BackendServer
     stream: EngineStream
     grant: Grant | None
+    started_s: float
+    tokens: int = 0
 
     def pause(self) -> None:
         """Stop reading the stream."""
@@ -74,7 +81,10 @@
     def release(self, number: int, outcome: Outcome) -> None:
         """Forget an attempt and give its grant back."""
         run = self.by_number.pop(number, None)
-        if run is not None and run.grant is not None:
+        if run is None:
+            return
+        self.running.observations.released(run, self.part.now())
+        if run.grant is not None:
             self.part.host.admissions.release(run.grant, outcome)
 
     async def _start(self, action: StartAttempt) -> None:
@@ -103,7 +113,9 @@
         backend = grant.backend_server
         engines = self.part.engines
         stream = engines.generate(backend.url, work, self.running)
-        self._started(Run(work.attempt, backend, stream, grant))
+        self._started(
+            Run(work.attempt, backend, stream, grant, self.part.now()),
+        )
 
     def _demand(
         self,
@@ -137,7 +149,7 @@
             len(self.running.journal.tokens),
             self.running,
         )
-        self._started(Run(new, backend, stream, None))
+        self._started(Run(new, backend, stream, None, self.part.now()))
 
     def _started(self, run: Run) -> None:
         number = run.attempt.attempt
@@ -151,10 +163,12 @@
         run = self.by_number.get(number)
         if run is None:
             return
-        run.stream.cancel()
         backend = run.backend_server
+        if kind and not run.stream.ended:
+            self.running.observations.interrupted(number, kind)
         if kind:
             self.part.host.admissions.report_failure(backend.name, kind)
+        run.stream.cancel()
         self._record('attempt_ended', run, kind=kind or 'cancelled')
         self.part.spawn(self.part.engines.cancel(backend.url, run.attempt))
         self.release(number, Outcome.failed if kind else Outcome.cancelled)
