Admit through the owner of each backend server

Cause: limits and least load were counted per host; many hosts together exceeded a limit and knew nothing of each other's load. Leaving is told to all hosts at once.

--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -100,6 +100,7 @@
         self.parts = (
             self.announcer,
             self.membership,
+            self.admissions,
             self.shipper,
             self.usage,
             self.applications,
@@ -151,8 +152,11 @@
         self.leaving = True
         self.recorder.record('host_leaving')
         self.announcer.post(Announce())
-        await self.applications.drain()
-        await self.generations.drain()
+        self.membership.leave()
+        await asyncio.gather(
+            self.applications.drain(),
+            self.generations.drain(),
+        )
         await self.stop()
 
     async def stop(self) -> None:
--- a/celerywharf/membership/_part.py
+++ b/celerywharf/membership/_part.py
@@ -119,6 +119,7 @@
         own = self.detector.own
         for state in (*self.detector.live(), *self.samples.all()):
             self.send(state, Gossip([own], []))
+        self._changed(own, alive=True)
 
     def hear(
         self,
--- a/celerywharf/membership/peers.py
+++ b/celerywharf/membership/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,9 @@
     from celerywharf.hosts import Host
 
 
+KNOWN_PEERS = 4096
+
+
 @dataclass(frozen=True, slots=True)
 class Peer:
     """An entry host.
@@ -36,6 +40,7 @@
     leaving: bool
 
     @classmethod
+    @functools.lru_cache(maxsize=KNOWN_PEERS)
     def of(cls, state: PeerState) -> Peer:
         """Read a peer from the message about it."""
         return cls(
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -6,6 +6,7 @@
 from types import ModuleType
 
 from celerywharf.wire import (
+    admissions,
     basics,
     claims,
     idempotency,
@@ -17,6 +18,7 @@
 from celerywharf.wire._codec import Codec
 
 MODULES: tuple[ModuleType, ...] = (
+    admissions,
     basics,
     claims,
     membership,
