Prove the shared table by replay and on real hosts; mend the spread it broke

Scenarios: two operators race through two hosts, commit answer lost, host paused through three changes, host restarted with the platform down, lone host not ready, zone cut off and healed, older revision offered, command line with sheets; recorded and written traces for the change attempt, replica, spread, polling and readiness; validation and sheets. Fault found by the spread scenario (120 and 500 hosts were not all reached): a zone entered at two hosts had two trees, and a host already told in one passed nothing on in the other. Each push is now passed on once for each root, and what was pulled from a peer is not pushed at all. To put a link before a host, [host] inner_listen says where to listen when others reach the inner address by a detour, and hosts connect from their own address.

--- a/celerywharf/cli/_config.py
+++ b/celerywharf/cli/_config.py
@@ -42,6 +42,6 @@
                 yield f'{key} ='
                 continue
             default = field.default
-            text = '' if isinstance(default, tuple) else default
+            text = '' if default in {None, ()} else default
             yield f'; {key} = {text}'
         yield ''
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -87,6 +87,7 @@
             settings.keys.inner.get_secret_value().encode(),
             default_codec(),
             self.recorder.clock,
+            settings.host.inner_bind.ip,
         )
         self.announcer = Announcer(self)
         self.tables = TableService(self)
@@ -138,7 +139,7 @@
         Raises:
             SettingsError: an address cannot be listened on.
         """
-        inner = self.settings.host.inner
+        inner = self.settings.host.inner_bind
         self.links.add_sockets(bind('inner', inner))
         self.server.add_sockets(bind('listen', self.settings.host.listen))
         for part in self.parts:
--- a/celerywharf/settings/_models.py
+++ b/celerywharf/settings/_models.py
@@ -61,6 +61,15 @@
     availability_zone: Name = Field(description='zone it stands in')
     listen: AddressField = Field(description='callers and operators, ip:port')
     inner: AddressField = Field(description='other hosts, ip:port')
+    inner_listen: AddressField | None = Field(
+        default=None,
+        description='where to listen when others reach inner by a detour',
+    )
+
+    @property
+    def inner_bind(self) -> Address:
+        """Return the address to listen on and to connect from."""
+        return self.inner_listen or self.inner
 
 
 class PeerSection(_Section):
--- a/celerywharf/tables/_service.py
+++ b/celerywharf/tables/_service.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING, Any
 
 from celerywharf.exceptions import OverloadedError
-from celerywharf.structures import Address
 from celerywharf.tables._attempts import ChangeAttempt
 from celerywharf.tables._catchup import CatchUp
 from celerywharf.tables._committer import carry_out
@@ -20,6 +19,7 @@
 from celerywharf.tables._reader import read_history
 from celerywharf.tables._replica import Fit, Replica
 from celerywharf.tables._spread import Replicator, Spread
+from celerywharf.tables._telling import Learned, Origin, Teller
 from celerywharf.tables.catalogues import Catalogue
 from celerywharf.tables.changes import Change, ChangeRequest, Delta
 from celerywharf.tables.rows import Row
@@ -42,22 +42,6 @@
 RowsCallback = Callable[[list[Row]], Any]
 
 
-@dataclass(frozen=True, slots=True)
-class Learned:
-    """News from the platform, a peer or an own commit.
-
-    Attributes:
-        delta: the news.
-        root: who brought it into this zone; empty when this host did.
-        source: inner address of the peer to ask when something is missing
-            in between; empty for the platform.
-    """
-
-    delta: Delta
-    root: str = ''
-    source: str = ''
-
-
 @dataclass(frozen=True, slots=True)
 class StartUp:
     """Time to try to become ready."""
@@ -81,7 +65,7 @@
         catalogue: typed rows in force here.
         replica: rows and revision of this host.
         catch_up: reads what the replica lacks.
-        stale_deltas: deltas refused because they were not newer.
+        stale_deltas: pulled deltas that were not newer.
     """
 
     def __init__(self, host: Host) -> None:
@@ -89,13 +73,14 @@
         self.host = host
         self.catalogue = Catalogue()
         self.replica = Replica()
-        self.catch_up = CatchUp(host, self.replica, self._learn_from)
+        self.catch_up = CatchUp(host, self.replica, self._caught_up)
         self.random = random.Random(host.identity.incarnation)
         me = Replicator(
             str(host.identity.inner),
             host.identity.availability_zone,
         )
         self.spread = Spread(me, self.random)
+        self.teller = Teller(self.spread, host.links)
         self.callbacks: list[RowsCallback] = []
         self.committing = asyncio.Lock()
         self.waiting_changes = 0
@@ -140,7 +125,7 @@
                 change = await carry_out(attempt, self.host)
         finally:
             self.waiting_changes -= 1
-        self.post(Learned(Delta.of_change(change)))
+        self.post(Learned(Delta.of_change(change), Origin.commit))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(IN_FORCE_TIMEOUT_S):
                 await self._reach(change.revision)
@@ -173,21 +158,20 @@
             case StartUp():
                 self.spawn(self._start_up())
 
-    def _learn_from(self, delta: Delta, source: str) -> None:
-        self._learn(Learned(delta, source=source))
+    def _caught_up(self, delta: Delta, source: str) -> None:
+        origin = Origin.pull if source else Origin.platform
+        self._learn(Learned(delta, origin, source))
 
     def _learn(self, news: Learned) -> None:
-        before = self.replica.revision
         outcome = self.replica.apply(news.delta)
-        if outcome.fit is Fit.stale:
-            self.stale_deltas += bool(news.source)
-            return
         if outcome.fit is Fit.gap:
             self.spawn(self.catch_up.fill_gap(news.source))
-            return
-        self._put_in_force(outcome.rows)
-        if self.replica.revision > before:
-            self._push(news)
+        elif outcome.fit is Fit.stale:
+            self.stale_deltas += news.origin is Origin.pull
+        else:
+            self._put_in_force(outcome.rows)
+        others = other_hosts(self.host)
+        self.teller.tell(news, others, is_new=outcome.fit is Fit.applied)
 
     def _put_in_force(self, rows: tuple[Row, ...]) -> None:
         self.catalogue.apply(rows)
@@ -202,18 +186,6 @@
         self.advanced.set()
         self.advanced = asyncio.Event()
 
-    def _push(self, news: Learned) -> None:
-        revision = self.replica.revision
-        others = other_hosts(self.host)
-        if news.root:
-            pushes = self.spread.pushes_in_zone(revision, news.root, others)
-        else:
-            pushes = self.spread.pushes_of_origin(revision, others)
-        message = message_of(news.delta)
-        for push in pushes:
-            address = Address.parse(push.address)
-            self.host.links.send(address, TablePush(push.root, message))
-
     def _consider_poll(self) -> None:
         self._after(self.host.settings.platform.poll_s, Poll())
         if self.catch_up.reading.locked():
@@ -244,7 +216,8 @@
         if message.delta.more:
             self.spawn(self.catch_up.pull(source, self.replica.revision))
             return
-        self.post(Learned(delta_of(message.delta), message.root, source))
+        delta = delta_of(message.delta)
+        self.post(Learned(delta, Origin.push, source, message.root))
 
     def _on_digest(self, sender: Sender, message: TableDigest) -> TableDigest:
         self.spawn(self.catch_up.settle(message, str(sender.inner)))
--- a/celerywharf/tables/_spread.py
+++ b/celerywharf/tables/_spread.py
@@ -1,15 +1,15 @@
 """Decides who tells whom about news, and who polls the platform.
 
 Inside a zone news goes down a tree with a small fan-out whose root is the
-host that brought it there; each other zone gets it through one or two of its
-hosts.  No host ever sends to all others, and what a broken branch misses the
-exchange of digests brings later.
+host that brought it there; each other zone gets it through two of its hosts.
+No host ever sends to all others, and what a broken branch misses the
+comparison of digests brings later.
 """
 
 from __future__ import annotations
 
 import random
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -19,6 +19,7 @@
 ENTRIES_PER_ZONE = 2
 OTHER_ZONE_DIGEST_RATIO = 0.25
 FALLBACK_POLLERS = 2
+RELAYS_KEPT = 128
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -42,6 +43,26 @@
     root: str
 
 
+class Relays:
+    """Remembers which pushes were passed on, each once for each root.
+
+    A zone may be entered at two hosts.  Each is the root of its own tree, so
+    a host passes the same news on in both, even where it is no longer new;
+    otherwise hosts below it in the second tree could miss it.
+    """
+
+    def __init__(self) -> None:
+        self.recent: deque[tuple[int, str]] = deque(maxlen=RELAYS_KEPT)
+
+    def is_first(self, revision: int, root: str) -> bool:
+        """Tell whether a push comes by for the first time."""
+        push = (revision, root)
+        if push in self.recent:
+            return False
+        self.recent.append(push)
+        return True
+
+
 class Spread:
     """The choices of one host.
 
--- a/celerywharf/wire/_links.py
+++ b/celerywharf/wire/_links.py
@@ -73,8 +73,10 @@
         key: bytes,
         codec: Codec,
         clock: HybridClock | None = None,
+        source_ip: str | None = None,
     ) -> None:
         super().__init__()
+        self.source_ip = source_ip
         self.clock = clock or HybridClock(time.time)
         self.identity = identity
         self.codec = codec
@@ -201,7 +203,11 @@
     async def _connect(self, address: Address) -> Link:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                stream = await self.client.connect(address.ip, address.port)
+                stream = await self.client.connect(
+                    address.ip,
+                    address.port,
+                    source_ip=self.source_ip,
+                )
                 stream.set_nodelay(True)
                 peer = await self.handshake.greet(stream, initiator=True)
         except (OSError, StreamClosedError, TimeoutError, ProtocolError):
--- a/standins/launching.py
+++ b/standins/launching.py
@@ -59,13 +59,18 @@
         name: str,
         settings: str | SettingsMapping,
         address: str,
+        timeout_s: float = START_TIMEOUT_S,
     ) -> Started:
-        """Start an entry host and wait until it accepts connections.
+        """Start an entry host and wait until it is ready.
 
         Args:
             name: name of the process in the fleet.
             settings: text of the INI file, or options by section.
             address: ``ip:port`` at which it must answer `/healthz` with 200.
+            timeout_s: seconds to wait for that.
+
+        Raises:
+            TimeoutError: it is not ready in time; it stays in the fleet.
         """
         path = self.folder / f'{name}.ini'
         if isinstance(settings, str):
@@ -77,7 +82,11 @@
             process = self.spawn(name, arguments, output)
         started = Started(name, process, address, '')
         self.members[name] = started
-        _wait_until(lambda: self._is_ready(started), f'{name} to be ready')
+        _wait_until(
+            lambda: self._is_ready(started),
+            f'{name} to be ready',
+            timeout_s,
+        )
         return started
 
     def control(self, name: str, **switches: Any) -> dict[str, Any]:
@@ -186,8 +195,12 @@
     return json.loads(line)
 
 
-def _wait_until(condition: Callable[[], bool], what: str) -> None:
-    deadline = time.monotonic() + START_TIMEOUT_S
+def _wait_until(
+    condition: Callable[[], bool],
+    what: str,
+    timeout_s: float = START_TIMEOUT_S,
+) -> None:
+    deadline = time.monotonic() + timeout_s
     while not condition():
         if time.monotonic() > deadline:
             raise TimeoutError(f'waited for {what}')
--- /dev/null
+++ b/tests/tables/rows.feature
@@ -0,0 +1,50 @@
+Feature: Rows are checked at the border
+  Scenario Outline: a bad row is refused, naming row and column
+    When <kind> is given with <changes>
+    Then it is refused with "<message>"
+
+    Examples:
+      | kind           | changes                      | message                                   |
+      | share          | weight=0                     | share *:acme: column weight = '0'         |
+      | share          | weight=nan                   | column weight = 'nan'                     |
+      | share          | limit=-1                     | column limit = '-1'                       |
+      | share          | limit=many                   | column limit = 'many'                     |
+      | share          | colour=red                   | column colour = 'red'                     |
+      | share          | client_account=No Name       | column client_account = 'No Name'         |
+      | service        | kind=magic                   | column kind = 'magic'                     |
+      | service        | model=                       | a service that generates needs one        |
+      | service        | deadline_s=0                 | column deadline_s = '0'                   |
+      | backend_server | url=http://localhost:1       | column url = 'http://localhost:1'         |
+      | backend_server | url=http://127.0.0.1         | the port is missing                       |
+      | backend_server | state=asleep                 | column state = 'asleep'                   |
+      | client_account | key_digest=secret            | column key_digest = 'secret'              |
+      | client_account | priority=1000                | column priority = '1000'                  |
+
+  Scenario Outline: a good row becomes a typed row
+    When <kind> is given with <changes>
+    Then the catalogue holds it
+
+    Examples:
+      | kind           | changes                  |
+      | share          | cross_region=true        |
+      | service        | idempotent_paths=/lookups |
+      | backend_server | state=leaving            |
+      | client_account | priority=-3              |
+
+  Scenario Outline: a sheet is taken whole or refused whole
+    When the sheet "<sheet>" of shares is read
+    Then it gives <outcome>
+
+    Examples:
+      | sheet                                                                 | outcome                                   |
+      | backend_server,client_account,weight,limit;*,acme,1,2;e1,acme,2,3     | 2 rows                                    |
+      | backend_server,client_account,weight,limit,version;*,acme,1,2,;e,x,2,3,4 | 2 rows                                 |
+      | backend_server,client_account,weight,limit;*,acme,1,2;e1,acme,x,3     | row 2 (share e1:acme): column weight = 'x' |
+      | backend_server,client_account,weight,limit;*,acme,1,2;*,acme,2,3      | share *:acme: given twice                 |
+      | backend_server,client_account,weight,limits;*,acme,1,2                | header: unknown columns: limits           |
+      | backend_server,client_account,weight,limit;*,acme,1,2,3               | line 2: more cells than the header has    |
+      | backend_server,client_account,weight,limit,version;*,acme,1,2,new     | row 1 (share *:acme): column version = 'new' |
+
+  Scenario: an exported sheet is read back as it was
+    When rows of every kind are exported and read
+    Then they are the same rows
--- /dev/null
+++ b/tests/tables/test_hosts.py
@@ -0,0 +1,303 @@
+"""Real hosts, a real platform, and links that can be cut."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from celerywharf.structures import Address, HostIdentity
+from celerywharf.wire import LinkService, default_codec
+from celerywharf.wire.tables import TableDelta, TablePush, TableRow
+from standins.calls import call
+from standins.clusters import INNER_KEY, OPERATOR_KEY, Cluster
+from standins.launching import Fleet, find_free_port
+
+scenarios('hosts.feature')
+
+ZONES = {'a': 'z1', 'b': 'z1', 'c': 'z2'}
+SHARE = 'share/*:acme'
+ACCOUNT = {'name': 'acme', 'key_digest': '0' * 64}
+HTTP_OK = 200
+
+
+def fields(limit):
+    return {
+        'backend_server': '*',
+        'client_account': 'acme',
+        'weight': 1,
+        'limit': limit,
+    }
+
+
+@pytest.fixture(scope='module')
+def started():
+    with Fleet() as fleet:
+        cluster = Cluster.start(fleet, ZONES)
+        cluster.put('a', 'client_account/acme', ACCOUNT, 0)
+        cluster.put('a', SHARE, fields(10), 0)
+        yield cluster
+
+
+@pytest.fixture
+def world():
+    return {}
+
+
+@given(
+    'hosts a and b in zone z1, and c in zone z2, with one share in force',
+    target_fixture='cluster',
+)
+def _cluster(started):
+    yield started
+    started.fleet.control('platform', down=False)
+    started.fleet.resume('c')
+    started.cut()
+    assert started.wait_for_revision(started.revision('a'), ZONES, 5)
+
+
+def current(cluster, name):
+    return cluster.operate(name, 'GET', f'/table/{SHARE}')[1]
+
+
+def set_limit(cluster, name, limit):
+    version = current(cluster, name)['version']
+    return cluster.put(name, SHARE, fields(limit), version)
+
+
+@when('operators set the limit to 20 through a and to 30 through b at once')
+def _race(cluster, world):
+    version = current(cluster, 'a')['version']
+    with ThreadPoolExecutor() as pool:
+        world['race'] = list(
+            pool.map(
+                lambda edit: cluster.put(
+                    edit[0], SHARE, fields(edit[1]), version
+                ),
+                [('a', 20), ('b', 30)],
+            )
+        )
+
+
+@then('one is accepted and the other is given the row that won')
+def _one_winner(world):
+    (won, change), (lost, error) = sorted(world['race'], key=lambda one: one[0])
+    assert (won, lost) == (HTTP_OK, 409)
+    assert error['error']['verdict'] == 'not_run'
+    assert error['error']['current'] == change['rows'][0]
+    world['limit'] = change['rows'][0]['fields']['limit']
+
+
+@then('all hosts have the limit of the winner within 3 s')
+def _winner_everywhere(cluster, world):
+    _everywhere(cluster, world['limit'])
+
+
+@when(parsers.parse('all hosts have limit {limit:d} within 3 s'))
+@then(parsers.parse('all hosts have limit {limit:d} within 3 s'))
+def _everywhere(cluster, limit):
+    deadline = time.monotonic() + 3
+    seen = set()
+    while seen != {limit} and time.monotonic() < deadline:
+        seen = {current(cluster, name)['fields']['limit'] for name in ZONES}
+    assert seen == {limit}
+
+
+@when('the platform loses the answer to the next commit')
+def _lose(cluster):
+    cluster.fleet.control('platform', lose_answer_after_write=1)
+
+
+@when(parsers.parse('an operator sets the limit to {limit:d} through {name}'))
+def _set(cluster, world, limit, name):
+    deadline = time.monotonic() + 3
+    world['answer'] = set_limit(cluster, name, limit)
+    while world['answer'][0] == 409 and time.monotonic() < deadline:
+        world['answer'] = set_limit(cluster, name, limit)
+    assert world['answer'][0] == HTTP_OK, world['answer']
+
+
+@then('the change is accepted and stands once in the history')
+def _once(cluster, world):
+    change = world['answer'][1]
+    record = cluster.fleet.record('platform')
+    written = [
+        key
+        for transaction in record['transactions']
+        for key, stored in transaction['puts'].items()
+        if stored.get('change_id') == change['change_id']
+    ]
+    assert sorted(written) == [
+        f'table/changes/{change["revision"]:016d}',
+        f'table/rows/{SHARE}',
+    ]
+
+
+@when('c is paused')
+def _pause(cluster):
+    cluster.fleet.pause('c')
+
+
+@when('c goes on')
+def _resume(cluster):
+    cluster.fleet.resume('c')
+
+
+@when('the platform is down')
+def _down(cluster):
+    cluster.fleet.control('platform', down=True)
+
+
+@when('b is killed and started again')
+def _restart(cluster):
+    cluster.fleet.kill('b')
+    cluster.start_host('b')
+
+
+@then(
+    parsers.parse("an operator's change through {name} is refused as not run")
+)
+def _refused(cluster, name):
+    status, answer = set_limit(cluster, name, 5)
+    assert status == 503
+    assert answer['error']['code'] == 'platform_unavailable'
+    assert answer['error']['verdict'] == 'not_run'
+
+
+@when('a host is started without peers')
+def _alone(cluster, world):
+    edge = f'127.0.0.1:{find_free_port()}'
+    inner = f'127.0.0.1:{find_free_port()}'
+    settings = {**cluster.members['a'].settings, 'peers': {}}
+    settings['host'] = {
+        **settings['host'],
+        'name': 'alone',
+        'listen': edge,
+        'inner': inner,
+        'inner_listen': inner,
+    }
+    with pytest.raises(TimeoutError):
+        cluster.fleet.start_host('alone', settings, edge, timeout_s=2)
+    world['edge'] = edge
+
+
+@then(
+    'its health check answers 503 and says that the table has not been read',
+)
+def _not_ready(world):
+    status, answer = call(world['edge'], 'GET', '/healthz')
+    assert status == 503
+    assert answer['reason'] == 'the table has not been read yet'
+
+
+@then('it tells a caller to come back instead of refusing the key')
+def _come_back(cluster, world):
+    bearer = {'Authorization': 'Bearer some-key'}
+    status, answer = call(world['edge'], 'GET', '/apps/x/y', None, bearer)
+    cluster.fleet.kill('alone')
+    assert (status, answer['error']['verdict']) == (503, 'not_run')
+    assert answer['error']['retry_after_s'] > 0
+
+
+@when('zone z2 is cut off')
+def _cut(cluster):
+    cluster.cut('z2')
+
+
+@when('connections between hosts are reset and zone z2 is joined again')
+def _heal(cluster):
+    cluster.reset_connections()
+    cluster.cut()
+
+
+@then('c has limit 60')
+def _behind(cluster):
+    assert current(cluster, 'c')['fields']['limit'] == 60
+
+
+@when('a peer offers a its first revision with limit 999')
+def _older(cluster):
+    asyncio.run(_offer(cluster))
+
+
+@then('a has limit 80 at each look for half a second')
+def _kept(cluster):
+    deadline = time.monotonic() + 0.5
+    while time.monotonic() < deadline:
+        assert current(cluster, 'a')['fields']['limit'] == 80
+
+
+async def _offer(cluster):
+    ip = cluster.members['a'].ip
+    me = HostIdentity('ghost', 'r1', 'z1', Address(ip, find_free_port()), 1)
+    links = LinkService(me, INNER_KEY.encode(), default_codec())
+    old = json.dumps(fields(999))
+    row = TableRow('share', '*:acme', 99, 1, old)
+    push = TablePush('ghost', TableDelta(0, 1, [row], more=False))
+    settings = cluster.members['a'].settings
+    bind = settings['host']['inner_listen']
+    await links.request(Address.parse(bind), push)
+    await links.close()
+
+
+def command(cluster, words, text='', host=None):
+    environment = {
+        **os.environ,
+        'CELERYWHARF_HOST': host or cluster.members['b'].edge,
+        'CELERYWHARF_OPERATOR_KEY': OPERATOR_KEY,
+    }
+    return subprocess.run(
+        [sys.executable, '-m', 'celerywharf', *words.split()],
+        env=environment,
+        input=text,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@when('the sheet of shares is exported, its limit set to 90 and imported')
+def _edit_sheet(cluster, world):
+    world['sheet'] = command(cluster, 'table export share').stdout
+    header, line = world['sheet'].splitlines()
+    cells = dict(zip(header.split(','), line.split(','), strict=True))
+    edited = ','.join({**cells, 'limit': '90'}.values())
+    sheet = f'{header}\n{edited}\n'
+    assert not command(cluster, 'table import share -', sheet).returncode
+
+
+@when('the old sheet is imported again')
+def _old_sheet(cluster, world):
+    world['run'] = command(cluster, 'table import share -', world['sheet'])
+
+
+@when('a sheet with one bad row of two is imported')
+def _bad_sheet(cluster, world):
+    sheet = 'backend_server,client_account,weight,limit\n*,acme,1,7\n*,x,0,7\n'
+    world['run'] = command(cluster, 'table import share -', sheet)
+
+
+@when('an account is created with a host that is not there')
+def _nowhere(cluster, world):
+    words = 'account create new'
+    world['run'] = command(cluster, words, host='127.0.0.1:1')
+
+
+@then(
+    parsers.parse('the command ends with exit code {code:d} and shows {text}')
+)
+def _ended(world, code, text):
+    run = world['run']
+    expected = {
+        'limit 90': '"limit": 90',
+        'row 2, column weight': "row 2 (share *:x): column weight = '0'",
+        'one line': 'celerywharf: host 127.0.0.1:1 cannot be reached',
+    }
+    assert run.returncode == code
+    assert expected[text] in run.stderr
+    assert len(run.stderr.splitlines()) <= 2
