--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,40 @@
+"""Run one experiment.
+
+Usage:
+  bench NAME [--seed N] [ARGUMENT ...]
+  bench (-h | --help)
+
+Options:
+  --seed N  Seed of what is drawn at random [default: 1].
+
+NAME is a module of this package with a function `run(seed, words)`, which
+prints progress on standard error and returns figures.  They are printed as
+one JSON object, the last line of standard output.
+"""
+
+import importlib
+import json
+import sys
+import time
+
+from docopt import docopt
+
+
+def main() -> int:
+    """Run the experiment that the command line names."""
+    options = docopt(__doc__, options_first=False)
+    name = options['NAME']
+    seed = int(options['--seed'])
+    module = importlib.import_module(f'bench.{name}')
+    began_s = time.monotonic()
+    figures = module.run(seed, options['ARGUMENT'])
+    elapsed_s = round(time.monotonic() - began_s, 1)
+    sys.stdout.write(
+        json.dumps({'bench': name, 'seed': seed, **figures, 's': elapsed_s}),
+    )
+    sys.stdout.write('\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/celerywharf/generations/_attempts.py
+++ b/celerywharf/generations/_attempts.py
@@ -18,6 +18,7 @@
 from celerywharf.tables import Policy
 
 EXCLUDE_S = 5.0
+CALM_S = 0.1
 FIRST_BACKOFF_S = 0.05
 LONGEST_BACKOFF_S = 1.0
 IMMEDIATE_RETRIES = 3
@@ -229,6 +230,13 @@
         for attempt in self.live.values():
             attempt.heard_s = now
 
+    def calm(self, now: float) -> bool:
+        """Say whether the only engine at work was heard just now."""
+        if len(self.live) != 1 or self.retry.wanted:
+            return False
+        (attempt,) = self.live.values()
+        return now - attempt.heard_s < CALM_S
+
     def tick(self, now: float) -> Actions:
         """Look for silent engines and overdue starts."""
         if self.retry.wanted:
@@ -247,7 +255,11 @@
 
     def _judge_silence(self, attempt: Attempt, now: float) -> Actions:
         silent_s = now - attempt.heard_s
-        if silent_s <= self._allowed(attempt, self.policy):
+        if silent_s <= self.paces.allowed(
+            attempt.pace,
+            self.policy,
+            produced=attempt.produced,
+        ):
             return []
         if not attempt.produced:
             attempt.pace.observe_first(silent_s)
@@ -258,15 +270,14 @@
                 return []
             self.failed_at[attempt.backend_server] = now
             return self.start(now)
-        if silent_s > self._allowed(attempt, Policy.patient):
+        if silent_s > self.paces.allowed(
+            attempt.pace,
+            Policy.patient,
+            produced=attempt.produced,
+        ):
             return self.fail(attempt.number, SILENT, now)
         return []
 
-    def _allowed(self, attempt: Attempt, policy: Policy) -> float:
-        if attempt.produced:
-            return self.paces.allowed_gap(attempt.pace, policy)
-        return self.paces.allowed_first(attempt.pace, policy)
-
     def _first_tokens(
         self,
         attempt: Attempt,
--- a/celerywharf/generations/_channels.py
+++ b/celerywharf/generations/_channels.py
@@ -45,6 +45,9 @@
     def hear(self, message: Message) -> None:
         """Take a message for the generation's decisions."""
 
+    def on_stored(self, replica: str, offset: int, sent_s: float) -> None:
+        """Take note that the replica holds all tokens before ``offset``."""
+
     def opened(self, peer: Peer, message: JournalOpen, sent_s: float) -> None:
         """Take note that a new replica holds what it was sent."""
 
@@ -126,22 +129,19 @@
         sent_s: float,
     ) -> None:
         refused = {*answer.stale, *answer.unknown}
-        for index, running in enumerate(batch):
-            generation = message.generations[index]
-            if generation in refused:
-                stale = generation in answer.stale
+        reasons = message.finish_reasons
+        name = self.peer.name
+        for row, running in enumerate(batch):
+            offset = message.offsets[row] + message.counts[row]
+            if refused and message.generations[row] in refused:
+                stale = message.generations[row] in answer.stale
+                running.hear(NewerOwner() if stale else ReplicaLost(name))
+            elif reasons and reasons[row]:
                 running.hear(
-                    NewerOwner() if stale else ReplicaLost(self.peer.name),
+                    ReplicaStored(name, offset, finished=True, sent_s=sent_s),
                 )
-                continue
-            reasons = message.finish_reasons
-            stored = ReplicaStored(
-                self.peer.name,
-                message.offsets[index] + message.counts[index],
-                bool(reasons and reasons[index]),
-                sent_s,
-            )
-            running.hear(stored)
+            else:
+                running.on_stored(name, offset, sent_s)
 
 
 async def open_replica(
--- a/celerywharf/generations/_entrance.py
+++ b/celerywharf/generations/_entrance.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from celerywharf.exceptions import (
+    CelerywharfError,
     GenerationLostError,
     NotFoundError,
     PeerUnreachableError,
@@ -107,20 +108,27 @@
             task.add_done_callback(
                 lambda _done: self.taking.pop(generation, None),
             )
-        await asyncio.shield(task)
+        error = await asyncio.shield(task)
+        if error is not None:
+            raise error
 
-    async def _take(self, generation: str) -> None:
+    async def _take(self, generation: str) -> CelerywharfError | None:
+        """Try to become owner; return the error that says it is hopeless."""
         survey = await self.searches.survey(generation)
         if survey.owner() is not None:
-            return
-        holder = survey.best(generation)
+            return None
+        try:
+            holder = survey.best(generation)
+        except CelerywharfError as error:
+            return error
         try:
             journal = await self.searches.take(generation, holder)
         except RACED:
-            return
+            return None
         self.part.record('generation_taken_over', journal)
         replica = holder.peer.name if holder.peer else ''
         self.part.own(journal, TakenOver(replica))
+        return None
 
 
 def _owner_name(generation: str) -> str:
--- a/celerywharf/generations/_logic.py
+++ b/celerywharf/generations/_logic.py
@@ -120,6 +120,43 @@
             replication.waiting_s = now
         return ONLY_REPLICATE
 
+    def take_stored(
+        self,
+        replica: str,
+        offset: int,
+        sent_s: float,
+        now: float,
+    ) -> int:
+        """Decide on the usual ``ReplicaStored``, the other hot path.
+
+        Returns:
+            Number of tokens that may be delivered; -1 when the message needs
+            the whole decision of ``handle``.
+        """
+        replication = self.replication
+        if self.stopped or self.journal.finish_reason:
+            return -1
+        if now - self.heard_s > PAUSE_S:
+            return -1
+        if replica != replication.replica or sent_s < replication.valid_from_s:
+            return -1
+        self.heard_s = now
+        return replication.took_usual(
+            offset,
+            sent_s,
+            now,
+            len(self.journal.tokens),
+        )
+
+    def calm(self, now: float) -> bool:
+        """Say whether a ``Tick`` would change nothing, cheaply."""
+        if self.gone_s is not None or now - self.heard_s > PAUSE_S:
+            return False
+        if not self.attempts.calm(now) or not self.replication.calm(now):
+            return False
+        self.heard_s = now
+        return True
+
     def awaits(self, number: int) -> bool:
         """Say whether an attempt is still wanted."""
         return not self.stopped and number in self.attempts.live
@@ -222,27 +259,24 @@
 
     def _reattach_or_start(self, now: float) -> Actions:
         journal = self.journal
-        if not journal.backend_server or self._complete():
+        if not journal.backend_server or self.journal.complete:
             return self._continue(now)
         old = (journal.attempt_epoch, journal.attempt)
         attempt = self.attempts.register(now)
         return [Reattach(attempt.number, *old, journal.backend_server)]
 
     def _fail_attempt(self, number: int, kind: str, now: float) -> Actions:
-        if self._complete() and number in self.attempts.live:
+        if self.journal.complete and number in self.attempts.live:
             return self._close_complete(now)
         return self.attempts.fail(number, kind, now)
 
     def _continue(self, now: float) -> Actions:
         if self.journal.finish_reason:
             return ()
-        if self._complete():
+        if self.journal.complete:
             return self._close_complete(now)
         return self.attempts.start(now)
 
-    def _complete(self) -> bool:
-        return len(self.journal.tokens) >= self.journal.spec.max_tokens
-
     def _close_complete(self, now: float) -> Actions:
         # Only the end mark is missing, and what it says is known.
         self.journal.finish_reason = LENGTH_REASON
--- a/celerywharf/generations/_paces.py
+++ b/celerywharf/generations/_paces.py
@@ -59,6 +59,12 @@
             self.by_backend[backend_server] = pace
         return pace
 
+    def allowed(self, pace: Pace, policy: Policy, *, produced: bool) -> float:
+        """Return the longest acceptable silence, seconds."""
+        if produced:
+            return self.allowed_gap(pace, policy)
+        return self.allowed_first(pace, policy)
+
     def allowed_gap(self, pace: Pace, policy: Policy) -> float:
         """Return the longest acceptable silence between tokens, seconds.
 
--- a/celerywharf/generations/_part.py
+++ b/celerywharf/generations/_part.py
@@ -40,6 +40,8 @@
     """Owner of some generations and replica of others.
 
     Attributes:
+        now: monotonic clock, seconds.
+        buffer_bytes: how far the best caller may lag.
         running: generations owned here by id, finished ones for a while.
         replicas: journals held for other owners.
         entrance: finds owners for callers.
@@ -50,6 +52,8 @@
     def __init__(self, host: Host) -> None:
         super().__init__()
         self.host = host
+        self.now = host.timers.now
+        self.buffer_bytes = host.settings.limits.caller_buffer_bytes
         self.settings = host.settings.generations
         self.engines = Engines(host.transport)
         self.paces = Paces(
@@ -80,10 +84,6 @@
         owned = any(one.readers for one in self.running.values())
         return owned or bool(self.follows.by_id)
 
-    def now(self) -> float:
-        """Return monotonic seconds."""
-        return self.host.timers.now()
-
     def record(self, name: str, journal: Journal, **details: Any) -> None:
         """Put an event of a generation on the time line."""
         self.host.recorder.record(
--- a/celerywharf/generations/_readers.py
+++ b/celerywharf/generations/_readers.py
@@ -17,6 +17,7 @@
 HEARTBEAT = b': heartbeat\n\n'
 DONE = b'data: [DONE]\n\n'
 LAST_CHUNK = b'0\r\n\r\n'
+EVENT_TAIL = ',"finish_reason":null}]}\n\n'
 
 
 class Reader(abc.ABC):
@@ -108,6 +109,8 @@
         self.stream: IOStream | None = None
         self.chunked = True
         self.busy = True
+        self.head = ''
+        self.middle = ''
 
     def open(self) -> None:
         """Let the headers be sent."""
@@ -124,25 +127,25 @@
 
     def write_tokens(self, epoch: int, tokens: list[str]) -> None:
         """Send one event a token, as one write."""
-        self.epoch = epoch
-        head = f'id: {self.generation}.{epoch}.'
-        middle = self._middle()
+        if epoch != self.epoch or not self.head:
+            self.epoch = epoch
+            self._prepare()
+        head = self.head
+        middle = self.middle
         offset = self.offset
         events = []
         for token in tokens:
             offset += 1
-            events.append(
-                f'{head}{offset}{middle}{quote(token)}'
-                ',"finish_reason":null}]}\n\n',
-            )
+            events.append(f'{head}{offset}{middle}{quote(token)}{EVENT_TAIL}')
         self.offset = offset
         self._write(''.join(events).encode())
 
     def write_finish(self, reason: str) -> None:
         """Send the finish reason and the end mark."""
+        self._prepare()
         event = (
-            f'id: {self.generation}.{self.epoch}.{self.offset}'
-            f'{self._middle()}"","finish_reason":{quote(reason)}}}]}}\n\n'
+            f'{self.head}{self.offset}{self.middle}'
+            f'"","finish_reason":{quote(reason)}}}]}}\n\n'
         )
         self._finish(event.encode() + DONE)
 
@@ -169,8 +172,9 @@
         self.closed = True
         self.stream.close()
 
-    def _middle(self) -> str:
-        return (
+    def _prepare(self) -> None:
+        self.head = f'id: {self.generation}.{self.epoch}.'
+        self.middle = (
             f'\ndata: {{"id":"{self.generation}","object":"text_completion",'
             f'"model":{quote(self.service)},"choices":[{{"index":0,"text":'
         )
@@ -189,8 +193,22 @@
 
     def _write(self, events: bytes) -> None:
         self.wrote = True
+        frame = self._frame(events)
+        # Not busy means that the stream holds nothing back, so the socket
+        # can take the bytes without the stream's bookkeeping.
+        try:
+            sent = self.stream.socket.send(frame)
+        except BlockingIOError:
+            sent = 0
+        except (OSError, AttributeError):
+            self.stream.close()
+            return
+        if sent < len(frame):
+            self._write_rest(frame[sent:])
+
+    def _write_rest(self, rest: bytes) -> None:
         try:
-            written = self.stream.write(self._frame(events))
+            written = self.stream.write(rest)
         except StreamClosedError:
             return
         if not written.done():
@@ -204,8 +222,9 @@
     def _frame(self, events: bytes, *, last: bool = False) -> bytes:
         if not self.chunked:
             return events
-        end = LAST_CHUNK if last else b''
-        return b'%x\r\n%b\r\n%b' % (len(events), events, end)
+        if last:
+            return b'%x\r\n%b\r\n%b' % (len(events), events, LAST_CHUNK)
+        return b'%x\r\n%b\r\n' % (len(events), events)
 
 
 class TextReader(Reader):
--- a/celerywharf/generations/_replications.py
+++ b/celerywharf/generations/_replications.py
@@ -12,6 +12,7 @@
 )
 
 REFRESH_PART = 0.25
+CALM_S = 1.0
 AVOID_S = 2.0
 CHOOSE_PERIOD_S = 1.0
 
@@ -104,6 +105,29 @@
         self.waiting_s = sent_s if behind else None
         return [Deliver(self.stored, self.stored_finish)]
 
+    def took_usual(
+        self,
+        offset: int,
+        sent_s: float,
+        now: float,
+        length: int,
+    ) -> int:
+        """Take an acknowledgement of the present replica; return its tokens."""
+        if offset > self.stored:
+            self.stored = offset
+        self.heard_s = now
+        self.degraded = False
+        self.waiting_s = sent_s if self.stored < length else None
+        return self.stored
+
+    def calm(self, now: float) -> bool:
+        """Say whether the replica is there and in time."""
+        if self.degraded or not self.replica:
+            return False
+        if now - self.heard_s > CALM_S:
+            return False
+        return self.waiting_s is None or now - self.waiting_s < self.bound_s
+
     def lose(self, replica: str, now: float) -> Actions:
         """Replace a replica that cannot be reached."""
         self.lost_at[replica] = now
--- a/celerywharf/generations/_running.py
+++ b/celerywharf/generations/_running.py
@@ -49,6 +49,7 @@
 
     Attributes:
         journal: its journal.
+        generation: its id.
         logic: its decisions.
         readers: who receives its tokens.
         runs: attempts under way.
@@ -70,6 +71,7 @@
     ) -> None:
         self.part = part
         self.journal = journal
+        self.generation = journal.spec.generation
         self.logic = logic
         self.readers: list[Reader] = []
         self.runs = Runs(part, self)
@@ -84,11 +86,6 @@
         self.quiet_s = part.now()
         self.ended_s: float | None = None
 
-    @property
-    def generation(self) -> str:
-        """The id."""
-        return self.journal.spec.generation
-
     # What the engines say.
 
     def on_tokens(self, attempt: int, offset: int, tokens: list[str]) -> None:
@@ -118,6 +115,23 @@
         """Decide on a message and carry the decision out."""
         self.perform(self.logic.handle(message, self.part.now()))
 
+    def on_stored(self, replica: str, offset: int, sent_s: float) -> None:
+        """Take an acknowledgement that says nothing of the finish."""
+        now = self.part.now()
+        stored = self.logic.take_stored(replica, offset, sent_s, now)
+        if stored < 0:
+            message = ReplicaStored(
+                replica,
+                offset,
+                finished=False,
+                sent_s=sent_s,
+            )
+            self.perform(self.logic.handle(message, now))
+            return
+        self.deliverable = max(self.deliverable, stored)
+        for reader in tuple(self.readers):
+            self.pump(reader)
+
     def opened(self, peer: Peer, message: JournalOpen, sent_s: float) -> None:
         """Go on with a new replica, if it was waited for."""
         if not self.logic.replication.choosing:
@@ -131,7 +145,9 @@
             sent_s,
         )
         self.hear(stored)
-        self.channel.mark(self)
+        if self.channel is not None:
+            self.channel.mark(self)
+            self.tell_placement()
 
     def attach(self, reader: Reader, position: Position) -> None:
         """Deliver to a caller from its position on.
@@ -178,7 +194,7 @@
 
     def tick(self, now: float) -> None:
         """Let time pass."""
-        self._look_for_slow_callers()
+        _judge_callers(self, self.part.buffer_bytes)
         wrote = False
         for reader in self.readers:
             wrote = wrote or reader.wrote
@@ -189,7 +205,8 @@
             self.quiet_s = now
             for quiet in tuple(self.readers):
                 quiet.write_heartbeat()
-        self.perform(self.logic.handle(Tick(), now))
+        if not self.logic.calm(now):
+            self.perform(self.logic.handle(Tick(), now))
 
     def started(self) -> None:
         """Take note that an engine works on the generation."""
@@ -251,36 +268,36 @@
                 return
         self.hear(NoReplica())
 
-    def _fail(self, error: CelerywharfError) -> None:
-        self.part.record('generation_failed', self.journal, code=error.code)
+    def _end(self, event: str, error: CelerywharfError) -> list[Reader]:
+        self.part.record(event, self.journal, code=error.code)
         self.part.forget(self)
         readers = self.readers
         self.readers = []
-        for reader in readers:
+        return readers
+
+    def _fail(self, error: CelerywharfError) -> None:
+        for reader in self._end('generation_failed', error):
             reader.write_error(error)
 
     def _stop(self) -> None:
-        self.part.record('generation_moved', self.journal)
-        self.part.forget(self)
-        readers = self.readers
-        self.readers = []
         moved = GenerationLostError(
             'another host owns the generation now',
             verdict=Verdict.may_have_run,
         )
-        for reader in readers:
+        for reader in self._end('generation_moved', moved):
             reader.drop(moved)
 
-    def _look_for_slow_callers(self) -> None:
-        if not self.readers:
-            return
-        limits = self.part.host.settings.limits
-        largest = limits.caller_buffer_bytes // BYTES_PER_EVENT
-        furthest = max(reader.offset for reader in self.readers)
-        lag = len(self.journal.tokens) - furthest
-        if lag > largest and not self.slow:
-            self.slow = True
-            self.hear(CallersSlow())
-        elif self.slow and lag < largest // 2:
-            self.slow = False
-            self.hear(CallersReady())
+
+def _judge_callers(running: Running, buffer_bytes: int) -> None:
+    """Stop or start reading the engines by how far the best caller lags."""
+    if not running.readers:
+        return
+    largest = buffer_bytes // BYTES_PER_EVENT
+    furthest = max(reader.offset for reader in running.readers)
+    lag = len(running.journal.tokens) - furthest
+    if lag > largest and not running.slow:
+        running.slow = True
+        running.hear(CallersSlow())
+    elif running.slow and lag < largest // 2:
+        running.slow = False
+        running.hear(CallersReady())
--- a/celerywharf/generations/journals.py
+++ b/celerywharf/generations/journals.py
@@ -88,6 +88,11 @@
         """Epoch of the last stretch."""
         return self.lines[-1].epoch
 
+    @property
+    def complete(self) -> bool:
+        """Whether all tokens that were asked for are there."""
+        return len(self.tokens) >= self.spec.max_tokens
+
     def message(self, owner: str) -> JournalOpen:
         """Return the whole journal as a message of its owner."""
         return JournalOpen(
