Answer every racer on one key with the one answer

Cause: the scenario 'two hosts race on one key' was flaky (seen red in 2 landings and in 1 of 3 runs at load 11): a racer on the holder's own host read the claim before the holder's task had noted its attempt, and another read it just before the answer was recorded and asked just after the attempt was forgotten; both got may_have_run although the answer was at hand. Ruled out: the holder's wait of 1.5 s. The attempt is now noted before the claim is written (1 of 6 runs still red with that alone) and its answer kept 5 s after it is recorded.

--- a/celerywharf/applications/_claims.py
+++ b/celerywharf/applications/_claims.py
@@ -62,6 +62,7 @@
 DRAIN_WAIT_S = 2.0
 HOLDER_WAIT_S = 1.5
 LINK_SLACK_S = 0.5
+ANSWER_KEEP_S = 5.0
 RETRY_AFTER_S = 1.0
 SENT_LIMIT_KEYS = 20_000
 
@@ -195,13 +196,21 @@
         self.send = keyed.send
         self.store = store
         self.logic = logic
+        self.answers: Answers = asyncio.get_running_loop().create_future()
 
     async def run(self) -> Answer:
         """Claim, then do as the logic decides."""
         started_s = self.host.timers.now()
-        outcome = await self.store.claim(self.call, self.logic.row)
-        self.host.metrics.observe('claim', self.host.timers.now() - started_s)
-        return await self._carry_out(ClaimWritten(outcome))
+        # Others may read the claim before this task hears that it is written.
+        self.claims.attempts[self.logic.row.attempt] = self.answers
+        try:
+            outcome = await self.store.claim(self.call, self.logic.row)
+            self.host.metrics.observe(
+                'claim', self.host.timers.now() - started_s
+            )
+            return await self._carry_out(ClaimWritten(outcome))
+        finally:
+            self._settle(None)
 
     async def _carry_out(self, message: ClaimWritten) -> Answer:
         for action in self.logic.decide(message):
@@ -241,25 +250,26 @@
         return await self._carry_out(message)
 
     async def _send(self) -> Answer:
-        attempt = self.logic.row.attempt
-        answers = asyncio.get_running_loop().create_future()
-        self.claims.attempts[attempt] = answers
         self.claims.note_sent(self.call)
-        recorded = None
         try:
             answer = await self.send()
-            recorded = RecordedAnswer.of(answer)
         except CelerywharfError as error:
             await self._failed(error.verdict)
             raise
-        finally:
-            answers.set_result(recorded)
-            if recorded is None:
-                self.claims.attempts.pop(attempt)
+        recorded = RecordedAnswer.of(answer)
+        self._settle(recorded)
         for action in self.logic.decide(CallAnswered(recorded)):
             self._act(action)
         return answer
 
+    def _settle(self, answer: RecordedAnswer | None) -> None:
+        """Let those go on who wait for this attempt's answer."""
+        if self.answers.done():
+            return
+        self.answers.set_result(answer)
+        if answer is None:
+            self.claims.attempts.pop(self.logic.row.attempt, None)
+
     async def _failed(self, verdict: Verdict) -> None:
         """Release the claim of a call that was not sent, within a bound."""
         for action in self.logic.decide(CallFailed(verdict)):
@@ -271,7 +281,14 @@
             self.store.record(self.call, row, version),
         )
         if row.state is ClaimState.answered:
-            task.add_done_callback(
-                lambda _done: self.claims.attempts.pop(row.attempt, None),
-            )
+            task.add_done_callback(self._forget_later)
         return task
+
+    def _forget_later(self, _recorded: asyncio.Task) -> None:
+        # Who read the claim just before the answer was recorded still asks.
+        asyncio.get_running_loop().call_later(
+            ANSWER_KEEP_S,
+            self.claims.attempts.pop,
+            self.logic.row.attempt,
+            None,
+        )
