Order engines under fenced leases; bring weights by one queue a zone

The row of a backend server now also says which models, role and version it is to have. One host of its zone compares that with what the engine says and gives the missing orders one at a time, under a lease in the platform's table that is taken only while there is something to order, so that idle engines cost the platform nothing. Fencing numbers rise with each taking; clocks are not compared between hosts; the lease is looked at again when curl is about to write the order's body (guard of HttpRequest). Engines that ignore fencing numbers are left alone for the time an order can be on its way, and every look compares and corrects. Each write of a lease bears its own id: an earlier one of the same host that lands late is not taken for the last, whose validity counts from a later moment.

Weights come by one transfer at a time in each zone, the model that most servers wait for first, and the store is left alone as long as it says.

Ruled out: unloading first (the engine would stand without a model while weights are on their way), renewing leases all the time (12,000 rows against several hundred writes a second).

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -256,7 +256,7 @@
             return
         curl.setopt(pycurl.POST, 1)
         curl.setopt(pycurl.POSTFIELDSIZE_LARGE, len(body))
-        curl.setopt(pycurl.READFUNCTION, io.BytesIO(body).read)
+        curl.setopt(pycurl.READFUNCTION, _Body(self.request).read)
         curl.setopt(pycurl.CUSTOMREQUEST, self.request.method)
 
     def _on_header(self, line: bytes) -> None:
@@ -287,6 +287,20 @@
             call()
 
 
+class _Body:
+    """Gives curl the body of a request, unless its guard forbids it."""
+
+    def __init__(self, request: HttpRequest) -> None:
+        self.content = io.BytesIO(request.body)
+        self.guard = request.guard
+
+    def read(self, size: int) -> bytes | int:
+        """Return the next bytes; curl is about to write them."""
+        if self.guard is None or self.guard():
+            return self.content.read(size)
+        return pycurl.READFUNC_ABORT
+
+
 class _Collector:
     """Gathers an answer for ``fetch``."""
 
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -4,7 +4,7 @@
 
 import abc
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -27,6 +27,8 @@
         connect_timeout_s: for the TCP connection.
         fresh: use a new connection and close it afterwards, so that nothing
             below can send the request twice.
+        guard: asked right before the body is written; False aborts the
+            exchange, so that the server never has the whole request.
     """
 
     method: str
@@ -36,6 +38,7 @@
     timeout_s: float | None = TIMEOUT_S
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     fresh: bool = False
+    guard: Callable[[], bool] | None = None
 
     @classmethod
     def with_json(
--- a/celerywharf/applications/_handlers.py
+++ b/celerywharf/applications/_handlers.py
@@ -96,6 +96,6 @@
 
 
 APPLICATION_ROUTES = (
-    (r'/apps/([a-z0-9_-]+)/-/keys', KeyHandler),
-    (r'/apps/([a-z0-9_-]+)/.*', ApplicationHandler),
+    (r'/apps/([a-z0-9_.-]+)/-/keys', KeyHandler),
+    (r'/apps/([a-z0-9_.-]+)/.*', ApplicationHandler),
 )
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -8,24 +8,23 @@
 
 from celerywharf.adapters import CurlTransport, Platform
 from celerywharf.admissions import Admissions
-from celerywharf.applications import APPLICATION_ROUTES, Applications
+from celerywharf.applications import Applications
 from celerywharf.edge import build_server
-from celerywharf.generations import GENERATION_ROUTES, Generations
+from celerywharf.generations import Generations
 from celerywharf.hosts._announcer import Announce, Announcer
-from celerywharf.hosts._health import HEALTH_ROUTES
+from celerywharf.hosts._routes import ROUTES
 from celerywharf.hosts._sockets import bind
 from celerywharf.membership import Membership
-from celerywharf.metrics import METRIC_ROUTES, Metrics
-from celerywharf.operators import OPERATOR_ROUTES
+from celerywharf.metrics import Metrics
+from celerywharf.orders import Orders
 from celerywharf.settings import HostSettings
 from celerywharf.structures import HostIdentity
 from celerywharf.tables import Catalogue, TableService
 from celerywharf.timeline import HybridClock, Recorder
-from celerywharf.timeline.queries import TIMELINE_ROUTES, TimelineService
+from celerywharf.timeline.queries import TimelineService
 from celerywharf.timeline.shipping import Shipper
 from celerywharf.timers import TimerService
 from celerywharf.usage.batches import UsageKeeper
-from celerywharf.usage.reports import USAGE_ROUTES
 from celerywharf.wire import LinkService, default_codec
 
 logger = logging.getLogger(__name__)
@@ -55,6 +54,7 @@
         usage: what client accounts cost.
         parts: everything with a task, in the order of starting.
         generations: generations owned, followed and replicated here.
+        orders: keeps engines in the state the table asks for.
         leaving: True once a graceful stop began.
     """
 
@@ -98,6 +98,7 @@
         self.shipper = Shipper(self)
         self.usage = UsageKeeper(self)
         self.generations = Generations(self)
+        self.orders = Orders(self)
         self.parts = (
             self.announcer,
             self.membership,
@@ -107,6 +108,7 @@
             self.applications,
             self.tables,
             self.generations,
+            self.orders,
         )
         self.server = build_server(self, self.routes())
 
@@ -123,15 +125,7 @@
 
     def routes(self) -> list:
         """Collect the HTTP routes of all parts."""
-        return [
-            *APPLICATION_ROUTES,
-            *HEALTH_ROUTES,
-            *METRIC_ROUTES,
-            *TIMELINE_ROUTES,
-            *OPERATOR_ROUTES,
-            *USAGE_ROUTES,
-            *GENERATION_ROUTES,
-        ]
+        return list(ROUTES)
 
     async def start(self) -> None:
         """Listen on both ports and start the parts.
--- a/celerywharf/settings/__init__.py
+++ b/celerywharf/settings/__init__.py
@@ -9,6 +9,7 @@
     LimitSection,
     LogSection,
     MembershipSettings,
+    OrderSettings,
     PeerSection,
     PlatformSection,
 )
@@ -21,6 +22,7 @@
     'LimitSection',
     'LogSection',
     'MembershipSettings',
+    'OrderSettings',
     'PeerSection',
     'PlatformSection',
     'load',
--- a/celerywharf/settings/_models.py
+++ b/celerywharf/settings/_models.py
@@ -176,6 +176,27 @@
     )
 
 
+class OrderSettings(_Section):
+    """``[orders]``: leases under which engines are ordered about."""
+
+    lease_s: Seconds = Field(
+        default=6.0,
+        description='seconds a lease on a backend server lasts',
+    )
+    margin_s: Seconds = Field(
+        default=1.0,
+        description='seconds before its end at which the holder stops',
+    )
+    flight_s: Seconds = Field(
+        default=3.0,
+        description='longest seconds an order is on its way',
+    )
+    look_s: Seconds = Field(
+        default=1.0,
+        description='seconds between looks at each backend server',
+    )
+
+
 class LogSection(_Section):
     """``[log]``: what is written to standard error."""
 
@@ -195,4 +216,5 @@
     limits: LimitSection = LimitSection()
     generations: GenerationSettings = GenerationSettings()
     membership: MembershipSettings = MembershipSettings()
+    orders: OrderSettings = OrderSettings()
     log: LogSection = LogSection()
--- a/celerywharf/tables/catalogues.py
+++ b/celerywharf/tables/catalogues.py
@@ -117,5 +117,14 @@
     )
 
 
-def _backend_server(*, state: str = 'active', **fields: Any) -> BackendServer:
-    return BackendServer(state=BackendState(state), **fields)
+def _backend_server(
+    *,
+    state: str = 'active',
+    models: Iterable[str] = (),
+    **fields: Any,
+) -> BackendServer:
+    return BackendServer(
+        state=BackendState(state),
+        models=tuple(models),
+        **fields,
+    )
--- a/celerywharf/tables/rows.py
+++ b/celerywharf/tables/rows.py
@@ -90,6 +90,9 @@
         service: name of the service it serves.
         checks_fencing: refuses orders with an old fencing number.
         state: whether it gets new work.
+        models: models to keep loaded, and no others; empty leaves them be.
+        role: role to have; empty leaves it be.
+        model_version: version to run; empty leaves it be.
     """
 
     name: str
@@ -99,6 +102,9 @@
     service: str
     checks_fencing: bool = True
     state: BackendState = BackendState.active
+    models: tuple[str, ...] = ()
+    role: str = ''
+    model_version: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/tables/sheets.py
+++ b/celerywharf/tables/sheets.py
@@ -12,7 +12,9 @@
 from celerywharf.tables.validation import columns_of
 
 VERSION_COLUMN = 'version'
-LIST_COLUMNS = frozenset(('idempotent_methods', 'idempotent_paths'))
+LIST_COLUMNS = frozenset(
+    ('idempotent_methods', 'idempotent_paths', 'models'),
+)
 
 
 def write_sheet(kind: RowKind, rows: Iterable[Row]) -> str:
--- a/celerywharf/tables/validation.py
+++ b/celerywharf/tables/validation.py
@@ -30,6 +30,7 @@
 MODEL_LIMIT_CHARACTERS = 128
 
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+Model = Annotated[str, Field(pattern=r'^\S{1,128}$')]
 Method = Literal['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH']
 
 
@@ -84,6 +85,9 @@
     service: Name
     checks_fencing: bool = True
     state: BackendState = BackendState.active
+    models: tuple[Model, ...] = ()
+    role: str = Field(default='', max_length=MODEL_LIMIT_CHARACTERS)
+    model_version: str = Field(default='', max_length=MODEL_LIMIT_CHARACTERS)
 
 
 class ShareFields(_Fields):
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -12,6 +12,7 @@
     idempotency,
     journals,
     membership,
+    orders,
     tables,
     timelines,
 )
@@ -22,6 +23,7 @@
     basics,
     claims,
     membership,
+    orders,
     tables,
     timelines,
     idempotency,
