--- a/bench/rigs.py
+++ b/bench/rigs.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 
@@ -19,10 +19,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """Where a host or engine stands."""
+    """Where a host or engine stands.
+
+    `ip` is that of its hosts' inner links, by which a link stand-in tells
+    availability zones apart.
+    """
 
     region: str = 'region-a'
     availability_zone: str = 'zone-a1'
+    ip: str = '127.0.0.1'
 
 
 @dataclass(slots=True)
@@ -33,11 +38,13 @@
         fleet: all processes; whoever made it ends it.
         seeds: inner addresses of hosts.
         rows: table rows of engines, service and account.
+        settings: settings of each host.
     """
 
     fleet: Fleet
     seeds: list[str]
     rows: list[dict[str, Any]]
+    settings: dict[str, Any] = field(default_factory=dict)
 
     @classmethod
     def start(cls, fleet: Fleet, policy: str = 'patient') -> 'Rig':
@@ -71,26 +78,20 @@
 
     def add_host(self, name: str, place: Place, **sections: Any) -> str:
         """Start an entry host; return its address for callers."""
-        listen = f'127.0.0.1:{find_free_port()}'
-        inner = f'127.0.0.1:{find_free_port()}'
-        settings = {
-            'host': {
-                'name': name,
-                'region': place.region,
-                'availability_zone': place.availability_zone,
-                'listen': listen,
-                'inner': inner,
-            },
-            'peers': {'seeds': ' '.join(self.seeds)},
-            'keys': {'inner': INNER_KEY, 'operator': OPERATOR_KEY},
-            'platform': {
-                'url': f'http://{self.fleet.members["platform"].address}',
-            },
-            **sections,
-        }
-        self.seeds.append(inner)
-        self.fleet.start_host(name, settings, listen)
-        return listen
+        inner = f'{place.ip}:{find_free_port(place.ip)}'
+        return self._start_host(name, place, {'inner': inner}, sections)
+
+    def add_linked_host(self, name: str, place: Place, **sections: Any) -> str:
+        """Start an entry host that others reach through the link NAME-link."""
+        inner = f'{place.ip}:{find_free_port(place.ip)}'
+        link = self.fleet.start_link(f'{name}-link', inner)
+        addresses = {'inner': link.address, 'inner_listen': inner}
+        return self._start_host(name, place, addresses, sections)
+
+    def restart_host(self, name: str) -> None:
+        """Start a host that was killed again, at the same addresses."""
+        settings = self.settings[name]
+        self.fleet.start_host(name, settings, settings['host']['listen'])
 
     def fill_table(self, address: str) -> None:
         """Write the rows through a host.
@@ -108,6 +109,33 @@
         if status != HTTPStatus.OK:
             raise ConnectionError(str(body))
 
+    def _start_host(
+        self,
+        name: str,
+        place: Place,
+        addresses: dict[str, str],
+        sections: dict[str, Any],
+    ) -> str:
+        listen = f'127.0.0.1:{find_free_port()}'
+        platform = self.fleet.members['platform'].address
+        settings = {
+            'host': {
+                'name': name,
+                'region': place.region,
+                'availability_zone': place.availability_zone,
+                'listen': listen,
+                **addresses,
+            },
+            'peers': {'seeds': ' '.join(self.seeds)},
+            'keys': {'inner': INNER_KEY, 'operator': OPERATOR_KEY},
+            'platform': {'url': f'http://{platform}'},
+            **sections,
+        }
+        self.seeds.append(addresses['inner'])
+        self.settings[name] = settings
+        self.fleet.start_host(name, settings, listen)
+        return listen
+
 
 def caller_headers(**more: str) -> dict[str, str]:
     """Return the headers of a caller of the rig's account."""
--- a/tests/wire/links.feature
+++ b/tests/wire/links.feature
@@ -40,3 +40,9 @@
     And host "b" runs 100 s behind
     When host "a" asks it with code "x"
     Then host "b" stamps its next event after the question
+
+  Scenario: a link goes out from the host's own address
+    Given a host "b" that answers
+    And a host "c" whose links go out from 127.0.9.1
+    When host "c" asks it with code "x"
+    Then host "b" is asked from 127.0.9.1
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -40,7 +40,7 @@
     def run(self, coroutine):
         return self.loop.run_until_complete(coroutine)
 
-    async def add(self, name, handler=None, key=KEY):
+    async def add(self, name, handler=None, key=KEY, source_ip=None):
         holder = socket.socket()
         holder.bind((LOOPBACK, 0))
         holder.listen()
@@ -48,7 +48,9 @@
         address = Address(LOOPBACK, holder.getsockname()[1])
         clock = HybridClock(lambda: self.clocks.get(name, 1000))
         identity = HostIdentity(name, 'r1', 'z1', address, 1)
-        self.links[name] = LinkService(identity, key, default_codec(), clock)
+        self.links[name] = LinkService(
+            identity, key, default_codec(), clock, source_ip
+        )
         if handler is not None:
             self.links[name].subscribe(Failure, handler)
         self.links[name].add_socket(holder)
@@ -98,9 +100,20 @@
 
 
 @given('host "a" has a link to it')
-@when(parsers.parse('host "a" asks it with code "{code}"'))
-def _ask(world, code='first'):
-    world.run(world.ask('a', code))
+@when(parsers.parse('host "{name}" asks it with code "{code}"'))
+def _ask(world, name='a', code='first'):
+    world.run(world.ask(name, code))
+
+
+@then(parsers.parse('host "b" is asked from {source_ip}'))
+def _asked_from(world, source_ip):
+    (stream,) = world.links['b'].incoming
+    assert stream.socket.getpeername()[0] == source_ip
+
+
+@given(parsers.parse('a host "c" whose links go out from {source_ip}'))
+def _elsewhere(world, source_ip):
+    world.run(world.add('c', source_ip=source_ip))
 
 
 @given('host "b" runs 100 s behind')
