--- a/celerywharf/admissions/ledgers.py
+++ b/celerywharf/admissions/ledgers.py
@@ -5,7 +5,7 @@
 import itertools
 from collections.abc import Callable
 
-from celerywharf.admissions.accounts import PEAK_WINDOW_S, Account
+from celerywharf.admissions.accounts import Account
 from celerywharf.admissions.tickets import LoadReport, Ticket, TicketId
 from celerywharf.tables import Share
 
@@ -95,30 +95,19 @@
         """Find running requests that no grant explains."""
         for name in report.by_account:
             self.account(name)
-        since_s = now - report.age_s - PEAK_WINDOW_S
+        made_s = now - report.age_s
         for account in self.accounts.values():
             running = report.by_account.get(account.name, 0)
-            explained = account.peak_since(since_s)
-            account.foreign = max(0, running - explained)
+            explained = account.peak_around(made_s)
+            account.unexplained(max(0, running - explained))
 
     def expire(self, now: float) -> None:
         """Drop leases that ended and accounts idle for long."""
         for account in tuple(self.accounts.values()):
-            self._expire_leases(account, now)
+            account.expire(now)
             if not (account.active or account.foreign):
                 self._forget_idle(account)
 
-    def _expire_leases(self, account: Account, now: float) -> None:
-        ended = [
-            ticket_id
-            for ticket_id, end_s in account.running.items()
-            if end_s <= now
-        ]
-        for ticket_id in ended:
-            account.running.pop(ticket_id)
-        if ended:
-            account.note_running(now)
-
     def _forget_idle(self, account: Account) -> None:
         most = max(one.service for one in self.accounts.values())
         if account.service <= most - CREDIT_S or len(self.accounts) == 1:
--- a/celerywharf/admissions/queues.py
+++ b/celerywharf/admissions/queues.py
@@ -29,7 +29,6 @@
 
 REBUILD_S = 0.5
 QUEUE_LIMIT_TICKETS = 1000
-LATE_FACTOR = 1.5
 
 
 class BackendQueue:
@@ -97,16 +96,36 @@
     def _take(self, ticket: Ticket, now: float) -> list[Action]:
         account = self.ledger.enqueue(ticket)
         actions = self._grant_all(now)
-        actions.extend(self._refuse_hopeless(account, now, factor=1))
+        place = account.place_of(ticket.id)
+        if place is None:
+            return actions
+        slots = self.slots_of(account, now)
+        longest_s = self.drain.longest_wait_s(place, slots)
+        if account.limit < 1 or self._hopeless(ticket, longest_s, now):
+            account.discard(ticket.id)
+            actions.append(self._refused(account, ticket, longest_s, now))
         return actions
 
     def _tick(self, now: float) -> list[Action]:
         self.ledger.expire(now)
         actions = self._grant_all(now)
         for account in self.ledger.accounts.values():
-            # An estimate moves: who was let in is not sent away lightly.
-            late = self._refuse_hopeless(account, now, factor=LATE_FACTOR)
-            actions.extend(late)
+            actions.extend(self._refuse_late(account, now))
+        return actions
+
+    def _refuse_late(self, account: Account, now: float) -> list[Action]:
+        # Estimates move: who was let in is sent away only when it is sure.
+        actions: list[Action] = []
+        kept = []
+        slots = self.slots_of(account, now)
+        for order, ticket in account.waiting:
+            shortest_s = self.drain.shortest_wait_s(len(kept), slots)
+            if self._hopeless(ticket, shortest_s, now):
+                wait_s = self.drain.wait_s(len(kept), slots)
+                actions.append(self._refused(account, ticket, wait_s, now))
+            else:
+                kept.append((order, ticket))
+        account.waiting = kept
         return actions
 
     def _drop(self, reason: Refusal) -> list[Action]:
@@ -162,26 +181,6 @@
         service = account.service + coming / account.weight
         return not account.resumes, not within, service, account.name
 
-    def _refuse_hopeless(
-        self,
-        account: Account,
-        now: float,
-        factor: float,
-    ) -> list[Action]:
-        actions: list[Action] = []
-        kept = []
-        slots = self.slots_of(account, now)
-        for order, ticket in account.waiting:
-            wait_s = self.drain.wait_s(len(kept), slots)
-            barred = account.limit < 1
-            if barred or self._hopeless(ticket, wait_s / factor, now):
-                refused = self._refused(account, ticket, wait_s, now)
-                actions.append(refused)
-            else:
-                kept.append((order, ticket))
-        account.waiting = kept
-        return actions
-
     def _hopeless(self, ticket: Ticket, wait_s: float, now: float) -> bool:
         left_s = ticket.deadline_s - now
         if left_s <= 0 or not ticket.may_wait or self.load.silent(now):
@@ -205,5 +204,6 @@
             return Refused(ticket, reason, wait_s, wait_s)
         slots = self.slots_of(account, now)
         late_s = max(0, wait_s - (ticket.deadline_s - now))
-        again_s = self.drain.retry_after_s(late_s, slots, now)
+        rate = self.drain.rate(slots)
+        again_s = account.promises.retry_after_s(late_s, rate, now)
         return Refused(ticket, reason, wait_s, again_s)
