--- a/celerywharf/generations/_running.py
+++ b/celerywharf/generations/_running.py
@@ -128,9 +128,7 @@
             )
             self.perform(self.logic.handle(message, now))
             return
-        self.deliverable = max(self.deliverable, stored)
-        for reader in tuple(self.readers):
-            self.pump(reader)
+        self._deliver(stored, finished=False)
 
     def opened(self, peer: Peer, message: JournalOpen, sent_s: float) -> None:
         """Go on with a new replica, if it was waited for."""
--- a/celerywharf/generations/_searches.py
+++ b/celerywharf/generations/_searches.py
@@ -92,8 +92,7 @@
         own = self.part.replicas.logic.find(generation)
         if own.epoch:
             holders.append(Holder(None, own))
-        holders.sort(key=_quality, reverse=True)
-        return Survey(holders, answers.count(None))
+        return Survey(rank(holders), answers.count(None))
 
     async def take(self, generation: str, holder: Holder) -> Journal:
         """Become owner with the journal of a holder.
@@ -134,6 +133,11 @@
 RACED = (StaleEpochError, NotFoundError, PeerUnreachableError)
 
 
+def rank(holders: list[Holder]) -> list[Holder]:
+    """Sort holders: highest epoch, then owner, then longest journal first."""
+    return sorted(holders, key=_quality, reverse=True)
+
+
 def _quality(holder: Holder) -> tuple[int, bool, int]:
     found = holder.found
     return found.epoch, found.owned, found.length
