Measure slopes: what a host spends a peer, account, row, server and generation

Cause: CAPACITY.md must rest on measured slopes. CPU from the scheduler's own nanoseconds; the 10 ms ticks of the process table were coarser than the slopes.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,269 @@
+"""What a host spends for each peer, server, row, account and generation.
+
+One thing is added at a time, in three steps; after each the host is left
+alone, and its CPU time, bytes on inner links and memory are read.  The slopes
+are least-squares fits.
+"""
+
+import asyncio
+import hashlib
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+from bench.processes import read_cost
+from bench.rigs import (
+    OPERATOR_KEY,
+    SERVICE,
+    Place,
+    Rig,
+    caller_headers,
+    completion,
+)
+from bench.streams import Call, Counts, read_stream
+from standins.calls import call
+from standins.launching import Fleet
+
+WINDOW_S = 1.3
+SETTLE_S = 0.4
+IMPORT_ROWS = 800
+PEERS = (2, 4, 8)
+ROWS = (1000, 2500, 5000)
+ACCOUNTS = (500, 1250, 2500)
+BACKENDS = (10, 40, 80)
+GENERATIONS = (40, 120, 240)
+ENDLESS_TOKENS = 900_000
+SLOW_TOKEN_MS = 1000
+MICROSECONDS = 1_000_000
+OPERATOR_HEADERS = {'Authorization': f'Bearer {OPERATOR_KEY}'}
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """A host's spending while a number of things existed.
+
+    Attributes:
+        size: number of things.
+        cpu_us_per_s: CPU microseconds a second.
+        sent_bytes_per_s: bytes a second on inner links, sent.
+        received_bytes_per_s: the same, received.
+        resident_bytes: memory.
+    """
+
+    size: int
+    cpu_us_per_s: float
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
+    resident_bytes: float
+
+
+class Subject:
+    """The host that is watched, and how to add things to it."""
+
+    def __init__(self, rig: Rig, address: str) -> None:
+        self.rig = rig
+        self.fleet = rig.fleet
+        self.address = address
+        self.pid = self.fleet.members['host-a'].pid
+        self.peers = 0
+        self.generations: list[asyncio.Task] = []
+        self.counts = Counts()
+
+    async def sample(self, size: int) -> Sample:
+        """Leave the host alone for a while and read what it spent."""
+        await asyncio.sleep(SETTLE_S)
+        before, sent, received = read_cost(self.pid), *self._bytes()
+        begun_s = time.monotonic()
+        await asyncio.sleep(WINDOW_S)
+        after, sent_after, received_after = read_cost(self.pid), *self._bytes()
+        passed_s = time.monotonic() - begun_s
+        one = Sample(
+            size,
+            MICROSECONDS * (after.cpu_s - before.cpu_s) / passed_s,
+            (sent_after - sent) / passed_s,
+            (received_after - received) / passed_s,
+            after.resident_bytes,
+        )
+        sys.stderr.write(f'{one}\n')
+        return one
+
+    async def add_peers(self, size: int) -> None:
+        """Start further hosts of the zone, up to ``size`` peers."""
+        while self.peers < size:
+            self.peers += 1
+            self.rig.add_host(f'peer-{self.peers}', Place())
+
+    async def add_accounts(self, size: int) -> None:
+        """Create client accounts up to ``size``."""
+        names = [f'account-{number}' for number in range(size)]
+        rows = [
+            _row(
+                'client_account',
+                name,
+                name=name,
+                key_digest=hashlib.sha256(name.encode()).hexdigest(),
+            )
+            for name in names
+        ]
+        self.fill(rows, size)
+
+    async def add_shares(self, size: int) -> None:
+        """Write weights and limits up to ``size`` rows."""
+        rows = [
+            _row(
+                'share',
+                f'*:account-{number}',
+                backend_server='*',
+                client_account=f'account-{number}',
+                weight=1,
+                limit=100,
+            )
+            for number in range(ACCOUNTS[-1])
+        ]
+        more = [
+            _row(
+                'share',
+                f'engine-0:account-{number}',
+                backend_server='engine-0',
+                client_account=f'account-{number}',
+                weight=2,
+                limit=10,
+            )
+            for number in range(ACCOUNTS[-1])
+        ]
+        self.fill([*rows, *more], size)
+
+    async def add_backends(self, size: int) -> None:
+        """Add backend servers of the host's zone up to ``size``."""
+        url = f'http://{self.fleet.members["engine-0"].address}'
+        rows = [
+            _row(
+                'backend_server',
+                f'engine-{number}',
+                name=f'engine-{number}',
+                url=url,
+                region=Place().region,
+                availability_zone=Place().availability_zone,
+                service=SERVICE,
+            )
+            for number in range(1, size + 1)
+        ]
+        self.fill(rows, size)
+
+    async def add_generations(self, size: int) -> None:
+        """Open streams that bring a token a second, up to ``size``."""
+        while len(self.generations) < size:
+            number = len(self.generations)
+            body = completion(f'narrative {number}', ENDLESS_TOKENS)
+            one = Call(
+                self.address,
+                '/v1/completions',
+                body,
+                caller_headers(),
+            )
+            task = asyncio.create_task(read_stream(one, self.counts))
+            self.generations.append(task)
+        await asyncio.sleep(2 * SETTLE_S)
+
+    def fill(self, rows: list[dict[str, Any]], size: int) -> None:
+        """Write rows up to ``size`` that are not written yet."""
+        wanted = rows[:size]
+        known = {(row['kind'], row['key']) for row in self.rig.rows}
+        new = [row for row in wanted if (row['kind'], row['key']) not in known]
+        for first in range(0, len(new), IMPORT_ROWS):
+            part = new[first : first + IMPORT_ROWS]
+            status, body = call(
+                self.address,
+                'POST',
+                '/operator/table/import',
+                {'rows': part},
+                OPERATOR_HEADERS,
+            )
+            if status != HTTPStatus.OK:
+                raise ConnectionError(str(body))
+        self.rig.rows.extend(new)
+
+    def _bytes(self) -> tuple[int, int]:
+        _, status = call(
+            self.address,
+            'GET',
+            '/operator/status',
+            headers=OPERATOR_HEADERS,
+        )
+        return status['inner_bytes_sent'], status['inner_bytes_received']
+
+
+def run(seed: int, words: list[str]) -> dict[str, Any]:
+    """Add each kind of thing in steps and fit the slopes."""
+    with Fleet() as fleet:
+        rig = Rig.start(fleet)
+        rig.add_engine(
+            'engine-0',
+            Place(),
+            token_interval_ms=SLOW_TOKEN_MS,
+            capacity=2 * GENERATIONS[-1],
+            seed=seed,
+        )
+        address = rig.add_host('host-a', Place())
+        rig.fill_table(address)
+        return asyncio.run(_measure(Subject(rig, address)))
+
+
+async def _measure(subject: Subject) -> dict[str, Any]:
+    base = await subject.sample(0)
+    figures: dict[str, Any] = {
+        'base_cpu_us_per_s': round(base.cpu_us_per_s),
+        'base_resident_mb': round(base.resident_bytes / MICROSECONDS, 1),
+    }
+    steps = (
+        ('peer', PEERS, subject.add_peers),
+        ('client_account', ACCOUNTS, subject.add_accounts),
+        ('table_row', ROWS, subject.add_shares),
+        ('backend_server', BACKENDS, subject.add_backends),
+        ('generation', GENERATIONS, subject.add_generations),
+    )
+    for name, sizes, add in steps:
+        sys.stderr.write(f'{name}\n')
+        samples = []
+        for size in sizes:
+            await add(size)
+            samples.append(await subject.sample(size))
+        figures[name] = fit(samples)
+    for task in subject.generations:
+        task.cancel()
+    await asyncio.gather(*subject.generations, return_exceptions=True)
+    return figures
+
+
+def fit(samples: list[Sample]) -> dict[str, Any]:
+    """Return the slope of each figure for one more thing."""
+    return {
+        'sizes': [one.size for one in samples],
+        'cpu_us_per_s': _slope(samples, lambda one: one.cpu_us_per_s),
+        'sent_bytes_per_s': _slope(samples, lambda one: one.sent_bytes_per_s),
+        'received_bytes_per_s': _slope(
+            samples,
+            lambda one: one.received_bytes_per_s,
+        ),
+        'resident_bytes': _slope(samples, lambda one: one.resident_bytes),
+    }
+
+
+def _slope(samples: list[Sample], figure: Callable[[Sample], float]) -> float:
+    sizes = [one.size for one in samples]
+    values = [figure(one) for one in samples]
+    middle = sum(sizes) / len(sizes)
+    mean = sum(values) / len(values)
+    spread = sum((size - middle) ** 2 for size in sizes)
+    shared = sum(
+        (size - middle) * (value - mean)
+        for size, value in zip(sizes, values, strict=True)
+    )
+    return round(shared / spread, 3)
+
+
+def _row(row_kind: str, key: str, **fields: Any) -> dict[str, Any]:
+    return {'kind': row_kind, 'key': key, 'version': 0, 'fields': fields}
--- a/celerywharf/operators/_hosts.py
+++ b/celerywharf/operators/_hosts.py
@@ -18,6 +18,7 @@
     def get(self) -> None:
         """Describe the host."""
         identity = self.host.identity
+        links = self.host.links
         self.write_json(
             {
                 'version': __version__,
@@ -33,6 +34,8 @@
                 'backend_servers': len(self.host.catalogue.backend_servers),
                 'client_accounts': len(self.host.catalogue.client_accounts),
                 'services': len(self.host.catalogue.services),
+                'inner_bytes_sent': sum(links.bytes_sent.values()),
+                'inner_bytes_received': sum(links.bytes_received.values()),
             },
         )
 
