--- a/celerywharf/cli/_host.py
+++ b/celerywharf/cli/_host.py
@@ -19,6 +19,7 @@
 
 import sys
 from collections.abc import Sequence
+from urllib.parse import quote
 
 from docopt import docopt
 
@@ -64,7 +65,8 @@
 
 
 def _client_of(client: OperatorClient, name: str) -> OperatorClient:
-    for known in client.call('GET', '/hosts')['hosts']:
-        if known['host'] == name and known['edge']:
+    path = f'/hosts?name={quote(name)}'
+    for known in client.call('GET', path)['hosts']:
+        if known['edge']:
             return client.at(read_address(known['edge']))
     raise NotFoundError(f'no live host {name}')
--- a/celerywharf/operators/_hosts.py
+++ b/celerywharf/operators/_hosts.py
@@ -5,8 +5,12 @@
 import asyncio
 import signal
 from http import HTTPStatus
+from typing import Any
 
 from celerywharf import __version__
+from celerywharf.adapters import ListedHost
+from celerywharf.exceptions import CelerywharfError
+from celerywharf.membership import Peer
 from celerywharf.operators._handlers import OperatorHandler
 
 ANSWER_TIME_S = 0.05
@@ -41,22 +45,33 @@
 
 
 class HostsHandler(OperatorHandler):
-    """``GET /operator/hosts``: the hosts this one knows to be alive."""
+    """``GET /operator/hosts``: live hosts; ``?name=N`` finds one anywhere."""
 
-    def get(self) -> None:
-        """List them with their addresses."""
-        hosts = [
-            {
-                'host': peer.name,
-                'region': peer.region,
-                'availability_zone': peer.availability_zone,
-                'inner': str(peer.inner),
-                'edge': str(peer.edge) if peer.edge else None,
-                'leaving': peer.leaving,
-            }
-            for peer in self.host.membership.live()
-        ]
-        self.write_json({'hosts': hosts})
+    async def get(self) -> None:
+        """List them with their addresses.
+
+        Of other zones this host knows only some; the platform's list, which
+        lags and does not say where callers are served, names the others.
+        """
+        wanted = self.get_query_argument('name', '')
+        if wanted:
+            peer = await self.host.membership.find(wanted)
+            self.write_json({'hosts': [_describe(peer)] if peer else []})
+            return
+        found = {
+            listed.name: _describe_listed(listed)
+            for listed in await self._listed()
+        }
+        for peer in self.host.membership.live():
+            found[peer.name] = _describe(peer)
+        ordered = [found[name] for name in sorted(found)]
+        self.write_json({'hosts': ordered})
+
+    async def _listed(self) -> list[ListedHost]:
+        try:
+            return await self.host.platform.hosts()
+        except CelerywharfError:
+            return []
 
 
 class DrainHandler(OperatorHandler):
@@ -70,6 +85,28 @@
         self.write_json(content, HTTPStatus.ACCEPTED)
 
 
+def _describe(peer: Peer) -> dict[str, Any]:
+    return {
+        'host': peer.name,
+        'region': peer.region,
+        'availability_zone': peer.availability_zone,
+        'inner': str(peer.inner),
+        'edge': str(peer.edge) if peer.edge else None,
+        'leaving': peer.leaving,
+    }
+
+
+def _describe_listed(listed: ListedHost) -> dict[str, Any]:
+    return {
+        'host': listed.name,
+        'region': listed.region,
+        'availability_zone': listed.availability_zone,
+        'inner': str(listed.address),
+        'edge': None,
+        'leaving': listed.leaving,
+    }
+
+
 HOST_ROUTES = (
     ('/operator/status', StatusHandler),
     ('/operator/hosts', HostsHandler),
--- a/celerywharf/tables/_attempts.py
+++ b/celerywharf/tables/_attempts.py
@@ -16,6 +16,7 @@
     CelerywharfError,
     OverloadedError,
     PlatformAmbiguousError,
+    PlatformUnavailableError,
     RowConflictError,
 )
 from celerywharf.tables import _storage, documents
@@ -129,13 +130,21 @@
 
     Attributes:
         request: what the operator asked for.
+        floor: revision known to be committed; a platform below it has lost
+            rows, and what it commits would come in force nowhere.
         deadline_s: monotonic time after which nothing is tried again.
         submitted: the last commit that was sent.
         unresolved: True while the fate of ``submitted`` is unknown.
     """
 
-    def __init__(self, request: ChangeRequest, now: float) -> None:
+    def __init__(
+        self,
+        request: ChangeRequest,
+        now: float,
+        floor: int = 0,
+    ) -> None:
         self.request = request
+        self.floor = floor
         self.deadline_s = now + DEADLINE_S
         self.submitted: Commit | None = None
         self.unresolved = False
@@ -196,7 +205,7 @@
         earlier = self._applied_earlier(rows)
         if earlier is not None:
             return Accept(earlier)
-        refusal = self._refusal(rows)
+        refusal = self._loss(rows) or self._refusal(rows)
         if refusal is not None:
             return Fail(refusal)
         self.submitted = self._commit(rows)
@@ -237,6 +246,18 @@
         request = self.request
         return Change(revision, change_id, written, request.host, request.at_s)
 
+    def _loss(
+        self,
+        rows: Mapping[str, StoredRow],
+    ) -> CelerywharfError | None:
+        found = _revision(rows)
+        if found >= self.floor:
+            return None
+        return PlatformUnavailableError(
+            f'the platform has the table at revision {found}, but '
+            f'{self.floor} is in force; its rows have to be restored',
+        )
+
     def _refusal(
         self,
         rows: Mapping[str, StoredRow],
--- a/celerywharf/tables/_directory.py
+++ b/celerywharf/tables/_directory.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from celerywharf.exceptions import CelerywharfError
 from celerywharf.tables._spread import Replicator
 
 if TYPE_CHECKING:
@@ -13,11 +14,9 @@
 def other_hosts(host: Host) -> list[Replicator]:
     """List the live peers, or the seeds while no peer is known."""
     me = str(host.identity.inner)
-    membership = getattr(host, 'membership', None)
-    peers = membership.live() if membership else ()
     found = {
         str(peer.inner): Replicator(str(peer.inner), peer.availability_zone)
-        for peer in peers
+        for peer in host.membership.live()
     }
     if not found.keys() - {me}:
         zone = host.identity.availability_zone
@@ -25,3 +24,16 @@
             found[str(seed)] = Replicator(str(seed), zone)
     found.pop(me, None)
     return list(found.values())
+
+
+async def listed_hosts(host: Host) -> set[str]:
+    """Return the inner addresses on the platform's list, empty when down.
+
+    A host knows only some hosts of other zones; the list, though it lags,
+    names all.
+    """
+    try:
+        listed = await host.platform.hosts()
+    except CelerywharfError:
+        return set()
+    return {str(one.address) for one in listed}
--- a/celerywharf/tables/_reader.py
+++ b/celerywharf/tables/_reader.py
@@ -102,6 +102,10 @@
             snapshot.add(documents.row_of(row.value))
             after = row.key
         more = page.more
-    for change in await _read_changes(platform, before):
+    changes = await _read_changes(platform, before)
+    if changes and changes[0].revision != before + 1:
+        # More was committed during the scan than change records are kept.
+        return await _read_snapshot(platform)
+    for change in changes:
         snapshot.follow(change)
     return [snapshot.delta()]
--- a/celerywharf/tables/_service.py
+++ b/celerywharf/tables/_service.py
@@ -14,7 +14,7 @@
 from celerywharf.tables._attempts import ChangeAttempt
 from celerywharf.tables._catchup import CatchUp
 from celerywharf.tables._committer import carry_out
-from celerywharf.tables._directory import other_hosts
+from celerywharf.tables._directory import listed_hosts, other_hosts
 from celerywharf.tables._messages import delta_of, message_of
 from celerywharf.tables._reader import read_history
 from celerywharf.tables._replica import Fit, Replica
@@ -118,7 +118,8 @@
         """
         if self.waiting_changes >= WAITING_CHANGES:
             raise OverloadedError('too many changes wait', retry_after_s=1)
-        attempt = ChangeAttempt(request, self.host.timers.now())
+        now = self.host.timers.now()
+        attempt = ChangeAttempt(request, now, self.replica.revision)
         self.waiting_changes += 1
         try:
             async with self.committing:
@@ -133,9 +134,10 @@
 
     async def ask_hosts(self) -> dict[str, TableDigest | None]:
         """Return the digests of all known hosts by inner address."""
-        addresses = [other.address for other in other_hosts(self.host)]
-        answers = await self.catch_up.ask(addresses)
+        addresses = {other.address for other in other_hosts(self.host)}
+        addresses.update(await listed_hosts(self.host))
         me = str(self.host.identity.inner)
+        answers = await self.catch_up.ask(sorted(addresses - {me}))
         return {me: self.catch_up.digest(), **answers}
 
     async def history(self, after: int, limit: int) -> list[Change]:
--- a/celerywharf/tables/validation.py
+++ b/celerywharf/tables/validation.py
@@ -19,6 +19,7 @@
 from celerywharf.exceptions import InvalidRowError
 from celerywharf.tables.rows import BackendState, Policy, RowKind, ServiceKind
 
+SECRET_COLUMN = 'key_digest'
 NAME_PATTERN = '^[a-z0-9][a-z0-9_.-]{0,62}$'
 BACKEND_PATTERN = r'^([a-z0-9][a-z0-9_.-]{0,62}|\*)$'
 DIGEST_PATTERN = '^[0-9a-f]{64}$'
@@ -153,7 +154,10 @@
         if not column:
             yield f'{row}: {details["msg"]}'
             continue
-        shown = details['input']
+        shown = repr(details['input'])
         if details['type'] == 'missing':
             shown = 'missing'
-        yield f'{row}: column {column} = {shown!r}: {details["msg"]}'
+        elif column == SECRET_COLUMN:
+            # An operator may have given the key itself.
+            shown = '[redacted]'
+        yield f'{row}: column {column} = {shown}: {details["msg"]}'
--- a/tests/tables/decisions.feature
+++ b/tests/tables/decisions.feature
@@ -35,6 +35,7 @@
       | down                                         | platform_unavailable after 0 commits |
       | read 3, down                                 | platform_unavailable after 1 commits |
       | read 3 without account                       | invalid_row after 0 commits         |
+      | read 2                                       | platform_unavailable after 0 commits |
 
   Scenario Outline: a replica never goes back
     Given a replica at revision 3 with row x set at 2 and row y at 3
--- a/tests/tables/hosts.feature
+++ b/tests/tables/hosts.feature
@@ -60,3 +60,14 @@
     And all hosts have limit 90 within 3 s
     When an account is created with a host that is not there
     Then the command ends with exit code 4 and shows one line
+
+  Scenario: operators create, stop and remove from the command line
+    When an account, a service and a backend server are created
+    Then the printed key opens the account at all hosts within 3 s
+    And the platform holds no trace of the key itself
+    When the backend server is stopped
+    Then all hosts have it leaving within 3 s
+    When the backend server, the service and the account are removed
+    Then the printed key opens nothing at any host within 3 s
+    When c is told to stop by its name through a
+    Then c ends by itself
--- a/tests/tables/rows.feature
+++ b/tests/tables/rows.feature
@@ -17,7 +17,7 @@
       | backend_server | url=http://localhost:1       | column url = 'http://localhost:1'         |
       | backend_server | url=http://127.0.0.1         | the port is missing                       |
       | backend_server | state=asleep                 | column state = 'asleep'                   |
-      | client_account | key_digest=secret            | column key_digest = 'secret'              |
+      | client_account | key_digest=secret            | column key_digest = [redacted]           |
       | client_account | priority=1000                | column priority = '1000'                  |
 
   Scenario Outline: a good row becomes a typed row
--- a/tests/tables/test_decisions.py
+++ b/tests/tables/test_decisions.py
@@ -33,8 +33,8 @@
 class Replay:
     """One change attempt and what it did."""
 
-    def __init__(self, request):
-        self.attempt = attempts.ChangeAttempt(request, 0)
+    def __init__(self, request, floor=0):
+        self.attempt = attempts.ChangeAttempt(request, 0, floor)
         self.now = 1
         self.commits = 0
         self.action = self.attempt.start()
@@ -84,7 +84,7 @@
 )
 def _change():
     edit = Edit(RowKind.share, '*:acme', 1, SHARE)
-    return Replay(ChangeRequest('mine', (edit,), 'a', 0))
+    return Replay(ChangeRequest('mine', (edit,), 'a', 0), floor=3)
 
 
 @when(parsers.parse('the platform answers {answers}'))
--- a/tests/tables/test_hosts.py
+++ b/tests/tables/test_hosts.py
@@ -12,6 +12,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from celerywharf.structures import Address, HostIdentity
+from celerywharf.tables.catalogues import digest_key
 from celerywharf.wire import LinkService, default_codec
 from celerywharf.wire.tables import TableDelta, TablePush, TableRow
 from standins.calls import call
@@ -301,3 +302,86 @@
     assert run.returncode == code
     assert expected[text] in run.stderr
     assert len(run.stderr.splitlines()) <= 2
+
+
+def commanded(cluster, words):
+    run = command(cluster, words)
+    assert not run.returncode, run.stderr
+    return run.stdout
+
+
+@when('an account, a service and a backend server are created')
+def _create(cluster, world):
+    answer = json.loads(commanded(cluster, 'account create yard --json'))
+    world['key'] = answer['key']
+    commanded(cluster, 'service create bookings --kind=application')
+    words = 'backend add yard1 --url=http://127.0.0.1:9 --region=r1 --zone=z1'
+    commanded(cluster, f'{words} --service=bookings --ignores-fencing')
+
+
+def statuses(cluster, key):
+    bearer = {'Authorization': f'Bearer {key}'}
+    return {
+        call(member.edge, 'GET', '/apps/none/x', None, bearer)[0]
+        for member in cluster.members.values()
+    }
+
+
+def within(timeout_s, condition):
+    deadline = time.monotonic() + timeout_s
+    while not condition() and time.monotonic() < deadline:
+        time.sleep(0.02)
+    assert condition()
+
+
+@then('the printed key opens the account at all hosts within 3 s')
+def _opens(cluster, world):
+    within(3, lambda: statuses(cluster, world['key']) == {404})
+
+
+@then('the platform holds no trace of the key itself')
+def _digest_only(cluster, world):
+    record = json.dumps(cluster.fleet.record('platform'))
+    assert digest_key(world['key']) in record
+    assert world['key'] not in record
+
+
+@when('the backend server is stopped')
+def _stop_backend(cluster):
+    commanded(cluster, 'backend stop yard1')
+
+
+@then('all hosts have it leaving within 3 s')
+def _leaving(cluster):
+    path = '/table/backend_server/yard1'
+    within(
+        3,
+        lambda: all(
+            cluster.operate(name, 'GET', path)[1]['fields']['state']
+            == 'leaving'
+            for name in ZONES
+        ),
+    )
+
+
+@when('the backend server, the service and the account are removed')
+def _remove(cluster):
+    for words in ('backend remove yard1', 'service remove bookings'):
+        commanded(cluster, words)
+    commanded(cluster, 'account remove yard')
+
+
+@then('the printed key opens nothing at any host within 3 s')
+def _closed(cluster, world):
+    within(3, lambda: statuses(cluster, world['key']) == {401})
+
+
+@when('c is told to stop by its name through a')
+def _stop_host(cluster):
+    assert 'c is leaving' in commanded(cluster, 'host stop c')
+
+
+@then('c ends by itself')
+def _ends(cluster):
+    within(5, lambda: not cluster.fleet.members['c'].is_running)
+    cluster.start_host('c')
