--- a/bench/shops.py
+++ b/bench/shops.py
@@ -109,7 +109,7 @@
             row['key'] for row in self.rows if row['kind'] == 'backend_server'
         ]
         return [
-            run
+            {**run, 'backend_server': name}
             for name in names
             if self.fleet.members[name].is_running
             for run in self.fleet.record(name)['runs']
