--- a/bench/shops.py
+++ b/bench/shops.py
@@ -66,7 +66,12 @@
             service=SERVICE,
         )
 
-    def add_host(self, name: str, platform: str = '') -> None:
+    def add_host(
+        self,
+        name: str,
+        platform: str = '',
+        **sections: Any,
+    ) -> None:
         """Start an entry host, by default directly at the platform."""
         listen = f'127.0.0.1:{find_free_port()}'
         inner = f'127.0.0.1:{find_free_port()}'
@@ -81,6 +86,7 @@
             'peers': {'seeds': ' '.join(self.inners.values())},
             'keys': {'inner': INNER_KEY, 'operator': OPERATOR_KEY},
             'platform': {'url': f'http://{platform or self.platform}'},
+            **sections,
         }
         self.fleet.start_host(name, settings, listen)
         self.listens[name] = listen
--- a/celerywharf/orders/_steward.py
+++ b/celerywharf/orders/_steward.py
@@ -12,6 +12,7 @@
     Order,
     OrderKind,
 )
+from celerywharf.adapters.platforms import StoredRow
 from celerywharf.exceptions import (
     CelerywharfError,
     NotFoundError,
@@ -40,7 +41,7 @@
 )
 from celerywharf.orders._queue import WeightQueue
 from celerywharf.orders._wishes import next_order
-from celerywharf.tables import BackendServer
+from celerywharf.tables import REVISION_KEY, BackendServer
 
 if TYPE_CHECKING:
     from celerywharf.hosts import Host
@@ -158,14 +159,21 @@
     async def _read(self) -> Message:
         key = KEY_PREFIX + self.name
         try:
-            rows = await self.host.platform.read([key])
+            rows = await self.host.platform.read([key, REVISION_KEY])
         except CelerywharfError:
             return Unavailable()
+        self._check_revision(rows.get(REVISION_KEY))
         if key not in rows:
             return Found(FoundLease(0, None))
         row = LeaseRow.from_json(rows[key].value)
         return Found(FoundLease(rows[key].version, row))
 
+    def _check_revision(self, stored: StoredRow | None) -> None:
+        """Give no orders from rows that may have changed meanwhile."""
+        current = stored.value['revision'] if stored else 0
+        if current > self.host.catalogue.revision:
+            raise NotRunError('the table here is behind the platform')
+
     async def _write(self, write: Write) -> Message:
         key = KEY_PREFIX + self.name
         puts = {key: write.row.to_json()}
--- a/celerywharf/tables/__init__.py
+++ b/celerywharf/tables/__init__.py
@@ -1,6 +1,7 @@
 """The shared table: accounts, services, backend servers, weights, limits."""
 
 from celerywharf.tables._service import TableService
+from celerywharf.tables._storage import REVISION_KEY
 from celerywharf.tables.catalogues import Catalogue
 from celerywharf.tables.changes import Change, ChangeRequest, Delta, Edit
 from celerywharf.tables.rows import (
@@ -16,6 +17,7 @@
 )
 
 __all__ = (
+    'REVISION_KEY',
     'BackendServer',
     'BackendState',
     'Catalogue',
