Bound what the kernel buffers for a slow caller; end waits of callers that left

Cause: a caller that reads nothing let the kernel hold megabytes before the engine was held; a caller that left before its first byte cancelled the handler's future, and a closed connection could fail the hand-over.

--- a/celerywharf/adapters/engines.py
+++ b/celerywharf/adapters/engines.py
@@ -22,6 +22,9 @@
 DATA = b'data: '
 DATA_LENGTH = len(DATA)
 EVENT_END = b'\n\n'
+PLAIN_TOKEN = b',"t":"'
+PLAIN_END = b'"}\n\n'
+UNREADABLE = (ValueError, KeyError, TypeError, StopIteration, RecursionError)
 
 _scan = json.JSONDecoder().scan_once
 
@@ -107,6 +110,7 @@
         self.rest = b''
         self.ended = False
         self.received_bytes = 0
+        self.head = _head(attempt)
 
     def cancel(self) -> None:
         """Close the connection; the listener hears nothing more."""
@@ -129,8 +133,8 @@
             self.rest = chunk[:EVENT_LIMIT_BYTES]
             return
         try:
-            self._read(chunk)
-        except (ValueError, KeyError, TypeError, StopIteration) as error:
+            self._read_plain(chunk) or self._read(chunk)
+        except UNREADABLE as error:
             self._fail('malformed', f'unreadable event: {error!r}')
 
     def on_end(self, error: TransportError | None) -> None:
@@ -141,8 +145,27 @@
         failure = self._judge_end(error)
         self.listener.on_failure(self.attempt.attempt, failure)
 
+    def _read_plain(self, chunk: bytes) -> bool:
+        """Read a chunk that is one event in the usual spelling.
+
+        The head names generation, epoch and attempt byte by byte; without a
+        quote or backslash the token's bytes are its text, and no second event
+        can follow.
+        """
+        if not (chunk.startswith(self.head) and chunk.endswith(PLAIN_END)):
+            return False
+        content = chunk[len(self.head) : -len(PLAIN_END)]
+        offset, separator, token = content.partition(PLAIN_TOKEN)
+        if not separator or b'"' in token or b'\\' in token:
+            return False
+        self.listener.on_tokens(
+            self.attempt.attempt,
+            int(offset),
+            [token.decode()],
+        )
+        return True
+
     def _read(self, chunk: bytes) -> None:
-        # One pass, one call to the listener a chunk: this is the hot path.
         events = chunk.split(EVENT_END)
         self.rest = events.pop()
         expected = self.attempt
@@ -300,6 +323,12 @@
     return _scan(event.decode(), DATA_LENGTH)[0]
 
 
+def _head(attempt: AttemptId) -> bytes:
+    generation = json.dumps(attempt.generation)
+    names = f'"g":{generation},"e":{attempt.epoch},"a":{attempt.attempt}'
+    return f'data: {{{names},"o":'.encode()
+
+
 def _names(attempt: AttemptId) -> dict[str, Any]:
     return {
         'generation': attempt.generation,
--- a/celerywharf/generations/_handlers.py
+++ b/celerywharf/generations/_handlers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import secrets
+import socket
 from typing import Any
 
 import xxhash
 from pydantic import BaseModel, ConfigDict, Field, StrictBool, ValidationError
+from tornado.iostream import StreamClosedError
 
 from celerywharf.edge import EdgeHandler
 from celerywharf.exceptions import (
@@ -61,10 +63,7 @@
         """Let the reader go with its caller."""
         if self.reader is not None:
             self.reader.leave()
-        for waiting in ('opening', 'done'):
-            future = getattr(self.reader, waiting, None)
-            if future is not None:
-                future.cancel()
+            self.reader.give_up()
 
     async def send_events(self, reader: EventReader) -> None:
         """Send headers, then leave the connection to the reader."""
@@ -74,9 +73,23 @@
         self.set_header('Generation-Id', reader.generation)
         # The connection ends with the stream, so that a cut shows.
         self.set_header('Connection', 'close')
-        await self.flush()
+        try:
+            await self.flush()
+        except StreamClosedError:
+            reader.leave()
+            return
         chunked = self.request.version != UNCHUNKED_VERSION
-        reader.connect(self.detach(), chunked=chunked)
+        stream = self.detach()
+        if stream.closed():
+            reader.leave()
+            return
+        # What the kernel buffers counts as buffered for the caller too.
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_SNDBUF,
+            self.host.settings.limits.caller_buffer_bytes,
+        )
+        reader.connect(stream, chunked=chunked)
 
     def event_reader(self, position: Position) -> EventReader:
         """Return a reader for this caller's position."""
--- a/celerywharf/generations/_readers.py
+++ b/celerywharf/generations/_readers.py
@@ -16,6 +16,7 @@
 
 HEARTBEAT = b': heartbeat\n\n'
 DONE = b'data: [DONE]\n\n'
+CALLER_LEFT = 'the caller has left'
 LAST_CHUNK = b'0\r\n\r\n'
 EVENT_TAIL = ',"finish_reason":null}]}\n\n'
 
@@ -61,6 +62,9 @@
     def write_error(self, error: CelerywharfError) -> None:
         """Take an error; nothing follows."""
 
+    def give_up(self) -> None:  # noqa: B027
+        """Let whoever waits for the answer know that the caller has left."""
+
     def write_heartbeat(self) -> None:  # noqa: B027
         """Show a silent caller that the generation lives, where it can."""
 
@@ -117,6 +121,11 @@
         if not self.opening.done():
             self.opening.set_result(None)
 
+    def give_up(self) -> None:
+        """End the wait for the first byte."""
+        if not self.opening.done():
+            self.opening.set_exception(CelerywharfError(CALLER_LEFT))
+
     def connect(self, stream: IOStream, *, chunked: bool) -> None:
         """Begin to write to the caller's connection."""
         self.stream = stream
@@ -255,6 +264,10 @@
         self.closed = True
         self._settle(None, error)
 
+    def give_up(self) -> None:
+        """End the wait for the text."""
+        self._settle(None, CelerywharfError(CALLER_LEFT))
+
     def _settle(self, value: Any, error: CelerywharfError | None) -> None:
         if self.done.done():
             return
--- a/tests/generations/streams.feature
+++ b/tests/generations/streams.feature
@@ -8,8 +8,11 @@
       | chunks                              | heard                    | connection |
       | g.7.1.0=a g.7.1.1=b                 | 0:a,b                    | open       |
       | g.7.1.0=a / g.7.1.1=b               | 0:a 1:b                  | open       |
+      | g.7.1.0=ä\" / g.7.1.1=b\\          | 0:ä\" 1:b\\              | open       |
       | g.7.1.0=a g.7.1.1=end               | 0:a finished:1:length    | closed     |
       | g.7.1.0=a h.7.1.1=b                 | 0:a failed:mismatched    | closed     |
+      | h.7.1.0=a                           | failed:mismatched        | closed     |
+      | g.7.1.x=a                           | failed:malformed         | closed     |
       | g.7.1.0=a g.6.1.1=b                 | 0:a failed:mismatched    | closed     |
       | g.7.1.0=a g.7.2.1=b g.7.1.1=b       | 0:a failed:mismatched    | closed     |
       | g.7.1.0=a g.7.1.2=c g.7.1.1=b       | 0:a 2:c 1:b              | open       |
--- a/tests/generations/test_streams.py
+++ b/tests/generations/test_streams.py
@@ -21,6 +21,7 @@
 scenarios('streams.feature')
 
 ATTEMPT = AttemptId('g', 7, 1)
+STYLES = ((',', ':'), (', ', ': '))
 
 
 class Listener:
@@ -47,17 +48,17 @@
         self.state = 'closed'
 
 
-def encode(word):
+def encode(word, separators):
     name, _, token = word.partition('=')
     generation, epoch, attempt, offset = name.split('.')
     event = {
         'g': generation,
         'e': int(epoch),
         'a': int(attempt),
-        'o': int(offset),
+        'o': int(offset) if offset.isdigit() else offset,
     }
     event.update({'end': 'length'} if token == 'end' else {'t': token})
-    text = json.dumps(event, ensure_ascii=False)
+    text = json.dumps(event, separators=separators, ensure_ascii=False)
     return f'data: {text}\n\n'.encode()
 
 
@@ -75,10 +76,16 @@
     target_fixture='stream',
 )
 def _sent(chunks):
+    usual, spaced = [send(chunks, style) for style in STYLES]
+    assert usual.listener.heard == spaced.listener.heard
+    return usual
+
+
+def send(chunks, style):
     stream = start()
     for chunk in chunks.split(' / '):
         words = chunk.split()
-        content = b''.join(encode_word(stream, word) for word in words)
+        content = b''.join(encode_word(stream, word, style) for word in words)
         if content:
             stream.on_chunk(content)
     if chunks.split()[-1] in {'cut', 'close'}:
@@ -87,7 +94,7 @@
     return stream
 
 
-def encode_word(stream, word):
+def encode_word(stream, word, style):
     if word.startswith('status.'):
         _, status, code = word.split('.')
         stream.on_headers(int(status), {})
@@ -97,7 +104,7 @@
         'cut': b'data: {"g":"g","e":7',
         'close': b'',
     }
-    return known[word] if word in known else encode(word)
+    return known[word] if word in known else encode(word, style)
 
 
 @then(parsers.parse('the owner hears "{heard}"'))
@@ -115,7 +122,7 @@
     target_fixture='streams',
 )
 def _split(words):
-    content = b''.join(encode(word) for word in words.split())
+    content = b''.join(encode(word, STYLES[0]) for word in words.split())
     return [read_split(content, cut) for cut, _ in enumerate(content)][1:]
 
 
