--- a/tests/generations/owner.feature
+++ b/tests/generations/owner.feature
@@ -78,3 +78,19 @@
       | taken_over_reattached  | reattaches |
       | taken_over_engine_gone | reattaches |
       | no_failure             | starts     |
+
+  Scenario Outline: <trace>, recorded from real processes
+    When the trace "<trace>" is replayed
+    Then <count> tokens were delivered and the end "<ended>"
+    And the engines' own records explain every token
+    And attempts "<cancelled>" were cancelled
+
+    Examples:
+      | trace                   | count | ended   | cancelled       |
+      | recorded_kill           | 24    | length  | 1:reset         |
+      | recorded_freeze_patient | 24    | length  | 1:silent        |
+      | recorded_freeze_eager   | 24    | length  | 1               |
+      | recorded_two_kills      | 24    | length  | 1:reset 2:reset |
+      | recorded_replica_kill   | 24    | length  |                 |
+      | recorded_replica_pause  | 24    | length  |                 |
+      | recorded_owner_pause    | 12    | stopped |                 |
--- a/tests/generations/test_owner.py
+++ b/tests/generations/test_owner.py
@@ -10,6 +10,13 @@
     Reattach,
     StartAttempt,
 )
+from standins.checking import (
+    Findings,
+    Received,
+    ReceivedToken,
+    RecordedRun,
+    check,
+)
 
 scenarios('owner.feature')
 
@@ -94,3 +101,22 @@
     if how == 'reattaches':
         assert first.backend_server == name
         assert (first.old_epoch, first.old_attempt) == (7, 3)
+
+
+@then(parsers.parse('{count:d} tokens were delivered and the end "{end}"'))
+def _count(outcome, count, end):
+    assert (len(outcome.delivered), outcome.ended) == (count, end)
+
+
+@then("the engines' own records explain every token")
+def _explained(outcome):
+    tokens = [
+        ReceivedToken(1, offset, token)
+        for offset, token in enumerate(outcome.delivered)
+    ]
+    runs = [
+        RecordedRun('g', tuple(one['prefix']), tuple(one['tokens']))
+        for one in outcome.runs
+    ]
+    assert runs
+    assert check(Received('g', tokens, len(tokens)), runs) == Findings()
--- a/tests/generations/traces.py
+++ b/tests/generations/traces.py
@@ -28,6 +28,7 @@
     actions: list = dataclasses.field(default_factory=list)
     delivered: list[str] = dataclasses.field(default_factory=list)
     ended: str = ''
+    runs: list[dict] = dataclasses.field(default_factory=list)
 
     def take(self, now, actions):
         for action in actions:
@@ -75,7 +76,7 @@
     paces = Paces(3.0, 0.8)
     policy = Policy(head.get('policy', 'patient'))
     logic = GenerationLogic(journal_of(head), policy, paces, BOUNDS, 0)
-    outcome = Outcome(logic)
+    outcome = Outcome(logic, runs=head.get('runs', []))
     for at_s, kind, *fields in heard:
         if kind == 'AttemptRefused':
             fields[1] = getattr(exceptions, fields[1])('refused')
