--- a/celerywharf/generations/_running.py
+++ b/celerywharf/generations/_running.py
@@ -192,6 +192,8 @@
 
     def tick(self, now: float) -> None:
         """Let time pass."""
+        if not self.readers and (self.complete or self.logic.idle):
+            return
         _judge_callers(self, self.part.buffer_bytes)
         wrote = False
         for reader in self.readers:
