Look up backend servers by service and accounts by key without a search

Accounts are indexed change by change instead of anew at each change. All hosts now find the first by name.

--- a/celerywharf/tables/catalogues.py
+++ b/celerywharf/tables/catalogues.py
@@ -32,32 +32,33 @@
         self.services: dict[str, Service] = {}
         self.backend_servers: dict[str, BackendServer] = {}
         self.shares: dict[str, Share] = {}
-        self.accounts_by_digest: dict[str, ClientAccount] = {}
+        self.accounts_by_digest: dict[str, dict[str, ClientAccount]] = {}
+        self.active_by_service: dict[str, dict[str, BackendServer]] = {}
 
     def apply(self, rows: Iterable[Row]) -> None:
         """Put rows in force; the caller has ordered them by revision."""
         for row in rows:
             self.revision = max(self.revision, row.revision)
-            self._table(row.kind).pop(row.key, None)
-            if row.fields is not None:
-                self._table(row.kind)[row.key] = build(row.kind, row.fields)
-        self.accounts_by_digest = {
-            account.key_digest: account
-            for account in self.client_accounts.values()
-        }
+            table = self._table(row.kind)
+            self._leave_indexes(table.get(row.key))
+            if row.fields is None:
+                table.pop(row.key, None)
+            else:
+                table[row.key] = build(row.kind, row.fields)
+                self._enter_indexes(table[row.key])
 
     def account_of_key(self, key: str) -> ClientAccount | None:
-        """Find the client account of a bearer key."""
-        return self.accounts_by_digest.get(digest_key(key))
+        """Find the client account of a bearer key.
+
+        Of several accounts with one key it is the first by name, so that all
+        hosts find the same.
+        """
+        accounts = self.accounts_by_digest.get(digest_key(key))
+        return accounts[min(accounts)] if accounts else None
 
     def backends_of(self, service: str) -> list[BackendServer]:
         """List the active backend servers of a service."""
-        return [
-            backend
-            for backend in self.backend_servers.values()
-            if backend.service == service
-            and backend.state is BackendState.active
-        ]
+        return list(self.active_by_service.get(service, {}).values())
 
     def share_of(self, backend_server: str, client_account: str) -> Share:
         """Return the share in force, by default one of weight 1."""
@@ -72,6 +73,25 @@
             DEFAULT_SHARE_LIMIT,
         )
 
+    def _enter_indexes(self, typed: Any) -> None:
+        match typed:
+            case ClientAccount(key_digest=digest):
+                same = self.accounts_by_digest.setdefault(digest, {})
+                same[typed.name] = typed
+            case BackendServer(service=service, state=BackendState.active):
+                named = self.active_by_service.setdefault(service, {})
+                named[typed.name] = typed
+
+    def _leave_indexes(self, typed: Any) -> None:
+        match typed:
+            case ClientAccount(key_digest=digest):
+                same = self.accounts_by_digest[digest]
+                same.pop(typed.name)
+                if not same:
+                    self.accounts_by_digest.pop(digest)
+            case BackendServer(service=service, state=BackendState.active):
+                self.active_by_service[service].pop(typed.name)
+
     def _table(self, kind: RowKind) -> dict[str, Any]:
         match kind:
             case RowKind.client_account:
--- a/tests/tables/rows.feature
+++ b/tests/tables/rows.feature
@@ -48,3 +48,7 @@
   Scenario: an exported sheet is read back as it was
     When rows of every kind are exported and read
     Then they are the same rows
+
+  Scenario: what is looked up by service and by key follows every change
+    When 2000 seeded changes of accounts and backend servers come in force
+    Then each look-up gave what a search of all rows gives
--- a/tests/tables/test_rows.py
+++ b/tests/tables/test_rows.py
@@ -1,10 +1,13 @@
 """Validation, sheets and the typed catalogue."""
 
+import random
+
 import pytest
 from pytest_bdd import parsers, scenarios, then, when
 
 from celerywharf.exceptions import BadRequestError
-from celerywharf.tables import Catalogue, Row, RowKind
+from celerywharf.tables import BackendState, Catalogue, Row, RowKind
+from celerywharf.tables.catalogues import digest_key
 from celerywharf.tables.edits import read_edits
 from celerywharf.tables.sheets import LIST_COLUMNS, read_sheet, write_sheet
 from celerywharf.tables.validation import check_fields, key_of
@@ -99,3 +102,61 @@
     for row, edit in pairs:
         assert (edit.key, edit.version) == (row.key, row.version)
         assert edit.fields == row.fields
+
+
+@when(
+    '2000 seeded changes of accounts and backend servers come in force',
+    target_fixture='mismatches',
+)
+def _changes():
+    source = random.Random(9)
+    catalogue = Catalogue()
+    mismatches = []
+    for revision in range(1, 2001):
+        catalogue.apply([_random_row(source, revision)])
+        mismatches.extend(_mismatches(catalogue))
+    assert catalogue.accounts_by_digest
+    return mismatches
+
+
+def _random_row(source, revision):
+    kind = source.choice((RowKind.client_account, RowKind.backend_server))
+    key = source.choice('abcde')
+    if not source.randrange(4):
+        return Row(kind, key, revision, revision, None)
+    if kind is RowKind.client_account:
+        changed = {'name': key, 'key_digest': digest_key(source.choice('xyz'))}
+    else:
+        changed = {
+            'name': key,
+            'service': source.choice('st'),
+            'state': source.choice(('active', 'leaving')),
+        }
+    fields = check_fields(kind, {**SAMPLES[kind], **changed})
+    return Row(kind, key, revision, revision, fields)
+
+
+def _mismatches(catalogue):
+    for service in 'st':
+        searched = {
+            backend
+            for backend in catalogue.backend_servers.values()
+            if backend.service == service
+            and backend.state is BackendState.active
+        }
+        if set(catalogue.backends_of(service)) != searched:
+            yield service
+    for key in 'xyz':
+        owners = [
+            account.name
+            for account in catalogue.client_accounts.values()
+            if account.key_digest == digest_key(key)
+        ]
+        found = catalogue.account_of_key(key)
+        if (found and found.name) != min(owners, default=None):
+            yield key
+
+
+@then('each look-up gave what a search of all rows gives')
+def _same_lookups(mismatches):
+    assert not mismatches
