--- a/celerywharf/generations/_readers.py
+++ b/celerywharf/generations/_readers.py
@@ -32,6 +32,7 @@
         busy: cannot take more now.
         closed: needs nothing any more.
         wrote: something was written since the last look.
+        stuck_s: since when it has been busy at every look, None when not.
         on_ready: called when it is no longer busy.
         on_gone: called once when the caller has left.
     """
@@ -44,6 +45,7 @@
         self.busy = False
         self.closed = False
         self.wrote = False
+        self.stuck_s: float | None = None
         self.on_ready: Callable[[Reader], None] | None = None
         self.on_gone: Callable[[Reader], None] | None = None
 
@@ -78,6 +80,15 @@
         if self.on_ready is not None and not self.closed:
             self.on_ready(self)
 
+    def stuck_for(self, now: float) -> float:
+        """Look again; return the seconds it has taken nothing for."""
+        if not self.busy or self.wrote:
+            self.stuck_s = None
+        elif self.stuck_s is None:
+            self.stuck_s = now
+        self.wrote = False
+        return 0 if self.stuck_s is None else now - self.stuck_s
+
     def leave(self) -> None:
         """Note that the caller has left."""
         if self.closed:
--- a/celerywharf/generations/_running.py
+++ b/celerywharf/generations/_running.py
@@ -195,10 +195,11 @@
         if not self.readers and (self.complete or self.logic.idle):
             return
         _judge_callers(self, self.part.buffer_bytes)
-        wrote = False
-        for reader in self.readers:
-            wrote = wrote or reader.wrote
-            reader.wrote = False
+        wrote = any(reader.wrote for reader in self.readers)
+        for reader in tuple(self.readers):
+            if reader.stuck_for(now) > self.part.settings.keep_s:
+                self.detach(reader)
+                reader.drop(CelerywharfError('the caller does not read'))
         if wrote:
             self.quiet_s = now
         elif now - self.quiet_s > self.part.settings.heartbeat_s:
--- a/tests/generations/streams.feature
+++ b/tests/generations/streams.feature
@@ -35,3 +35,12 @@
     When the caller reads again
     Then the caller got all 5000 tokens once
     And the engines are told to go on
+
+  Scenario: a caller that never reads does not hold an engine for ever
+    Given a generation of 5000 tokens and a caller that reads nothing
+    When all tokens are deliverable
+    And 1 seconds pass
+    And 119 seconds pass
+    Then the caller is still served
+    When 2 seconds pass
+    Then the caller is dropped
