--- a/celerywharf/applications/_claims.py
+++ b/celerywharf/applications/_claims.py
@@ -43,6 +43,7 @@
     MintStore,
     TableStore,
 )
+from celerywharf.applications._sweeping import Sweeper
 from celerywharf.exceptions import (
     AmbiguousCallError,
     CelerywharfError,
@@ -84,6 +85,7 @@
     Attributes:
         table: claims of the callers' own keys.
         mint: claims of keys that hosts minted.
+        sweeper: removes claims that have expired.
         attempts: answers to come of attempts that this host makes.
         sent: keys under which this host sent a call, the latest ones.
     """
@@ -92,6 +94,7 @@
         self.host = host
         self.table = TableStore(host)
         self.mint = MintStore(host)
+        self.sweeper = Sweeper(host)
         self.attempts: dict[str, Answers] = {}
         self.sent: OrderedDict[tuple[str, str], None] = OrderedDict()
         host.links.subscribe(AttemptQuestion, self._asked)
@@ -99,10 +102,12 @@
     def start(self) -> None:
         """Begin writing claims."""
         self.table.ledger.start()
+        self.sweeper.start()
         self.mint.start()
 
     async def stop(self) -> None:
         """Stop at once; what was not recorded stays claimed."""
+        await self.sweeper.stop()
         await self.table.ledger.stop()
 
     async def drain(self) -> None:
