--- a/bench/rigs.py
+++ b/bench/rigs.py
@@ -67,15 +67,30 @@
     def add_engine(self, name: str, place: Place, **options: Any) -> None:
         """Start an engine."""
         started = self.fleet.start_engine(name, models=MODEL, **options)
+        self.add_backend(name, place, started.address)
+
+    def add_backend(self, name: str, place: Place, address: str) -> None:
+        """Note the row of an engine that is reached at an address."""
         backend = {
             'name': name,
-            'url': f'http://{started.address}',
+            'url': f'http://{address}',
             'region': place.region,
             'availability_zone': place.availability_zone,
             'service': SERVICE,
         }
         self.rows.append(_row('backend_server', name, backend))
 
+    def share_region(self, name: str) -> None:
+        """Let the account use an engine from other regions."""
+        share = {
+            'backend_server': name,
+            'client_account': ACCOUNT,
+            'weight': 1,
+            'limit': 100,
+            'cross_region': True,
+        }
+        self.rows.append(_row('share', f'{name}:{ACCOUNT}', share))
+
     def add_host(self, name: str, place: Place, **sections: Any) -> str:
         """Start an entry host; return its address for callers."""
         inner = f'{place.ip}:{find_free_port(place.ip)}'
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -29,6 +29,7 @@
 ENGINES = {'e1': FIRST, 'e2': SECOND, 'e3': FIRST, 'e4': SECOND}
 SETTLE_S = 12.0
 POLL_S = 0.02
+WORKING = frozenset(('waiting', 'running'))
 OPERATOR = {'Authorization': f'Bearer {OPERATOR_KEY}'}
 
 
@@ -86,8 +87,12 @@
         key: str = '',
         **wanted: Any,
     ) -> Caller:
-        """Start a caller of hosts in turn, such as ``ab``."""
-        prompt = f'{next(self.numbers)} quiet streets by the lake'
+        """Start a caller of hosts in turn, such as ``ab``.
+
+        Each asks for a text of its own, those with a key for the key's.
+        """
+        number = next(self.numbers)
+        prompt = f'{key or number} quiet streets by the lake'
         started = Caller(
             Wanted(
                 completion(prompt, max_tokens),
@@ -100,6 +105,14 @@
         started.start()
         return started
 
+    def reader(self, hosts: str, generation: str) -> Caller:
+        """Start a caller that reads a generation from the beginning."""
+        addresses = [self.hosts[name] for name in hosts]
+        started = Caller(Wanted({}, caller_headers(), addresses))
+        started.story.received.generation = generation
+        started.start()
+        return started
+
     def runs(self, generation: str = '') -> list[dict[str, Any]]:
         """Return the engines' runs, each with its engine's name."""
         return [
@@ -115,17 +128,10 @@
         Raises:
             TimeoutError: none does.
         """
-        generation = caller.story.received.generation
-
-        def look() -> str:  # noqa: WPS430
-            active = [
-                run['engine']
-                for run in self.runs(generation)
-                if run.get('state') in {'waiting', 'running'}
-            ]
-            return active[-1] if active else ''
-
-        return wait_until(look, f'a run of {generation}')
+        return wait_until(
+            lambda: self._working_on(caller.story.received.generation),
+            'an engine to work on a generation',
+        )
 
     def replica_of(self, caller: Caller, owner: str) -> str:
         """Return the host that holds a generation's journal first."""
@@ -192,6 +198,14 @@
             records,
         )
 
+    def _working_on(self, generation: str) -> str:
+        working = [
+            run['engine']
+            for run in self.runs(generation)
+            if run.get('state') in WORKING
+        ]
+        return working[-1] if generation and working else ''
+
     def _is_whole(self) -> bool:
         revisions = set()
         for address in self.hosts.values():
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -4,6 +4,7 @@
 and when it received it, for benches.  Times are monotonic seconds.
 """
 
+import contextlib
 import json
 import socket
 import threading
@@ -35,6 +36,7 @@
         addresses: hosts, tried in turn; the first one gets the POST.
         key: Idempotency-Key, empty to send none.
         patience_s: silence after which it reconnects.
+        reads: False to stop reading after the headers.
     """
 
     body: Mapping[str, Any]
@@ -42,6 +44,7 @@
     addresses: Sequence[str]
     key: str = ''
     patience_s: float = PATIENCE_S
+    reads: bool = True
 
 
 @dataclass(slots=True)
@@ -95,6 +98,7 @@
         self.turn = 0
         self.progress = threading.Condition()
         self.leaving = False
+        self.stopped = threading.Event()
         self.socket: socket.socket | None = None
 
     def run(self) -> None:
@@ -127,8 +131,14 @@
     def leave(self) -> None:
         """Close the connection and come back no more."""
         self.leaving = True
+        self.stopped.set()
+        self.hop()
+
+    def hop(self) -> None:
+        """Drop the connection, to go on at the next host."""
         if self.socket is not None:
-            self.socket.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RDWR)
 
     def late_tokens(self, timeout_s: float) -> int:
         """Count tokens that came on connections it had given up."""
@@ -150,18 +160,27 @@
             connection.connect()
         except OSError:
             return REFUSED_WAIT_S
-        self.socket = connection.sock
+        if not wanted.reads:
+            size = socket.SO_RCVBUF
+            connection.sock.setsockopt(socket.SOL_SOCKET, size, DRAIN_BYTES)
+        # The response closes its own copy when it fails.
+        self.socket = connection.sock.dup()
         try:
             return self._exchange(connection)
         except TimeoutError:
-            self.abandoned.append(self.socket.dup())
+            self.abandoned.append(self.socket)
         except (OSError, client.HTTPException):
             pass  # noqa: WPS420
         finally:
-            connection.close()
+            self._close(connection)
         self._note_loss()
         return 0
 
+    def _close(self, connection: client.HTTPConnection) -> None:
+        connection.close()
+        if self.socket not in self.abandoned:
+            self.socket.close()
+
     def _note_loss(self) -> None:
         lost = Reconnect(time.monotonic())
         if self.story.moments and not self._is_over():
@@ -204,6 +223,8 @@
         return min(wait_s, LONGEST_WAIT_S)
 
     def _read(self, response: client.HTTPResponse) -> None:
+        if not self.wanted.reads:
+            self.stopped.wait(GIVE_UP_S)
         kind = ''
         while not self._is_over():
             line = response.readline()
