--- a/bench/resume.py
+++ b/bench/resume.py
@@ -62,6 +62,11 @@
         """Tokens computed for one token delivered."""
         return self.computed / max(1, self.delivered)
 
+    @property
+    def far_rate(self) -> float:
+        """Bytes a second to and from the other region, 1 at least."""
+        return max(1, self.far_bytes / self.duration_s)
+
     def __iadd__(self, other: 'Outcome') -> 'Outcome':
         self.silences_ms += other.silences_ms
         self.delivered += other.delivered
@@ -194,7 +199,6 @@
             total += outcome
         _tell(f'{kind}: {sorted(map(round, tails[kind]))} ms')
     findings = calm.findings + total.findings
-    calm_rate = calm.far_bytes / calm.duration_s
     return {
         'resume_ms_p50': quantile(tails['engine killed'], MEDIAN),
         'resume_ms_p99': quantile(tails['engine killed'], TAIL),
@@ -202,9 +206,7 @@
         'host_lost_resume_ms_p99': quantile(tails['host killed'], TAIL),
         'extra_engine_tokens_ratio': _extra(total, calm),
         'calm_extra_engine_tokens_ratio': round(calm.work_ratio - 1, 4),
-        'cross_region_bytes_ratio': round(
-            total.far_bytes / total.duration_s / max(1, calm_rate), 3
-        ),
+        'cross_region_bytes_ratio': round(total.far_rate / calm.far_rate, 3),
         'struck': {name: len(tail) for name, tail in tails.items()},
         'prefill_ms': PREFILL_MS,
         'lost': findings.lost,
