Give the engines of the two zones an address of their own

A landing failed with "e2 did not start": its port, found free and taken a moment later, went to an outgoing connection of another process. Engines now take their port themselves, at an address nothing connects from; hosts listen at the address of their zone.

--- a/bench/rigs.py
+++ b/bench/rigs.py
@@ -131,7 +131,7 @@
         addresses: dict[str, str],
         sections: dict[str, Any],
     ) -> str:
-        listen = f'127.0.0.1:{find_free_port()}'
+        listen = f'{place.ip}:{find_free_port(place.ip)}'
         platform = self.fleet.members['platform'].address
         settings = {
             'host': {
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -21,12 +21,14 @@
 from standins.callers import Caller, Wanted
 from standins.calls import call
 from standins.checking import Findings, check_all
-from standins.launching import Fleet, find_free_port
+from standins.launching import Fleet
 
 FIRST = Place(availability_zone='zone-a1', ip='127.0.1.1')
 SECOND = Place(availability_zone='zone-a2', ip='127.0.2.1')
 HOSTS = {'a': FIRST, 'b': SECOND, 'c': FIRST, 'd': SECOND}
 ENGINES = {'e1': FIRST, 'e2': SECOND, 'e3': FIRST, 'e4': SECOND}
+# No outgoing connection takes the port of a killed engine at this address.
+ENGINE_IP = '127.0.4.1'
 SETTLE_S = 12.0
 POLL_S = 0.02
 WORKING = frozenset(('waiting', 'running'))
@@ -55,9 +57,9 @@
 
     def add_engine(self, name: str, place: Place) -> None:
         """Start an engine at an address it can be started again at."""
-        listen = f'127.0.0.1:{find_free_port()}'
+        listen = f'{ENGINE_IP}:0'
         self.rig.add_engine(name, place, listen=listen, **self.options)
-        self.engines[name] = listen
+        self.engines[name] = self.fleet.members[name].address
 
     def start_hosts(self, **sections: Any) -> None:
         """Start the hosts and fill the table."""
