Fire repeating timers on a common grid

Cause: an idle host spent 22 ms of CPU a second, mostly on waking up: ten parts subscribe with periods from 50 ms up and each woke the loop apart. Now timers fire on a 50 ms grid. Three hosts of each version side by side, 12 s, busy machine: 22.2 ms a second a host before, 19.8 after; less than hoped. What is left is the 20 wakeups a second the generations' own tick asks for.

--- a/celerywharf/timers/_service.py
+++ b/celerywharf/timers/_service.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+GRID_S = 0.05
+
 Post = Callable[[Any], Any]
 
 
@@ -54,8 +56,13 @@
         return self._start(Subscription(post, message, None), delay_s)
 
     def every(self, period_s: float, post: Post, message: Any) -> Subscription:
-        """Post ``message`` each ``period_s`` seconds until cancelled."""
-        return self._start(Subscription(post, message, period_s), period_s)
+        """Post ``message`` each ``period_s`` seconds until cancelled.
+
+        Repeating timers fire on a common grid, so that one turn of the loop
+        serves many: an idle host spends most of its time on waking up.
+        """
+        timer = Subscription(post, message, period_s)
+        return self._start(timer, _to_grid(self.now(), period_s))
 
     def _start(self, timer: Subscription, delay_s: float) -> Subscription:
         loop = asyncio.get_running_loop()
@@ -66,5 +73,12 @@
         if timer.cancelled:
             return
         if timer.period_s is not None:
-            self._start(timer, timer.period_s)
+            self._start(timer, _to_grid(self.now(), timer.period_s))
         timer.post(timer.message)
+
+
+def _to_grid(now: float, period_s: float) -> float:
+    """Return the delay to the point of the grid nearest to a period away."""
+    if period_s < GRID_S:
+        return period_s
+    return max(round((now + period_s) / GRID_S) * GRID_S - now, GRID_S / 2)
