Refuse a chunked body over the limit with an answer

Cause: tornado closes the connection without an answer when data_received raises. Seen failing: the scenario 'a chunked body over the limit' got no status line; the other 15 kinds of bad input and the log scenarios passed at once. The handler now answers 413 as soon as the limit is passed and closes.

--- a/celerywharf/edge/_handlers.py
+++ b/celerywharf/edge/_handlers.py
@@ -71,10 +71,17 @@
             )
 
     def data_received(self, chunk: bytes) -> None:
-        """Gather the body."""
+        """Gather the body; answer at once when it grows too large."""
+        if self._finished:
+            return
         self.body += chunk
-        if len(self.body) > self.host.settings.limits.body_bytes:
-            raise PayloadTooLargeError('body too large')
+        limit = self.host.settings.limits.body_bytes
+        if len(self.body) > limit:
+            self.set_header('Connection', 'close')
+            self.write_failure(
+                PayloadTooLargeError(f'body of more than {limit} bytes'),
+            )
+            self.finish()
 
     def json_body(self) -> dict[str, Any]:
         """Return the body read as a JSON object.
