Charge idle time; compare usage with the engine's own record

Cause: nothing fed idle time. The owner of a backend server charges its free slots between two load reports, at most 2 s a report, so that a silent server or a paused host is not charged. While two hosts disagree on the owner both charge; the overlap is bounded by the time they disagree.

--- a/celerywharf/admissions/_polls.py
+++ b/celerywharf/admissions/_polls.py
@@ -13,6 +13,7 @@
 from celerywharf.admissions.tickets import LoadReport
 from celerywharf.exceptions import CelerywharfError
 from celerywharf.tables import BackendServer, ServiceKind
+from celerywharf.usage import IdleTime
 
 if TYPE_CHECKING:
     from celerywharf.admissions._owners import Owners
@@ -22,6 +23,8 @@
 POLL_S = 0.5
 POLL_JITTER = 0.2
 LEAVING_REPEAT_S = 10.0
+# Silence of a server or a pause of this host is no idle time.
+LONGEST_IDLE_S = 2.0
 STORED = 'stored'
 
 
@@ -36,6 +39,7 @@
         self.prefixes = PrefixIndex()
         self.next_event = 0
         self.said_leaving_s: float | None = None
+        self.read_s: float | None = None
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -66,8 +70,17 @@
                 by_account=report.by_account(),
             ),
         )
+        self._charge_idle(report.capacity - report.running)
         self._note_leaving(leaving=report.leaving)
 
+    def _charge_idle(self, free_slots: int) -> None:
+        now = self.host.timers.now()
+        last_s = self.read_s
+        self.read_s = now
+        if last_s is not None and free_slots > 0:
+            idle_s = free_slots * min(now - last_s, LONGEST_IDLE_S)
+            self.host.usage.post(IdleTime(self.backend.name, idle_s))
+
     def _note_leaving(self, *, leaving: bool) -> None:
         now = self.host.timers.now()
         said_s = self.said_leaving_s
--- a/tests/usage/test_usage.py
+++ b/tests/usage/test_usage.py
@@ -6,14 +6,27 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from bench.rigs import (
+    ACCOUNT,
+    OPERATOR_KEY,
+    Place,
+    Rig,
+    caller_headers,
+    completion,
+)
 from celerywharf.exceptions import PlatformUnavailableError
 from celerywharf.tables import Catalogue, Row, RowKind
 from celerywharf.timers import TimerService
 from celerywharf.usage import EngineUse, IdleTime, Line, split_idle
 from celerywharf.usage.batches import UsageKeeper, unpack
+from standins.calls import call
 
 scenarios('usage.feature')
 
+RUNS = 5
+# 19 intervals of 10 ms lie between the first and the last token of a run.
+SHORTEST_RUN_S = 0.19
+
 
 @pytest.fixture
 def lines():
@@ -109,3 +122,67 @@
     assert sum(line.engine_seconds for line in stored) == 5
     assert sum(line.tokens for line in stored) == 50
     assert sum(line.idle_seconds for line in stored) == 8
+
+
+@given(
+    'an engine, two hosts and an account with a weight',
+    target_fixture='rig',
+)
+def _rig(fleet):
+    rig = Rig.start(fleet)
+    rig.add_engine('engine-0', Place(), token_interval_ms=10)
+    share = {
+        'backend_server': '*',
+        'client_account': ACCOUNT,
+        'weight': 1,
+        'limit': 9,
+    }
+    rig.rows.append(
+        {'kind': 'share', 'key': f'*:{ACCOUNT}', 'version': 0, 'fields': share},
+    )
+    listens = [rig.add_host(name, Place()) for name in ('host-a', 'host-b')]
+    rig.fill_table(listens[0])
+    return rig, listens
+
+
+@when(
+    '5 generations of 20 tokens run through host-a and it is told to stop',
+)
+def _generations(rig):
+    rig, listens = rig
+    body = {**completion('p', 20), 'stream': False}
+    for _ in range(RUNS):
+        status, answer = call(
+            listens[0],
+            'POST',
+            '/v1/completions',
+            body,
+            caller_headers(),
+        )
+        assert (status, answer['usage']['completion_tokens']) == (200, 20)
+    rig.fleet.stop('host-a')
+
+
+@then(
+    "host-b prints 100 tokens for the account, as the engine's own record",
+    target_fixture='cost',
+)
+def _tokens(rig):
+    rig, listens = rig
+    runs = rig.fleet.record('engine-0')['runs']
+    assert sum(len(run['tokens']) for run in runs) == 100
+    headers = {'Authorization': f'Bearer {OPERATOR_KEY}'}
+    _, answer = call(listens[1], 'GET', '/operator/usage', headers=headers)
+    costs = {one['client_account']: one for one in answer['accounts']}
+    assert costs[ACCOUNT]['tokens'] == 100
+    return costs[ACCOUNT]
+
+
+@then("its engine time covers the engine's 5 runs")
+def _engine_time(cost):
+    assert cost['engine_seconds'] >= RUNS * SHORTEST_RUN_S
+
+
+@then('idle time was given to the account')
+def _idle_given(cost):
+    assert cost['idle_seconds'] > 0
--- a/tests/usage/usage.feature
+++ b/tests/usage/usage.feature
@@ -19,3 +19,10 @@
     Given the weights ""
     When e1 stood idle 8 s and e2 stood idle 0 s
     Then the costs are " 0+8 s 0 tokens"
+
+  Scenario: the sums match what the engine really did
+    Given an engine, two hosts and an account with a weight
+    When 5 generations of 20 tokens run through host-a and it is told to stop
+    Then host-b prints 100 tokens for the account, as the engine's own record
+    And its engine time covers the engine's 5 runs
+    And idle time was given to the account
