--- a/celerywharf/cli/_usage.py
+++ b/celerywharf/cli/_usage.py
@@ -1,4 +1,4 @@
-"""celerywharf usage: what each client account cost.
+"""celerywharf usage - what each client account cost.
 
 Usage:
   celerywharf usage [options]
