Draw the time line so that failures and resumes keep their labels

Cause: looked at as a picture (a killed engine, then a killed host): the label of the resume was dropped for plain events, the silence's label lay over others, the last one was cut, and a dead host's missing part was not marked because only live hosts were asked. Failures and resumes now get labels first, four rows, bands are labelled below the line, and every host with events that is not alive is a gap.

--- a/celerywharf/timeline/pages.py
+++ b/celerywharf/timeline/pages.py
@@ -18,12 +18,14 @@
 TEMPLATE = Path(__file__).parent / 'page.html'
 WIDTH_PX = 1180
 MARGIN_PX = 130
-LANE_PX = 64
+LANE_PX = 92
 HEAD_PX = 34
 TICKS = 8
-LABEL_GAP_PX = 84
-LABEL_ROWS = 3
+LABEL_GAP_PX = 118
+LABEL_ROWS = 4
+ROW_PX = 14
 
+PLAIN = 'plain'
 FAILURES = frozenset(
     (
         'attempt_failed',
@@ -141,7 +143,7 @@
     """Return how an event is drawn."""
     if event.name in FAILURES:
         return 'failure'
-    return 'resume' if event.name in RESUMES else 'plain'
+    return 'resume' if event.name in RESUMES else PLAIN
 
 
 def _marks(
@@ -149,34 +151,41 @@
     lanes: dict[str, int],
     scale: Scale,
 ) -> list[Mark]:
-    marks = []
-    taken: dict[tuple[str, int], float] = {}
-    for event in events:
-        left = scale.place(event.stamp.micros)
-        row = _free_row(taken, event.host, left)
-        if row is not None:
-            taken[event.host, row] = left + LABEL_GAP_PX
-        marks.append(
-            Mark(
-                left,
-                lanes[event.host],
-                LANE_PX // (LABEL_ROWS + 1) * (row or 0),
-                kind_of(event),
-                '' if row is None else event.name,
-                f'{clock_text(event.stamp.micros)} {event.name} '
-                f'{details_text(event)}',
-            ),
-        )
-    return marks
+    taken: dict[tuple[str, int], list[float]] = {}
+    # Failures and resumes get their labels first.
+    ordered = sorted(events, key=lambda event: kind_of(event) == PLAIN)
+    return [_mark(event, lanes, scale, taken) for event in ordered]
+
+
+def _mark(
+    event: Event,
+    lanes: dict[str, int],
+    scale: Scale,
+    taken: dict[tuple[str, int], list[float]],
+) -> Mark:
+    left = scale.place(event.stamp.micros)
+    row = _free_row(taken, event.host, left)
+    if row is not None:
+        taken.setdefault((event.host, row), []).append(left)
+    moment = clock_text(event.stamp.micros)
+    return Mark(
+        left,
+        lanes[event.host],
+        ROW_PX * (row or 0),
+        kind_of(event),
+        '' if row is None else event.name,
+        f'{moment} {event.name} {details_text(event)}',
+    )
 
 
 def _free_row(
-    taken: dict[tuple[str, int], float],
+    taken: dict[tuple[str, int], list[float]],
     host: str,
     left: float,
 ) -> int | None:
     for row in range(LABEL_ROWS):
-        if taken.get((host, row), 0) <= left:
+        places = taken.get((host, row), ())
+        if all(abs(place - left) >= LABEL_GAP_PX for place in places):
             return row
     return None
 
--- a/celerywharf/timeline/queries.py
+++ b/celerywharf/timeline/queries.py
@@ -59,7 +59,7 @@
     async def collect(
         self, query: TimelineQuery
     ) -> tuple[list[Event], list[str]]:
-        """Gather events and the names of hosts that did not answer."""
+        """Gather events and the names of hosts whose memory is missing."""
         answers = self.answer(None, query)
         events = {
             event.identity: event for event in map(from_record, answers.events)
@@ -69,6 +69,10 @@
         ordered = sorted(events.values(), key=lambda event: event.stamp)
         return ordered[-query.limit :], silent
 
+    def _dead_hosts(self, events: list[Event]) -> set[str]:
+        live = {peer.name for peer in self.host.membership.live()}
+        return {event.host for event in events} - live
+
     async def collect_linked(
         self,
         query: TimelineQuery,
@@ -86,7 +90,9 @@
                 )
                 more, _ = await self.collect(linked)
                 found.update({event.identity: event for event in more})
-        return sorted(found.values(), key=lambda event: event.stamp), silent
+        ordered = sorted(found.values(), key=lambda event: event.stamp)
+        dead = self._dead_hosts(ordered)
+        return ordered, sorted({*silent, *dead})
 
     async def _ask_peers(
         self, query: TimelineQuery, events: Found
