--- a/celerywharf/timeline/pages.py
+++ b/celerywharf/timeline/pages.py
@@ -213,10 +213,13 @@
     lanes: dict[str, int],
     scale: Scale,
 ) -> Band:
-    left = scale.place(begin.stamp.micros)
+    # The owner knows since when nothing came; the failure was seen later.
+    passed = end.stamp.micros - begin.stamp.micros
+    known_ms = end.details.get('silence_ms', passed / MICROS_PER_MILLISECOND)
+    begin_micros = int(end.stamp.micros - known_ms * MICROS_PER_MILLISECOND)
+    left = scale.place(begin_micros)
     width = max(scale.place(end.stamp.micros) - left, 1)
-    passed_ms = (end.stamp.micros - begin.stamp.micros) / MICROS_PER_MILLISECOND
-    label = f'silence {passed_ms:,.0f} ms'
+    label = f'silence {known_ms:,.0f} ms'
     return Band(left, width, lanes[end.host], 'silence', label)
 
 
