--- a/tests/orders/orders.feature
+++ b/tests/orders/orders.feature
@@ -27,6 +27,7 @@
   Scenario: the answer to the taking of a lease is lost
     When e1 is wanted to have r while the next answer is lost
     Then e1 comes to have r
+    And its lease was taken once
 
   Scenario: the platform is down
     When e1 is wanted to have s and the platform goes down before the order
--- a/tests/orders/test_orders.py
+++ b/tests/orders/test_orders.py
@@ -70,6 +70,10 @@
         calls = self.fleet.record('platform')['calls']
         return calls.get('POST /weights/fetch', 0)
 
+    def fencing(self, name):
+        rows = self.fleet.record('platform')['rows']
+        return rows[f'leases/{name}']['content']['fencing']
+
     def holder(self, name):
         rows = self.fleet.record('platform')['rows']
         lease = rows.get(f'leases/{name}', {}).get('content', {})
@@ -196,9 +200,8 @@
     operators.fleet.control(operators.link, cut=False, delay_ms=0)
     operators.paused = ''
     name = operators.link.removeprefix('link-')
-    wait_for(
-        lambda: any(one['name'] == 'p' for one in operators.orders(name)),
-    )
+    wait_for(lambda: late_order(operators, name))
+    assert late_order(operators, name)['obeyed'] is (name == 'e2')
 
 
 @then(parsers.re('(?P<name>e[12]) comes to have (?P<models>.) and keeps it'))
@@ -216,11 +219,17 @@
 @when(parsers.parse('{name} is wanted to have r while the next answer is lost'))
 def lose_answer(operators, name):
     operators.fleet.control(name, freeze=True)
+    operators.before = operators.fencing(name)
     operators.want(name, 'r')
     operators.fleet.control('platform', lose_answer_after_write=1)
     operators.fleet.control(name, freeze=False)
 
 
+@then('its lease was taken once')
+def verify_taken_once(operators):
+    assert operators.fencing('e1') == operators.before + 1
+
+
 @when(
     parsers.parse(
         '{name} is wanted to have s and the platform goes down before the'
@@ -263,6 +272,11 @@
     assert all(one['name'] != 'forbidden' for one in operators.orders('e1'))
 
 
+def late_order(operators, name):
+    held = [one for one in operators.orders(name) if one['name'] == 'p']
+    return held[0] if held else None
+
+
 async def send_guarded(address):
     transport = CurlTransport()
     asked = []
