Prove that slow callers take no memory, with a real host

24 callers read none of their 100000 tokens; the host's resident size is compared once all that may be buffered is.

--- a/tests/failures/failures.feature
+++ b/tests/failures/failures.feature
@@ -106,6 +106,11 @@
     When x has 40 tokens and leaves
     Then its engine computes for less than 1 s more
 
+  Scenario: slow callers take no memory
+    Given engines compute as fast as they can
+    When 24 callers of host c want 100000 tokens and read none
+    Then host c grows by less than 3 MiB in 5 s
+
   Scenario: a repeated POST joins the generation, also at another host
     Given caller x of hosts a wants 200 tokens under key k
     And caller y of hosts a wants 200 tokens under key k
--- a/tests/failures/test_failures.py
+++ b/tests/failures/test_failures.py
@@ -1,6 +1,7 @@
 """Generations through failures of real processes."""
 
 import time
+from pathlib import Path
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -15,11 +16,15 @@
 MS_PER_S = 1000
 JOIN_S = 25
 LATE_S = 0.5
+FULL_S = 2.5
+KIB = 1024
+FASTEST_MS = 0.2
 GENERATIONS = {
     'patient_silence_s': 1,
     'eager_silence_s': 0.4,
     'heartbeat_s': 0.3,
 }
+LIMITS = {'caller_buffer_bytes': 16 * KIB}
 
 
 class Scene:
@@ -54,7 +59,7 @@
 def zones():
     with Fleet() as fleet:
         started = Zones(fleet, 'patient', token_interval_ms=INTERVAL_MS)
-        started.start_hosts(generations=GENERATIONS)
+        started.start_hosts(generations=GENERATIONS, limits=LIMITS)
         yield started
 
 
@@ -82,6 +87,12 @@
         zones.fleet.control(engine, prefill_ms=milliseconds)
 
 
+@given('engines compute as fast as they can')
+def _fast(zones, scene):
+    for engine in zones.engines:
+        zones.fleet.control(engine, token_interval_ms=FASTEST_MS)
+
+
 @given(parsers.parse('caller {name} of hosts {hosts} wants {count:d} tokens'))
 def _caller(scene, name, hosts, count):
     scene.add(name, hosts, count)
@@ -234,6 +245,40 @@
     scene.left = len(scene.runs(name)[0]['tokens'])
 
 
+@when(
+    parsers.parse(
+        '{count:d} callers of host {host} want {tokens:d} tokens and read none'
+    )
+)
+def _slow(zones, scene, count, host, tokens):
+    for number in range(count):
+        scene.callers[f's{number}'] = zones.caller(
+            host, tokens, reads=False, patience_s=JOIN_S
+        )
+    # By then all that may be buffered for them is.
+    time.sleep(FULL_S)
+
+
+@then(
+    parsers.parse(
+        'host {host} grows by less than {mebibytes:d} MiB in {seconds:d} s'
+    )
+)
+def _bounded(zones, scene, host, mebibytes, seconds):
+    before = _memory_kib(zones, host)
+    time.sleep(seconds)
+    grown = _memory_kib(zones, host) - before
+    assert {one.story.error for one in scene.callers.values()} == {''}
+    assert grown < mebibytes * KIB
+
+
+def _memory_kib(zones, host):
+    pid = zones.fleet.members[host].pid
+    status = Path(f'/proc/{pid}/status').read_text()
+    told = dict(line.split(':', 1) for line in status.splitlines())
+    return int(told['VmRSS'].split()[0])
+
+
 @then(parsers.parse('{name} gets all {count:d} tokens'))
 def _whole(scene, name, count):
     story = scene.ended(name)
