Ask the same replica again about what was sent before a pause

A loss reported for a request from before the pause now leads to a repeat at the same replica, which answers that the epoch is stale.

--- a/celerywharf/generations/_channels.py
+++ b/celerywharf/generations/_channels.py
@@ -105,7 +105,7 @@
                 APPEND_TIMEOUT_S,
             )
         except CelerywharfError:
-            self._lost(batch)
+            self._lost(batch, sent_s)
         else:
             self._stored(batch, message, answer, sent_s)
         if self.waiting:
@@ -113,13 +113,13 @@
         else:
             self.busy = False
 
-    def _lost(self, batch: list[Replicated]) -> None:
+    def _lost(self, batch: list[Replicated], sent_s: float) -> None:
         waiting = self.waiting
         self.waiting = []
         for running in waiting:
             running.marked = False
         for affected in {id(one): one for one in batch + waiting}.values():
-            affected.hear(ReplicaLost(self.peer.name))
+            affected.hear(ReplicaLost(self.peer.name, sent_s))
 
     def _stored(
         self,
--- a/celerywharf/generations/_logic.py
+++ b/celerywharf/generations/_logic.py
@@ -221,8 +221,8 @@
                     finished=stored_finish,
                     length=length + (finished and not stored_finish),
                 )
-            case ReplicaLost(replica):
-                return replication.lose(replica, now)
+            case ReplicaLost(replica, sent_s):
+                return replication.lose(replica, sent_s, now)
         return replication.miss(length, now, finished=finished)
 
     def _hear_callers(self, message: Message, now: float) -> Actions:
--- a/celerywharf/generations/_replications.py
+++ b/celerywharf/generations/_replications.py
@@ -128,8 +128,15 @@
             return False
         return self.waiting_s is None or now - self.waiting_s < self.bound_s
 
-    def lose(self, replica: str, now: float) -> Actions:
-        """Replace a replica that cannot be reached."""
+    def lose(self, replica: str, sent_s: float, now: float) -> Actions:
+        """Replace a replica that cannot be reached.
+
+        A request from before a pause of this process proves nothing: the
+        answer may have come while nobody listened.  The same replica is asked
+        again, since another would not know of a newer owner.
+        """
+        if replica == self.replica and sent_s < self.valid_from_s:
+            return [REPLICATE]
         self.lost_at[replica] = now
         if replica != self.replica and not self.choosing:
             return []
--- a/celerywharf/generations/messages/_replicas.py
+++ b/celerywharf/generations/messages/_replicas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 
@@ -24,9 +25,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaLost:
-    """The replica cannot be reached, or lost the journal."""
+    """The replica cannot be reached, or lost the journal.
+
+    Attributes:
+        replica: name of the host.
+        sent_s: when the request was sent that it did not answer; infinite
+            where it did answer.
+    """
 
     replica: str
+    sent_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
