--- a/celerywharf/admissions/choices.py
+++ b/celerywharf/admissions/choices.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 from random import Random
 
-from celerywharf.admissions.ownership import rank
 from celerywharf.structures import HostIdentity
 from celerywharf.tables import BackendServer
+from celerywharf.utils import rendezvous_order
 from celerywharf.wire.admissions import Summary
 
 SUMMARY_FADE_S = 5.0
@@ -136,7 +136,7 @@
         if placed in names:
             return frozenset((placed,))
         # All hosts send a new prefix to the same place without a word.
-        return frozenset(rank(prefix_hash, names)[:1])
+        return frozenset(rendezvous_order(prefix_hash, names)[:1])
 
     def _score(
         self,
--- a/celerywharf/admissions/ownership.py
+++ b/celerywharf/admissions/ownership.py
@@ -4,18 +4,8 @@
 
 from collections.abc import Iterable
 
-import xxhash
-
 from celerywharf.membership import Peer
-
-
-def rank(key: str, names: Iterable[str]) -> list[str]:
-    """Order names by rendezvous hashing; a lost name moves only its keys."""
-    return sorted(
-        names,
-        key=lambda name: xxhash.xxh64_intdigest(f'{key}\n{name}'.encode()),
-        reverse=True,
-    )
+from celerywharf.utils import rendezvous_order
 
 
 def owner_of(backend_server: str, peers: Iterable[Peer]) -> Peer | None:
@@ -25,4 +15,4 @@
     by_name = {peer.name: peer for peer in staying or hosts}
     if not by_name:
         return None
-    return by_name[rank(backend_server, by_name)[0]]
+    return by_name[rendezvous_order(backend_server, list(by_name))[0]]
--- a/standins/engine_calls.py
+++ b/standins/engine_calls.py
@@ -185,6 +185,7 @@
         'role': engine.state.role,
         'version': engine.state.version,
         'fencing': engine.state.fencing,
+        'state': 'leaving' if engine.switches.leaving else 'active',
         'report_age_s': 0,
         'attempts': [records.describe_attempt(run) for run in working],
     }
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -9,8 +9,12 @@
 
 @dataclass(slots=True)
 class EngineSwitches(control.Switches):
-    """Failure switches of an engine; counts are of one-shot faults."""
+    """Failure switches of an engine; counts are of one-shot faults.
 
+    `leaving` makes it say so in its load reports; it still takes work.
+    """
+
+    leaving: bool = False
     dead: bool = False
     die_after_tokens: int | None = None
     stop_after_tokens: int | None = None
--- /dev/null
+++ b/tests/membership/test_leaving.py
@@ -0,0 +1,190 @@
+"""Leaving, stopping, dying and pausing with real processes."""
+
+import time
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from bench.zones import OPERATOR, Zones, wait_until
+from celerywharf.utils import rendezvous_order
+from standins.calls import call
+from standins.checking import Findings
+from standins.launching import Fleet
+
+scenarios('leaving.feature')
+
+TOKENS = 60
+TOKEN_INTERVAL_MS = 20
+CALLERS_PER_HOST = 4
+E1_PATH = '/operator/table/backend_server/e1'
+
+
+class Load:
+    """A running system with a steady flow of callers."""
+
+    def __init__(self, fleet):
+        self.zones = Zones(
+            fleet,
+            'patient',
+            capacity=8,
+            token_interval_ms=TOKEN_INTERVAL_MS,
+        )
+        self.zones.start_hosts()
+        self.callers = []
+
+    def call(self, hosts, tokens=TOKENS):
+        caller = self.zones.caller(hosts, tokens)
+        self.callers.append(caller)
+        return caller
+
+    def call_all(self, tokens=TOKENS):
+        for order in ('abcd', 'bcda', 'cdab', 'dabc'):
+            for _ in range(CALLERS_PER_HOST):
+                self.call(order, tokens)
+
+    def flow(self, seconds, alive='abcd'):
+        """Send short callers to the given hosts for a while."""
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s:
+            for name in alive:
+                self.call(name, tokens=3)
+            time.sleep(0.1)
+
+    def runs_at(self, engine):
+        return len(self.zones.fleet.record(engine)['runs'])
+
+    def process(self, name):
+        member = self.zones.fleet.members[name]
+        return member.process
+
+    def known_to(self, name):
+        address = self.zones.hosts[name]
+        listed = call(address, 'GET', '/operator/hosts', headers=OPERATOR)[1]
+        return {host['host'] for host in listed['hosts']}
+
+
+@pytest.fixture
+def load():
+    with Fleet() as fleet:
+        yield Load(fleet)
+
+
+@given('a running system with callers at all hosts')
+def _running(load):
+    load.call_all()
+    for caller in load.callers:
+        caller.wait_for(3)
+
+
+@when(parsers.parse('host {name} is killed'))
+def _killed(load, name):
+    load.zones.fleet.kill(name)
+
+
+@when(parsers.parse('host c is paused for {seconds:d} s'))
+def _paused(load, seconds):
+    load.zones.fleet.pause('c')
+    wait_until(lambda: 'c' not in load.known_to('a'), 'c to be missed')
+    time.sleep(seconds)
+    load.zones.fleet.resume('c')
+
+
+@when('the owner of e1 is killed')
+def _owner_killed(load):
+    load.owner = rendezvous_order('e1', ['a', 'c'])[0]
+    load.zones.fleet.kill(load.owner)
+
+
+@when('an operator says at d that e1 is leaving')
+def _row_leaving(load):
+    address = load.zones.hosts['d']
+    row = call(address, 'GET', E1_PATH, headers=OPERATOR)[1]
+    row['fields']['state'] = 'leaving'
+    status, body = call(address, 'PUT', E1_PATH, row, OPERATOR)
+    assert status == 200, body
+
+
+@when('the engine says in report that e1 is leaving')
+def _engine_leaving(load):
+    load.zones.fleet.control('e1', leaving=True)
+
+
+@when('host a is told to stop')
+def _told_to_stop(load):
+    load.at_a = [
+        caller
+        for caller in load.callers
+        if caller.wanted.addresses[0] == load.zones.hosts['a']
+    ]
+    load.process('a').terminate()
+
+
+@then(parsers.parse('within {seconds:d} s host a no longer knows c'))
+def _missed(load, seconds):
+    wait_until(lambda: 'c' not in load.known_to('a'), 'c to be missed', seconds)
+
+
+@then(parsers.parse('within {seconds:d} s all hosts know each other'))
+def _all_known(load, seconds):
+    everyone = set(load.zones.hosts)
+    wait_until(
+        lambda: all(load.known_to(name) >= everyone for name in everyone),
+        'all to be known',
+        seconds,
+    )
+
+
+@then(parsers.parse('within {seconds:d} s e1 gets new work'))
+def _new_work(load, seconds):
+    before = load.runs_at('e1')
+    gone = getattr(load, 'owner', 'a')
+    alive = ''.join(name for name in 'abcd' if name != gone)
+    end_s = time.monotonic() + seconds
+    while load.runs_at('e1') == before and time.monotonic() < end_s:
+        load.flow(0.2, alive)
+    assert load.runs_at('e1') > before
+
+
+@then('every caller gets its whole text')
+def _whole(load):
+    for caller in load.callers:
+        caller.join(30)
+    unfinished = [one.story for one in load.callers if not one.story.reason]
+    assert not unfinished
+    assert load.zones.check(load.callers) == Findings()
+
+
+@then(parsers.parse('from {seconds:d} s on e1 gets no new work from any host'))
+def _no_new_work(load, seconds):
+    load.flow(seconds)
+    before = load.runs_at('e1')
+    load.flow(2)
+    assert load.runs_at('e1') == before
+    assert load.runs_at('e2') > 0
+
+
+@then('no stream of e1 was cut')
+def _uncut(load):
+    runs = load.zones.fleet.record('e1')['runs']
+    assert runs
+    assert {run['end'] for run in runs} == {'length'}
+
+
+@then('its health check fails while its streams go on')
+def _unhealthy(load):
+    address = load.zones.hosts['a']
+    wait_until(
+        lambda: call(address, 'GET', '/healthz')[0] == 503,
+        'the health check to fail',
+        1,
+    )
+    assert any(not caller.story.reason for caller in load.at_a)
+
+
+@then('its callers finish without reconnecting, and it exits with 0')
+def _finished(load):
+    for caller in load.at_a:
+        caller.join(30)
+        assert caller.story.reason
+        assert not caller.story.reconnects
+    assert load.process('a').wait(10) == 0
