--- a/bench/rigs.py
+++ b/bench/rigs.py
@@ -47,7 +47,12 @@
     settings: dict[str, Any] = field(default_factory=dict)
 
     @classmethod
-    def start(cls, fleet: Fleet, policy: str = 'patient') -> 'Rig':
+    def start(
+        cls,
+        fleet: Fleet,
+        policy: str = 'patient',
+        **service_fields: Any,
+    ) -> 'Rig':
         """Start the platform."""
         fleet.start_platform()
         digest = hashlib.sha256(ACCOUNT_KEY.encode()).hexdigest()
@@ -57,6 +62,7 @@
             'kind': 'generation',
             'model': MODEL,
             'policy': policy,
+            **service_fields,
         }
         rows = [
             _row('client_account', ACCOUNT, account),
@@ -64,6 +70,19 @@
         ]
         return cls(fleet, [], rows)
 
+    def add_account(self, name: str, weight: float, limit: int) -> None:
+        """Add a client account with a share of every backend server."""
+        digest = hashlib.sha256(_key_of(name).encode()).hexdigest()
+        account = {'name': name, 'key_digest': digest}
+        self.rows.append(_row('client_account', name, account))
+        share = {
+            'backend_server': '*',
+            'client_account': name,
+            'weight': weight,
+            'limit': limit,
+        }
+        self.rows.append(_row('share', f'*:{name}', share))
+
     def add_engine(self, name: str, place: Place, **options: Any) -> None:
         """Start an engine."""
         started = self.fleet.start_engine(name, models=MODEL, **options)
@@ -157,6 +176,11 @@
     return {'Authorization': f'Bearer {ACCOUNT_KEY}', **more}
 
 
+def account_headers(account: str) -> dict[str, str]:
+    """Return the headers of a caller of an added account."""
+    return {'Authorization': f'Bearer {_key_of(account)}'}
+
+
 def completion(prompt: str, max_tokens: int) -> dict[str, Any]:
     """Return the body of a streamed completion."""
     return {
@@ -177,3 +201,7 @@
 
 def _row(kind: str, key: str, fields: dict[str, Any]) -> dict[str, Any]:
     return {'kind': kind, 'key': key, 'version': 0, 'fields': fields}
+
+
+def _key_of(account: str) -> str:
+    return f'caller-key-of-{account}'
--- a/celerywharf/membership/_exchanges.py
+++ b/celerywharf/membership/_exchanges.py
@@ -24,6 +24,7 @@
     from celerywharf.membership._part import Membership
 
 SAMPLE_ANSWER_STATES = 3
+HELP_FACTOR = 1.5
 
 
 class Exchanges:
@@ -159,8 +160,9 @@
     async def _help(self, target: PeerState, helper: PeerState) -> bool:
         request = IndirectProbe(target.name, target.inner)
         address = Address.parse(helper.inner)
+        timeout_s = HELP_FACTOR * self.timeout_s
         try:
-            await self.links.request(address, request, 2 * self.timeout_s)
+            await self.links.request(address, request, timeout_s)
         except CelerywharfError:
             return False
         return True
