--- a/celerywharf/admissions/_owners.py
+++ b/celerywharf/admissions/_owners.py
@@ -110,11 +110,6 @@
         for action in owned.queue.decide(message, now):
             self.desk.answer(owned, action)
 
-    def hand_over(self) -> None:
-        """Give up every queue; what waits is asked of the next owners."""
-        for name in tuple(self.owned):
-            self._give_up(name, Refusal.not_owner)
-
     def _on_peer(self, peer: Peer, alive: bool) -> None:
         self.known_owners.clear()
         if peer.availability_zone == self.host.identity.availability_zone:
--- a/celerywharf/admissions/_part.py
+++ b/celerywharf/admissions/_part.py
@@ -12,7 +12,7 @@
 from celerywharf.admissions.choices import Chooser
 from celerywharf.admissions.demands import Demand, Grant, Outcome
 from celerywharf.admissions.outliers import Outliers
-from celerywharf.admissions.searches import Ask, GiveUp, Rejected, Search
+from celerywharf.admissions.searches import Ask, GiveUp, Search
 from celerywharf.admissions.tickets import Refusal
 from celerywharf.exceptions import (
     CelerywharfError,
@@ -146,10 +146,6 @@
         for answer in message.answers:
             self.wishes.answered(answer, sender)
 
-    def busy(self) -> bool:
-        """Tell whether any grant is out."""
-        return bool(self.grants)
-
     async def _search(self, demand: Demand) -> Search:
         allowed = self._allowed(demand)
         if not allowed:
@@ -269,6 +265,3 @@
         f'{demand.service} cannot begin within {demand.deadline_s:g} s',
         retry_after_s=again_s,
     )
-
-
-__all__ = ('Admissions', 'Rejected')
--- a/celerywharf/admissions/tickets.py
+++ b/celerywharf/admissions/tickets.py
@@ -12,7 +12,6 @@
     none = ''
     overloaded = 'overloaded'
     limit = 'limit'
-    busy = 'busy'
     leaving = 'leaving'
     unreachable = 'unreachable'
     not_owner = 'not_owner'
--- a/tests/admissions/test_queues.py
+++ b/tests/admissions/test_queues.py
@@ -142,7 +142,8 @@
 def _bounded(engine, slots):
     for account, (_, limit) in engine.shares.items():
         assert engine.seen.peaks[account] <= limit + slots
-        assert 0 < engine.seen.served[account] <= 10 * limit * 1.02
+        used = 100 * engine.seen.served[account] / (10 * limit)
+        assert 80 <= used <= 102
 
 
 @when('they agree again')
