Take the platform's word that a backend server is leaving, as a hint

Cause: the list names leaving backend servers too; nobody looked. Change: one host a zone (rendezvous hash) reads the list each 2 s instead of all each 20 s, tells all hosts what leaves, and repeats it before the notice is forgotten. Scenario: the platform lists e1 as leaving; seen failing first with that line taken out.

--- a/celerywharf/admissions/_polls.py
+++ b/celerywharf/admissions/_polls.py
@@ -22,7 +22,6 @@
 
 POLL_S = 0.5
 POLL_JITTER = 0.2
-LEAVING_REPEAT_S = 10.0
 # Silence of a server or a pause of this host is no idle time.
 LONGEST_IDLE_S = 2.0
 STORED = 'stored'
@@ -38,7 +37,7 @@
         self.client = LoadClient(owners.host.transport)
         self.prefixes = PrefixIndex()
         self.next_event = 0
-        self.said_leaving_s: float | None = None
+        self.said_leaving = False
         self.read_s: float | None = None
 
     async def run(self) -> None:
@@ -82,15 +81,12 @@
             self.host.usage.post(IdleTime(self.backend.name, idle_s))
 
     def _note_leaving(self, *, leaving: bool) -> None:
-        now = self.host.timers.now()
-        said_s = self.said_leaving_s
         notices = self.host.membership.notices
-        if leaving and (said_s is None or now - said_s > LEAVING_REPEAT_S):
-            self.said_leaving_s = now
-            notices.report(self.backend.name, leaving=True)
-        elif said_s is not None and not leaving:
-            self.said_leaving_s = None
+        if leaving:
+            notices.refresh(self.backend.name)
+        elif self.said_leaving:
             notices.report(self.backend.name, leaving=False)
+        self.said_leaving = leaving
 
     async def _read_events(self) -> None:
         answer = await self.client.cache_events(
--- a/celerywharf/membership/_boards.py
+++ b/celerywharf/membership/_boards.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from celerywharf.membership._part import Membership
 
+REPEAT_S = 10.0
+
 OnNotice = Callable[[str, bool], None]
 
 
@@ -33,6 +35,14 @@
         fresh = self.notices.learn([notice])
         self._tell(fresh, self.membership.samples.one_a_zone())
 
+    def refresh(self, backend_server: str) -> None:
+        """Repeat that a backend server is leaving, before it is forgotten."""
+        known = self.notices.known.get(backend_server)
+        fresh_s = 0 if known is None else known.stamp / MICROSECONDS
+        stale = self._wall() - fresh_s > REPEAT_S
+        if stale or not self.is_leaving(backend_server):
+            self.report(backend_server, leaving=True)
+
     def hear(self, notices: Iterable[Notice]) -> None:
         """Learn what another host says and pass on what is new."""
         self._tell(self.notices.learn(notices), [])
--- a/celerywharf/membership/_part.py
+++ b/celerywharf/membership/_part.py
@@ -28,6 +28,7 @@
 from celerywharf.membership.states import Status, is_live
 from celerywharf.structures import Address
 from celerywharf.tasks import Part
+from celerywharf.utils import rendezvous_order
 from celerywharf.wire.membership import Gossip, Notice, PeerState
 
 if TYPE_CHECKING:
@@ -182,12 +183,25 @@
             self._changed(state, alive=False)
 
     async def _read_hints(self) -> None:
+        if not self._reads_list():
+            return
         try:
             listed = await self.host.platform.hosts()
         except CelerywharfError:
             return
+        backends = self.host.catalogue.backend_servers
+        for entry in listed:
+            if entry.leaving and entry.name in backends:
+                self.notices.refresh(entry.name)
         self.introductions.hinted(host.address for host in listed)
 
+    def _reads_list(self) -> bool:
+        # One host a zone spares the platform the others' reads; what it
+        # finds spreads by itself.
+        own = self.detector.own
+        names = [own.name, *(state.name for state in self.detector.live())]
+        return rendezvous_order(own.availability_zone, names)[0] == own.name
+
     def _carry_out(self, actions: Iterable[Action]) -> None:
         for action in actions:
             match action:
--- a/celerywharf/membership/_schedules.py
+++ b/celerywharf/membership/_schedules.py
@@ -23,7 +23,7 @@
     Duty.introduce: 2.0,
     Duty.refresh_sample: 1.0,
     Duty.synchronize: 10.0,
-    Duty.read_hints: 20.0,
+    Duty.read_hints: 2.0,
 }
 
 
--- a/tests/membership/leaving.feature
+++ b/tests/membership/leaving.feature
@@ -29,6 +29,7 @@
       | who                       |
       | an operator says at d     |
       | the engine says in report |
+      | the platform lists        |
 
   Scenario: a host told to stop finishes its streams
     When host a is told to stop
--- a/tests/membership/test_leaving.py
+++ b/tests/membership/test_leaving.py
@@ -109,6 +109,21 @@
     load.zones.fleet.control('e1', leaving=True)
 
 
+@when('the platform lists that e1 is leaving')
+def _list_leaving(load):
+    fleet = load.zones.fleet
+    entry = {
+        'region': 'region-a',
+        'availability_zone': 'zone-a1',
+        'address': fleet.members['e1'].address,
+        'incarnation': 1,
+        'state': 'leaving',
+    }
+    platform = fleet.members['platform'].address
+    status, _ = call(platform, 'PUT', '/hosts/e1', entry)
+    assert status == 204
+
+
 @when('host a is told to stop')
 def _told_to_stop(load):
     load.at_a = [
