--- a/celerywharf/__init__.py
+++ b/celerywharf/__init__.py
@@ -1,7 +1,25 @@
-"""A serving system for long generations on engines that fail."""
+"""A serving system for long generations on engines that fail.
 
-from celerywharf.structures import Address, HostIdentity, Verdict
+``celerywharf.serve('host.ini')`` runs an entry host.
+"""
 
 __version__ = '0.1.0'
 
-__all__ = ('Address', 'HostIdentity', 'Verdict', '__version__')
+from celerywharf.api import check, serve
+from celerywharf.exceptions import CelerywharfError, SettingsError
+from celerywharf.hosts import Host
+from celerywharf.settings import HostSettings
+from celerywharf.structures import Address, HostIdentity, Verdict
+
+__all__ = (
+    'Address',
+    'CelerywharfError',
+    'Host',
+    'HostIdentity',
+    'HostSettings',
+    'SettingsError',
+    'Verdict',
+    '__version__',
+    'check',
+    'serve',
+)
