--- a/tests/generations/owner.feature
+++ b/tests/generations/owner.feature
@@ -38,6 +38,7 @@
       | no_other_host            | a0 a1 a2 a3 | length  | 1       |                   | 0       |
       | paused_and_refused       | a0          | stopped | 1       | 1                 | 0       |
       | paused_ack_first         | a0          | stopped | 1       | 1                 | 0       |
+      | paused_replica_missed    | a0          | stopped | 1       | 1                 | 0       |
       | paused_still_owner       | a0 a1 a2    |         | 1       |                   | 0       |
       | engine_knows_newer_owner | a0          | stopped | 1       | 1                 | 0       |
       | taken_over_reattached    | a0 a1 a2 a3 | length  | 1       |                   | 0       |
@@ -69,6 +70,11 @@
     Then token 2 was first delivered between 0.4 and 0.5 seconds
     And replicas were chosen without "", "b"
 
+  Scenario: a replica missed over a pause is asked again, not replaced
+    When the trace "paused_replica_missed" is replayed
+    Then the caller got "a0" and the end "stopped"
+    And replicas were chosen without ""
+
   Scenario Outline: a new owner goes on with the run where it is known
     When the trace "<trace>" is replayed
     Then the first attempt <first> "e1"
