Log each served request with attempt and verdict

Cause: at level info a host logged refusals only; the attempt stood in the log at level debug alone. Seen failing first: the new scenario found no such line. Each generation that ends and each application call that was answered or failed now writes one line with request id, attempt and verdict.

--- a/celerywharf/applications/_calls.py
+++ b/celerywharf/applications/_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,8 @@
 if TYPE_CHECKING:
     from celerywharf.hosts import Host
 
+logger = logging.getLogger(__name__)
+
 RETRY_AFTER_S = 1.0
 
 
@@ -166,7 +169,7 @@
         except CelerywharfError as error:
             self._record('call_failed', backend.name, error.verdict.value)
             return Failed(error.verdict)
-        self._record('call_answered', backend.name)
+        self._record('call_answered', backend.name, Verdict.ran.value)
         return Answered(self.answer.status)
 
     def _record(self, name: str, backend: str, verdict: str = '') -> None:
@@ -176,6 +179,18 @@
             backend_server=backend,
             verdict=verdict,
         )
+        if verdict:
+            logger.info(
+                name.replace('_', ' '),
+                extra={
+                    'request_id': self.call.request_id,
+                    'client_account': self.call.client_account,
+                    'service': self.call.service,
+                    'backend_server': backend,
+                    'attempt': len(self.tried),
+                    'verdict': verdict,
+                },
+            )
 
     def _failure(self, verdict: Verdict) -> CelerywharfError:
         if verdict is Verdict.not_run:
--- a/celerywharf/generations/_handlers.py
+++ b/celerywharf/generations/_handlers.py
@@ -198,6 +198,7 @@
     def _reader(self, generation: str, wanted: CompletionRequest) -> Reader:
         if not wanted.stream:
             self.reader = TextReader(generation)
+            self.reader.request_id = self.request_id
             return self.reader
         reader = self.event_reader(Position(generation))
         reader.service = wanted.model
--- a/celerywharf/generations/_readers.py
+++ b/celerywharf/generations/_readers.py
@@ -26,6 +26,7 @@
 
     Attributes:
         generation: id of the generation.
+        request_id: id of the caller's request, empty when unknown.
         epoch: epoch of the owner that delivered last.
         service: name of the service.
         offset: number of tokens received.
@@ -39,6 +40,7 @@
 
     def __init__(self, generation: str, epoch: int, offset: int) -> None:
         self.generation = generation
+        self.request_id = ''
         self.epoch = epoch
         self.offset = offset
         self.service = ''
--- a/celerywharf/generations/_running.py
+++ b/celerywharf/generations/_running.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -40,6 +41,8 @@
 if TYPE_CHECKING:
     from celerywharf.generations._part import Generations
 
+logger = logging.getLogger(__name__)
+
 SLICE_TOKENS = 512
 BYTES_PER_EVENT = 128
 
@@ -252,6 +255,7 @@
             self.complete = True
             self.ended_s = self.part.now()
             self.part.record('generation_finished', self.journal)
+            _log(self, 'generation finished', Verdict.ran)
         for reader in tuple(self.readers):
             self.pump(reader)
 
@@ -277,6 +281,7 @@
         return readers
 
     def _fail(self, error: CelerywharfError) -> None:
+        _log(self, 'generation failed', error.verdict, code=error.code)
         for reader in self._end('generation_failed', error):
             reader.write_error(error)
 
@@ -302,3 +307,26 @@
     elif running.slow and lag < largest // 2:
         running.slow = False
         running.hear(CallersReady())
+
+
+def _log(
+    running: Running,
+    message: str,
+    verdict: Verdict,
+    **fields: str,
+) -> None:
+    spec = running.journal.spec
+    requests = [reader.request_id for reader in running.readers]
+    logger.info(
+        message,
+        extra={
+            'request_id': ' '.join(filter(None, requests)),
+            'generation': spec.generation,
+            'client_account': spec.client_account,
+            'service': spec.service,
+            'attempt': running.journal.attempt,
+            'verdict': verdict.value,
+            'length': len(running.journal.tokens),
+            **fields,
+        },
+    )
--- a/tests/edge/bad_input.feature
+++ b/tests/edge/bad_input.feature
@@ -33,3 +33,8 @@
     And an operator's call with a caller's key is sent
     Then no log line holds a key
     And every log line is a JSON object with host and availability zone
+
+  Scenario: a served generation is logged with request, attempt and verdict
+    Given a host with a client account and a generation service
+    When the host still serves a generation
+    Then a log line has its request id, attempt 1 and verdict ran
--- a/tests/edge/test_bad_input.py
+++ b/tests/edge/test_bad_input.py
@@ -152,6 +152,7 @@
     assert error['request_id']
 
 
+@when('the host still serves a generation')
 @then('the host still serves a generation')
 def _serves(address):
     status, body = _exchange(address[0], _completion(stream=False))
@@ -177,3 +178,11 @@
         fields = json.loads(line)
         assert fields['host'] == 'host-a'
         assert fields['availability_zone'] == 'zone-a1'
+
+
+@then('a log line has its request id, attempt 1 and verdict ran')
+def _logged(address):
+    lines = [json.loads(line) for line in _log(address).splitlines()]
+    served = [one for one in lines if one['message'] == 'generation finished']
+    assert served[-1]['request_id']
+    assert (served[-1]['attempt'], served[-1]['verdict']) == (1, 'ran')
