Forward calls and streams on the users' platform: celerywharf front

Change: a front process (store watchers, configuration with bounded age, directory of backend servers, placement, retry plan, stream relay with copies of runs), the adapter celerywharf/platform, deploy files. curl's complaint about bytes that are no HTTP answer no longer counts as not run: the request had been sent.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -31,7 +31,6 @@
         pycurl.E_COULDNT_CONNECT,
         pycurl.E_COULDNT_RESOLVE_HOST,
         pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
     )
 )
 
@@ -223,6 +222,8 @@
         request = self.request
         curl.setopt(pycurl.URL, request.url)
         curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        if request.target is not None:
+            curl.setopt(pycurl.REQUEST_TARGET, request.target)
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.PROXY, '')
         curl.setopt(pycurl.TCP_NODELAY, 1)
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -27,6 +27,7 @@
         connect_timeout_s: for the TCP connection.
         fresh: use a new connection and close it afterwards, so that nothing
             below can send the request twice.
+        target: request target in place of the URL's path, sent unchanged.
         guard: asked right before the body is written; False aborts the
             exchange, so that the server never has the whole request.
     """
@@ -38,6 +39,7 @@
     timeout_s: float | None = TIMEOUT_S
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     fresh: bool = False
+    target: str | None = None
     guard: Callable[[], bool] | None = None
 
     @classmethod
--- a/celerywharf/admissions/_part.py
+++ b/celerywharf/admissions/_part.py
@@ -11,9 +11,9 @@
 from celerywharf.admissions._wishes import Wishes
 from celerywharf.admissions.choices import Chooser
 from celerywharf.admissions.demands import Demand, Grant, Outcome
-from celerywharf.admissions.outliers import Outliers
 from celerywharf.admissions.searches import Ask, GiveUp, Search
 from celerywharf.admissions.tickets import Refusal
+from celerywharf.backends.outliers import Outliers
 from celerywharf.exceptions import (
     CelerywharfError,
     LimitReachedError,
--- a/celerywharf/api.py
+++ b/celerywharf/api.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
+import sys
 from pathlib import Path
 
 from celerywharf import logs, settings
+from celerywharf.exceptions import SettingsError
+from celerywharf.fronts import Front
 from celerywharf.hosts import Host
-from celerywharf.settings import HostSettings
+from celerywharf.settings import FrontSettings, HostSettings
+
+logger = logging.getLogger(__name__)
 
 
 def check(path: str | Path) -> HostSettings:
@@ -44,6 +50,46 @@
     asyncio.run(_serve(loaded))
 
 
+def serve_front(path: str | Path) -> None:
+    """Run a front until it is told to stop.
+
+    Args:
+        path: settings in INI.
+
+    Raises:
+        SettingsError: the settings are wrong or a port is in use.
+    """
+    loaded = settings.load(path, FrontSettings)
+    logs.configure(
+        loaded.log.level,
+        stream=sys.stdout,
+        host=loaded.front.name,
+        availability_zone=loaded.front.availability_zone,
+    )
+    asyncio.run(_serve_front(loaded, path))
+
+
+async def _serve_front(loaded: FrontSettings, path: str | Path) -> None:
+    front = Front(loaded)
+    loop = asyncio.get_running_loop()
+    signals = _Signals(front)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.received)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    await front.start()
+    await front.stopped.wait()
+
+
+def _reload(path: str | Path) -> None:
+    try:
+        loaded = settings.load(path, FrontSettings)
+    except SettingsError as error:
+        logger.error('settings kept', extra={'reason': error.message})
+        return
+    logging.getLogger().setLevel(loaded.log.level.upper())
+    logger.info('settings read again', extra={'level': loaded.log.level})
+
+
 async def _serve(loaded: HostSettings) -> None:
     host = Host(loaded)
     signals = _Signals(host)
@@ -61,7 +107,7 @@
 class _Signals:
     """First signal drains, second stops."""
 
-    def __init__(self, host: Host) -> None:
+    def __init__(self, host: Host | Front) -> None:
         self.host = host
         self.task: asyncio.Task | None = None
 
--- /dev/null
+++ b/celerywharf/backends/_directory.py
@@ -0,0 +1,108 @@
+"""Which backend servers there are."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from celerywharf.backends._servers import BackendServer
+
+# Entries that lapsed during an outage are back within two seconds of its end.
+RETURN_S = 2.0
+
+
+class Directory:
+    """Follows the entries of backend servers.
+
+    Entries lapse while the store is away although their servers live.  So an
+    entry that vanishes around an outage is kept for a while after its end; one
+    that vanishes otherwise is dropped at once.  A server that said that it is
+    leaving stays left, whatever older entries say.
+    """
+
+    def __init__(self) -> None:
+        self.servers: dict[str, BackendServer] = {}
+        self.left: dict[str, int] = {}
+        self.missing: set[str] = set()
+        self.outage_ended_s: float | None = None
+        self.in_outage = False
+
+    def outage(self) -> None:
+        """Note that the store does not answer."""
+        self.in_outage = True
+
+    def restored(self, now_s: float) -> None:
+        """Note that the store answers."""
+        if self.in_outage:
+            self.in_outage = False
+            self.outage_ended_s = now_s
+
+    def seen(self, server: BackendServer) -> None:
+        """Take an entry."""
+        known = self.servers.get(server.name)
+        if known is not None and _older(server, known):
+            return
+        self.missing.discard(server.name)
+        if server.draining:
+            self.left[server.name] = server.born_ms
+        elif self.left.get(server.name) == server.born_ms:
+            server = replace(server, draining=True)
+        self.servers[server.name] = server
+
+    def unreadable(self, name: str) -> None:
+        """Take an entry that names no backend server to use."""
+        self.drop(name)
+
+    def vanished(self, name: str, now_s: float) -> None:
+        """Take the removal of an entry."""
+        if name in self.servers and self._outage_recent(now_s):
+            self.missing.add(name)
+        else:
+            self.drop(name)
+
+    def replace_all(
+        self,
+        servers: list[BackendServer],
+        now_s: float,
+    ) -> None:
+        """Take a reading of the whole table."""
+        names = {server.name for server in servers}
+        for server in servers:
+            self.seen(server)
+        for name in tuple(self.servers):
+            if name not in names:
+                self.vanished(name, now_s)
+
+    def expire(self, now_s: float) -> list[str]:
+        """Drop what has not come back after an outage; return the names."""
+        if not self.missing or self._outage_recent(now_s):
+            return []
+        expired = sorted(self.missing)
+        for name in expired:
+            self.drop(name)
+        return expired
+
+    def drop(self, name: str) -> None:
+        """Forget a backend server."""
+        self.missing.discard(name)
+        self.servers.pop(name, None)
+
+    def usable(self, service: str) -> list[BackendServer]:
+        """Return the backend servers that may get new work."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service and not server.draining
+        ]
+
+    def _outage_recent(self, now_s: float) -> bool:
+        if self.in_outage:
+            return True
+        ended_s = self.outage_ended_s
+        return ended_s is not None and now_s < ended_s + RETURN_S
+
+
+def _older(server: BackendServer, known: BackendServer) -> bool:
+    return (server.born_ms, server.sequence) < (
+        known.born_ms,
+        known.sequence,
+    )
--- /dev/null
+++ b/celerywharf/backends/_placement.py
@@ -0,0 +1,152 @@
+"""Which backend server gets a request."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from random import Random
+
+from celerywharf.backends._directory import Directory
+from celerywharf.backends._loads import Loads
+from celerywharf.backends._servers import BackendServer
+from celerywharf.backends.outliers import Outliers
+
+# Costs of distance, in shares of a loaded server's slots.
+CALL_ZONE_COST = 0.15
+CALL_REGION_COST = 0.6
+# The same for streams, in prompts that wait before this one.
+STREAM_ZONE_COST = 0.4
+STREAM_REGION_COST = 0.8
+# A stream that runs slows a prompt down by about a quarter of a prompt.
+RUNNING_COST = 0.25
+TIE = 0.05  # random part that spreads equal choices
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """A request that needs a backend server.
+
+    Attributes:
+        service: what it is for.
+        tokens: token memory it needs, 0 for plain calls.
+        capacity_tokens: token memory of each backend server.
+        excluded: names of backend servers that must not get it.
+    """
+
+    service: str
+    tokens: int = 0
+    capacity_tokens: int = 0
+    excluded: Collection[str] = field(default=())
+
+
+class Placement:
+    """Chooses the least loaded backend server, near ones first.
+
+    Answers two loads: plain calls, short and many, go by the share of slots
+    taken; streams go by the prompts still to be read, which is what their
+    first event waits for, and by the token memory left.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        loads: Loads,
+        outliers: Outliers,
+        availability_zone: str,
+        regions: dict[str, str],
+        random: Random,
+    ) -> None:
+        self.directory = directory
+        self.loads = loads
+        self.outliers = outliers
+        self.availability_zone = availability_zone
+        self.regions = regions
+        self.random = random
+
+    def choose(self, demand: Demand, now_s: float) -> BackendServer | None:
+        """Return the best backend server, None if none may get it."""
+        usable = [
+            server
+            for server in self.directory.usable(demand.service)
+            if server.name not in demand.excluded and self._fits(server, demand)
+        ]
+        healthy = [
+            server
+            for server in usable
+            if self.outliers.usable(server.name, now_s)
+        ]
+        return min(
+            healthy or usable,
+            key=lambda server: self._cost(server, demand, now_s),
+            default=None,
+        )
+
+    def backup(
+        self,
+        server: BackendServer,
+        demand: Demand,
+        now_s: float,
+    ) -> BackendServer | None:
+        """Return where to keep a copy of a run's memory.
+
+        Zones fail as a whole, so another zone is required; one of the same
+        region is preferred.
+        """
+        others = [
+            other
+            for other in self.directory.usable(server.service)
+            if other.availability_zone != server.availability_zone
+            and other.name not in demand.excluded
+            and self.outliers.usable(other.name, now_s)
+            and self._fits(other, demand)
+        ]
+        region = self.regions.get(server.availability_zone)
+        return min(
+            others,
+            key=lambda other: (
+                self.loads.tokens(other.name) / max(demand.capacity_tokens, 1)
+                + (self.regions.get(other.availability_zone) != region)
+                + self.random.random() * TIE
+            ),
+            default=None,
+        )
+
+    def _fits(self, server: BackendServer, demand: Demand) -> bool:
+        if not demand.capacity_tokens:
+            return True
+        used = self.loads.tokens(server.name)
+        return not used or used + demand.tokens <= demand.capacity_tokens
+
+    def _cost(
+        self,
+        server: BackendServer,
+        demand: Demand,
+        now_s: float,
+    ) -> float:
+        name = server.name
+        tie = self.random.random() * TIE
+        if demand.tokens:
+            work = (
+                self.loads.prompts(name)
+                + self.loads.requests(name) * RUNNING_COST
+            )
+            near = self._distance(server, STREAM_ZONE_COST, STREAM_REGION_COST)
+            return work + near + tie
+        share = max(
+            self.loads.requests(name) / max(server.slots, 1),
+            self.loads.recent(name, now_s),
+        )
+        near = self._distance(server, CALL_ZONE_COST, CALL_REGION_COST)
+        return share + near + tie
+
+    def _distance(
+        self,
+        server: BackendServer,
+        zone_cost: float,
+        region_cost: float,
+    ) -> float:
+        zone = server.availability_zone
+        if zone == self.availability_zone:
+            return 0
+        own = self.regions.get(self.availability_zone)
+        return zone_cost if self.regions.get(zone) == own else region_cost
--- a/celerywharf/admissions/outliers.py
+++ b/celerywharf/backends/outliers.py
@@ -13,6 +13,7 @@
 SLOW_FACTOR = 4.0
 SLOW_LEAST_S = 0.5
 SLOW_SAMPLES = 5
+UNREACHABLE_S = 1.0  # long enough to pass over a crash, short to come back
 
 
 @dataclass(slots=True)
@@ -74,6 +75,14 @@
             return self._eject(name, now)
         return False
 
+    def unreachable(self, name: str, now: float) -> None:
+        """Pass over a server that cannot be reached, for a short time."""
+        record = self._record(name)
+        record.ejected_until_s = max(
+            record.ejected_until_s,
+            now + UNREACHABLE_S,
+        )
+
     def answered(self, name: str, answer_s: float, now: float) -> bool:
         """Note the time to a first answer; tell whether it was too slow."""
         record = self._record(name)
--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -7,6 +7,7 @@
 
 Commands:
   serve      Run an entry host.
+  front      Run a front on the users' platform.
   config     Check a settings file.
   table      Read and change the shared table.
   account    Client accounts and their keys.
@@ -41,6 +42,7 @@
     'timeline': 'celerywharf.cli._timeline',
     'usage': 'celerywharf.cli._usage',
     'serve': 'celerywharf.cli._serve',
+    'front': 'celerywharf.cli._front',
     'config': 'celerywharf.cli._config',
     'table': 'celerywharf.cli._table',
     'account': 'celerywharf.cli._account',
--- /dev/null
+++ b/celerywharf/forwarding/__init__.py
@@ -0,0 +1,15 @@
+"""Passing a caller's request on to a backend server and its answer back."""
+
+from celerywharf.forwarding._budget import RetryBudget
+from celerywharf.forwarding._caller import Caller
+from celerywharf.forwarding._context import Services
+from celerywharf.forwarding._forwarder import Forwarder
+from celerywharf.forwarding._requests import IncomingRequest
+
+__all__ = (
+    'Caller',
+    'Forwarder',
+    'IncomingRequest',
+    'RetryBudget',
+    'Services',
+)
--- /dev/null
+++ b/celerywharf/forwarding/_calls.py
@@ -0,0 +1,89 @@
+"""Plain calls to application servers."""
+
+from __future__ import annotations
+
+from celerywharf.backends import Demand
+from celerywharf.forwarding._context import Services
+from celerywharf.forwarding._plans import (
+    Done,
+    Fail,
+    PassOn,
+    RetryPlan,
+    SendAgain,
+    Step,
+)
+from celerywharf.forwarding._requests import IncomingRequest
+from celerywharf.forwarding._sends import send_call
+from celerywharf.forwarding._stories import Story
+from celerywharf.routing import Idempotent
+
+# Part of the time left that the first send of a repeatable call gets.
+FIRST_SEND_SHARE = 0.6
+LEAST_PATIENCE_S = 0.02
+
+
+class CallForwarding:
+    """Sends one call until it is answered or given up."""
+
+    def __init__(
+        self,
+        services: Services,
+        request: IncomingRequest,
+        service: str,
+        story: Story,
+    ) -> None:
+        self.services = services
+        self.request = request
+        self.service = service
+        self.story = story
+        self.plan = RetryPlan(request.route.policy, request.route.max_attempts)
+        self.tried: set[str] = set()
+
+    async def run(self) -> PassOn | Fail | Done:
+        """Return what the caller is told."""
+        self.services.budget.requested(self.service, self.services.timers.now())
+        while True:
+            step = await self._send()
+            if not isinstance(step, SendAgain):
+                return step
+            now_s = self.services.timers.now()
+            if not self.services.budget.take(self.service, now_s):
+                return self.plan.unserved('retry budget is used up')
+
+    async def _send(self) -> Step:
+        now_s = self.services.timers.now()
+        remaining_s = self.request.ends_s() - now_s
+        if remaining_s <= 0:
+            return self.plan.timed_out()
+        server = self._choose(now_s)
+        if server is None:
+            return self.plan.unserved('no backend server')
+        self.tried.add(server.name)
+        outcome = await send_call(
+            self.services,
+            self.request,
+            server,
+            remaining_s,
+            self._patience_s(remaining_s),
+        )
+        remaining_s = self.request.ends_s() - self.services.timers.now()
+        step = self.plan.after(outcome, remaining_s)
+        if remaining_s <= 0 and isinstance(step, Fail):
+            step = self.plan.timed_out()
+        self.story.sent(server, outcome, step)
+        return step
+
+    def _choose(self, now_s: float):
+        demand = Demand(self.service, excluded=self.tried)
+        server = self.services.placement.choose(demand, now_s)
+        if server is None and self.tried:
+            again = Demand(self.service)
+            server = self.services.placement.choose(again, now_s)
+        return server
+
+    def _patience_s(self, remaining_s: float) -> float:
+        if isinstance(self.request.route.policy, Idempotent) and (
+            self.plan.sends + 1 < self.plan.max_attempts
+        ):
+            remaining_s *= FIRST_SEND_SHARE
+        return max(remaining_s, LEAST_PATIENCE_S)
--- /dev/null
+++ b/celerywharf/forwarding/_context.py
@@ -0,0 +1,29 @@
+"""What forwarding needs of the host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from celerywharf.adapters.transports import Transport
+from celerywharf.backends import Directory, Loads, Outliers, Placement
+from celerywharf.forwarding._budget import RetryBudget
+from celerywharf.metrics import Metrics
+from celerywharf.routing import Knowledge
+from celerywharf.timers import TimerService
+
+
+@dataclass(frozen=True, slots=True)
+class Services:
+    """Parts of the host that forwarding uses."""
+
+    transport: Transport
+    timers: TimerService
+    knowledge: Knowledge
+    directory: Directory
+    loads: Loads
+    outliers: Outliers
+    placement: Placement
+    budget: RetryBudget
+    metrics: Metrics
+    random: Random
--- /dev/null
+++ b/celerywharf/forwarding/_relays.py
@@ -0,0 +1,146 @@
+"""Events of one send of a stream, passed to the caller as they arrive."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from http import HTTPStatus
+
+from celerywharf.adapters.transports import HttpResponse
+from celerywharf.backends import BackendServer
+from celerywharf.exceptions import TransportError
+from celerywharf.forwarding._caller import Caller
+from celerywharf.forwarding._context import Services
+from celerywharf.forwarding._outcomes import (
+    Answered,
+    Finished,
+    Lost,
+    Outcome,
+)
+from celerywharf.forwarding._requests import IncomingRequest
+from celerywharf.forwarding._sends import distrust, failed_send, refusal
+from celerywharf.forwarding._silence import SilenceWatch
+from celerywharf.platform import (
+    AnswerHeaders,
+    Event,
+    EventSplitter,
+    read_answer_headers,
+)
+
+LARGEST_ERROR_BYTES = 1024 * 1024
+
+
+class Progress:
+    """What the caller has of a stream, over all sends.
+
+    Attributes:
+        last_event: id of the last event written; None before the first.
+        events: how many were written.
+    """
+
+    def __init__(self, last_event: int | None) -> None:
+        self.last_event = last_event
+        self.events = 0
+
+
+class StreamRelay:
+    """The sink of one send; ``done`` holds its outcome."""
+
+    def __init__(
+        self,
+        services: Services,
+        request: IncomingRequest,
+        server: BackendServer,
+        caller: Caller,
+        progress: Progress,
+        watch: SilenceWatch,
+    ) -> None:
+        self.services = services
+        self.request = request
+        self.server = server
+        self.caller = caller
+        self.progress = progress
+        self.watch = watch
+        self.splitter = EventSplitter()
+        self.status = 0
+        self.headers: AnswerHeaders | None = None
+        self.body = b''
+        self.events = 0
+        self.done: asyncio.Future[Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def on_headers(self, status: int, headers: Mapping[str, str]) -> None:
+        """Check status and headers."""
+        if self.headers is not None:
+            return
+        now_s = self.services.timers.now()
+        self.services.loads.alive(self.server.name, now_s)
+        self.status = status
+        self.headers = read_answer_headers(headers)
+        outcome = refusal(status, self.headers) or distrust(
+            self.request,
+            status,
+            self.headers,
+        )
+        if outcome is not None:
+            self._settle(outcome)
+
+    def on_chunk(self, chunk: bytes) -> None:
+        """Pass on the events that are whole."""
+        if self.done.done():
+            return
+        if self.status != HTTPStatus.OK:
+            self.body += chunk
+            if len(self.body) > LARGEST_ERROR_BYTES:
+                self._settle(Lost('error without end'))
+            return
+        try:
+            events = self.splitter.feed(chunk)
+        except ValueError as error:
+            self._settle(Lost(str(error)))
+            return
+        for event in events:
+            self._on_event(event)
+
+    def on_end(self, error: TransportError | None) -> None:
+        """Settle the send."""
+        if self.done.done():
+            return
+        self._settle(self._end(error))
+
+    def _end(self, error: TransportError | None) -> Outcome:
+        if error:
+            return failed_send(self.services, self.server, error)
+        if self.splitter.rest:
+            return Lost('stream ended inside an event')
+        if self.status == HTTPStatus.OK:
+            return Finished()
+        response = HttpResponse(self.status, {}, self.body)
+        return Answered(response, self.headers)
+
+    def _on_event(self, event: Event) -> None:
+        if self.done.done():
+            return
+        now_s = self.services.timers.now()
+        self.services.loads.alive(self.server.name, now_s)
+        if not self.watch.flowing:
+            self.services.loads.prefilled(self.server.name)
+        self.watch.event(now_s)
+        self.events += 1
+        last = self.progress.last_event
+        if event.number is not None:
+            if last is not None and event.number <= last:
+                return
+            if event.number != (last or 0) + 1:
+                self._settle(Lost(f'event {event.number} follows {last}'))
+                return
+            self.progress.last_event = event.number
+        if not self.caller.started:
+            self.caller.begin(self.status, self.headers.passed_on)
+        self.progress.events += 1
+        self.caller.write(event.text)
+
+    def _settle(self, outcome: Outcome) -> None:
+        if not self.done.done():
+            self.done.set_result(outcome)
--- /dev/null
+++ b/celerywharf/forwarding/_sends.py
@@ -0,0 +1,164 @@
+"""One send of a request to one backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+
+from celerywharf.adapters.transports import HttpRequest, HttpResponse
+from celerywharf.backends import BackendServer
+from celerywharf.exceptions import TransportError
+from celerywharf.forwarding._context import Services
+from celerywharf.forwarding._outcomes import Answered, Lost, Outcome, Refused
+from celerywharf.forwarding._requests import IncomingRequest
+from celerywharf.platform import (
+    AnswerHeaders,
+    Resumption,
+    read_answer_headers,
+    server_headers,
+)
+from celerywharf.structures import Address, Verdict
+
+LEAST_CONNECT_S = 0.01  # curl takes zero for no limit
+CONNECT_TIMEOUT_S = 0.3  # a round trip between regions takes 40 ms
+REFUSING_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
+
+
+def outgoing(
+    request: IncomingRequest,
+    server: BackendServer,
+    remaining_s: float,
+    backup: Address | None = None,
+    resumption: Resumption | None = None,
+) -> HttpRequest:
+    """Return the request to a backend server.
+
+    Each uses a fresh connection: on a kept one curl would send it again by
+    itself, and a late second answer could be taken for this one's.
+    """
+    return HttpRequest(
+        request.method,
+        f'http://{server.address}/',
+        headers=server_headers(
+            request.headers,
+            account=request.account,
+            instance=server.name,
+            remaining_s=remaining_s,
+            backup=backup,
+            resumption=resumption,
+        ),
+        body=request.body,
+        target=request.target,
+        timeout_s=None,
+        connect_timeout_s=min(
+            CONNECT_TIMEOUT_S, max(remaining_s, LEAST_CONNECT_S)
+        ),
+        fresh=True,
+    )
+
+
+def refusal(
+    status: int,
+    headers: AnswerHeaders,
+) -> Refused | None:
+    """Return the outcome if the backend server did not run the request."""
+    if headers.not_run or status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Refused(f'backend server refused with {status}', reached=True)
+    return None
+
+
+def distrust(
+    request: IncomingRequest,
+    status: int,
+    headers: AnswerHeaders,
+) -> Lost | None:
+    """Return the outcome if the answer must not reach the caller."""
+    if headers.request_id != request.headers.request_id:
+        return Lost('answer to another request')
+    if status < HTTPStatus.MULTIPLE_CHOICES and not headers.signed:
+        return Lost('answer without signature')
+    if headers.encoded:
+        return Lost('answer with an encoded body')
+    if status in REFUSING_STATUSES:
+        return Lost(f'backend server failed with {status}')
+    return None
+
+
+async def send_call(
+    services: Services,
+    request: IncomingRequest,
+    server: BackendServer,
+    remaining_s: float,
+    patience_s: float,
+) -> Outcome:
+    """Send a plain call and wait for its whole answer.
+
+    Args:
+        services: parts of the host.
+        request: what the caller sent.
+        server: where it goes.
+        remaining_s: what the backend server is told.
+        patience_s: how long to wait for the answer.
+    """
+    started_s = services.timers.now()
+    services.loads.started(server.name, 0)
+    services.outliers.started(server.name)
+    try:
+        async with asyncio.timeout(patience_s):
+            response = await services.transport.fetch(
+                outgoing(request, server, remaining_s),
+            )
+    except TimeoutError:
+        services.outliers.failed(server.name, services.timers.now())
+        return Lost('no answer in time')
+    except TransportError as error:
+        return failed_send(services, server, error)
+    finally:
+        services.loads.ended(server.name, 0)
+        services.outliers.ended(server.name)
+    return _judge(services, request, server, response, started_s)
+
+
+def failed_send(
+    services: Services,
+    server: BackendServer,
+    error: TransportError,
+) -> Outcome:
+    """Return the outcome of a send that curl reports as failed."""
+    now_s = services.timers.now()
+    if error.verdict is Verdict.not_run:
+        services.outliers.unreachable(server.name, now_s)
+        return Refused(error.message, reached=False)
+    services.outliers.failed(server.name, now_s)
+    return Lost(error.message)
+
+
+def _judge(
+    services: Services,
+    request: IncomingRequest,
+    server: BackendServer,
+    response: HttpResponse,
+    started_s: float,
+) -> Outcome:
+    headers = read_answer_headers(response.headers)
+    now_s = services.timers.now()
+    if headers.load is not None:
+        services.loads.reported(server.name, headers.load, now_s)
+    outcome = refusal(response.status, headers) or distrust(
+        request,
+        response.status,
+        headers,
+    )
+    if outcome is not None:
+        services.outliers.failed(server.name, now_s)
+        return outcome
+    services.outliers.succeeded(server.name)
+    services.metrics.observe('backend_answer', now_s - started_s)
+    return Answered(response, headers)
--- /dev/null
+++ b/celerywharf/forwarding/_stories.py
@@ -0,0 +1,86 @@
+"""Log lines of one request."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from celerywharf.backends import BackendServer
+from celerywharf.forwarding._outcomes import (
+    Answered,
+    Finished,
+    Lost,
+    Outcome,
+    Refused,
+)
+from celerywharf.forwarding._plans import Fail, PassOn, Step
+from celerywharf.forwarding._requests import IncomingRequest
+
+logger = logging.getLogger(__name__)
+
+MILLISECONDS = 1000
+
+
+class Story:
+    """Writes what was decided about a request, with its inputs."""
+
+    def __init__(self, request: IncomingRequest, version: int) -> None:
+        self.request = request
+        self.version = version
+        self.sends = 0
+
+    def sent(
+        self,
+        server: BackendServer,
+        outcome: Outcome,
+        step: Step,
+        **details: Any,
+    ) -> None:
+        """Log a send that did not settle the request."""
+        self.sends += 1
+        if isinstance(outcome, Finished) or isinstance(step, PassOn):
+            return
+        logger.info(
+            'send failed',
+            extra={
+                'request_id': self.request.headers.request_id,
+                'backend_server': server.name,
+                'send': self.sends,
+                'outcome': _described(outcome),
+                'then': type(step).__name__,
+                **details,
+            },
+        )
+
+    def ended(self, step: Step, now_s: float, **details: Any) -> None:
+        """Log what the caller was told."""
+        fields: dict[str, Any] = {
+            'request_id': self.request.headers.request_id,
+            'route': self.request.route.name,
+            'configuration': self.version,
+            'sends': self.sends,
+            'took_ms': round(
+                (now_s - self.request.arrived_s) * MILLISECONDS,
+                1,
+            ),
+            **details,
+        }
+        match step:
+            case PassOn():
+                fields['status'] = step.response.status
+            case Fail():
+                fields['status'] = int(step.status)
+                fields['reason'] = step.reason
+        logger.info('request ended', extra=fields)
+
+
+def _described(outcome: Outcome) -> str:
+    match outcome:
+        case Answered():
+            return f'answered {outcome.response.status}'
+        case Refused():
+            return f'not run: {outcome.reason}'
+        case Lost():
+            return f'lost: {outcome.reason}'
+        case Finished():
+            return 'finished'
--- /dev/null
+++ b/celerywharf/fronts/_admittance.py
@@ -0,0 +1,109 @@
+"""Decides whether a caller's request may be forwarded."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from celerywharf.platform import RequestHeaders
+from celerywharf.routing import ClientLimits, Configuration, Knowledge, Route
+
+# Another host is asked after this: long enough for the balancer's next look.
+ELSEWHERE_RETRY_AFTER_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request goes to a route for a client account."""
+
+    route: Route
+    account: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """The request is refused; it has not run.
+
+    Attributes:
+        status: of the answer.
+        reason: for caller and log.
+        version: of the configuration that decided, None without one.
+        age_s: age of that knowledge.
+        retry_after_s: when to try again, None if that is of no use.
+        elsewhere: the caller should use another connection.
+    """
+
+    status: HTTPStatus
+    reason: str
+    version: int | None = None
+    age_s: float | None = None
+    retry_after_s: float | None = None
+    elsewhere: bool = False
+
+
+class Admittance:
+    """Checks route and key against what this host knows."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        boot_time_s: Callable[[], float],
+    ) -> None:
+        self.knowledge = knowledge
+        self.boot_time_s = boot_time_s
+
+    def limits(self) -> ClientLimits | None:
+        """Return the bounds on what callers send, None if unknown."""
+        configuration = self.knowledge.configuration
+        return configuration and configuration.limits
+
+    def admit(
+        self,
+        target: str,
+        host: str,
+        headers: RequestHeaders,
+    ) -> Admitted | Denied:
+        """Return where a request goes, or why it is refused."""
+        configuration = self.knowledge.configuration
+        now_s = self.boot_time_s()
+        age_s = self.knowledge.age_s(now_s)
+        if configuration is None or not self.knowledge.accepts_keys(now_s):
+            return Denied(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'this host does not know the current configuration',
+                version=configuration and configuration.version,
+                age_s=age_s,
+                retry_after_s=ELSEWHERE_RETRY_AFTER_S,
+                elsewhere=True,
+            )
+        return _check(configuration, target, host, headers, age_s)
+
+
+def _check(
+    configuration: Configuration,
+    target: str,
+    host: str,
+    headers: RequestHeaders,
+    age_s: float | None,
+) -> Admitted | Denied:
+    path = target.partition('?')[0]
+    route = configuration.match(host, path)
+    if route is None:
+        return Denied(
+            HTTPStatus.NOT_FOUND,
+            'no route',
+            configuration.version,
+            age_s,
+        )
+    if not configuration.keyed or route.public:
+        return Admitted(route, None)
+    account = configuration.accounts.get(headers.key or '')
+    if account is None:
+        return Denied(
+            HTTPStatus.UNAUTHORIZED,
+            'unknown or missing key',
+            configuration.version,
+            age_s,
+        )
+    return Admitted(route, account)
--- /dev/null
+++ b/celerywharf/fronts/_front.py
@@ -0,0 +1,152 @@
+"""One front process."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from random import Random
+
+from tornado.httpserver import HTTPServer
+
+from celerywharf.adapters import CurlTransport
+from celerywharf.backends import Directory, Loads, Outliers, Placement
+from celerywharf.forwarding import Forwarder, RetryBudget, Services
+from celerywharf.fronts._admittance import Admittance
+from celerywharf.fronts._edge import Edge
+from celerywharf.fronts._leaving import Leaving
+from celerywharf.fronts._status import StatusPage, build_status_server
+from celerywharf.fronts._watchers import ConfigurationWatcher, ServerWatcher
+from celerywharf.metrics import Metrics
+from celerywharf.platform import StoreClient, boot_time_s
+from celerywharf.routing import Knowledge
+from celerywharf.settings import FrontSettings
+from celerywharf.sockets import bind
+from celerywharf.timers import TimerService
+
+logger = logging.getLogger(__name__)
+
+MILLISECONDS = 1000
+# Hosts do not know how many they are; this many fixed parts stay inside the
+# slack that all hosts share.
+HOSTS_SHARING_SLACK = 15
+RATIO_SHARE = 0.9  # keeps the sum over all hosts below the ratio
+IDLE_TIMEOUT_S = 20.0  # beyond the idle time that callers may use
+BODY_TIMEOUT_S = 30.0  # longest time for which a caller may send a body
+HEADER_BYTES = 65536  # beyond any configured limit of callers
+
+
+class Front:
+    """Builds, starts and stops the parts of a front.
+
+    Attributes:
+        settings: what the settings file said.
+        knowledge: the configuration and its age.
+        directory: the backend servers.
+        edge: connections of callers.
+        leaving: the graceful stop.
+        stopped: set when the process may end.
+    """
+
+    def __init__(self, settings: FrontSettings) -> None:
+        self.settings = settings
+        self.random = Random()
+        self.timers = TimerService()
+        self.metrics = Metrics()
+        self.transport = CurlTransport()
+        self.store = StoreClient(self.transport, settings.store.address)
+        self.knowledge = Knowledge(settings.bounds.revoke_ms / MILLISECONDS)
+        self.directory = Directory()
+        self.services = self._services()
+        self.edge = Edge(
+            Admittance(self.knowledge, boot_time_s),
+            Forwarder(self.services),
+        )
+        self.watchers = (
+            ConfigurationWatcher(self.store, self.random, self.knowledge),
+            ServerWatcher(
+                self.store,
+                self.random,
+                self.directory,
+                self.timers,
+            ),
+        )
+        self.leaving = Leaving(
+            self.edge,
+            self.timers,
+            settings.bounds.grace_s,
+        )
+        self.servers: list[HTTPServer] = []
+        self.stopped = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen and follow the store."""
+        for watcher in self.watchers:
+            watcher.start()
+        self._listen()
+        logger.info('started', extra={'listen': self.settings.front.listen})
+
+    async def drain(self) -> None:
+        """Leave without cutting off requests, then stop."""
+        await self.leaving.run()
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        for server in self.servers:
+            server.stop()
+        for watcher in self.watchers:
+            await watcher.stop()
+        self.transport.close()
+        logger.info('stopped', extra={'cut_off': self.edge.busy()})
+        self.stopped.set()
+
+    def ready(self) -> bool:
+        """Tell whether this front should get new connections."""
+        return (
+            not self.edge.leaving
+            and self.watchers[1].version is not None
+            and self.knowledge.accepts_keys(boot_time_s())
+        )
+
+    def _listen(self) -> None:
+        front = self.settings.front
+        callers = HTTPServer(
+            self.edge,
+            max_header_size=HEADER_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            body_timeout=BODY_TIMEOUT_S,
+        )
+        callers.add_sockets(bind('[front] listen', front.listen))
+        status = build_status_server(StatusPage(self.ready, self.metrics))
+        status.add_sockets(bind('[front] health', front.health))
+        if front.metrics is not None:
+            status.add_sockets(bind('[front] metrics', front.metrics))
+        self.servers = [callers, status]
+
+    def _services(self) -> Services:
+        bounds = self.settings.bounds
+        loads = Loads()
+        outliers = Outliers()
+        return Services(
+            transport=self.transport,
+            timers=self.timers,
+            knowledge=self.knowledge,
+            directory=self.directory,
+            loads=loads,
+            outliers=outliers,
+            placement=Placement(
+                self.directory,
+                loads,
+                outliers,
+                self.settings.front.availability_zone,
+                self.settings.zones.regions,
+                self.random,
+            ),
+            budget=RetryBudget(
+                bounds.retry_ratio * RATIO_SHARE,
+                int(bounds.retry_slack / HOSTS_SHARING_SLACK),
+                bounds.retry_window_s,
+            ),
+            metrics=self.metrics,
+            random=self.random,
+        )
--- /dev/null
+++ b/celerywharf/fronts/_status.py
@@ -0,0 +1,64 @@
+"""Health check and metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from celerywharf.metrics import Collector, Metrics
+from celerywharf.platform import READY_PATH
+
+
+@dataclass(frozen=True, slots=True)
+class StatusPage:
+    """What the status server shows."""
+
+    ready: Callable[[], bool]
+    metrics: Metrics
+
+
+class ReadyHandler(RequestHandler):
+    """200 while the front should get new connections."""
+
+    def initialize(self, page: StatusPage) -> None:
+        """Take what the route passes."""
+        self.page = page
+
+    def get(self) -> None:
+        """Answer the balancer."""
+        if not self.page.ready():
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+class MetricsHandler(RequestHandler):
+    """Counters and histograms in the text exposition format."""
+
+    def initialize(self, page: StatusPage) -> None:
+        """Take what the route passes."""
+        self.page = page
+
+    def get(self) -> None:
+        """Answer a scraper."""
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(Collector(self.page.metrics))
+        self.set_header('Content-Type', CONTENT_TYPE_LATEST)
+        self.write(generate_latest(registry))
+
+
+def build_status_server(page: StatusPage) -> HTTPServer:
+    """Return the server for health check and metrics."""
+    options = {'page': page}
+    application = Application(
+        [
+            (READY_PATH, ReadyHandler, options),
+            ('/metrics', MetricsHandler, options),
+        ],
+        log_function=lambda _handler: None,
+    )
+    return HTTPServer(application)
--- a/celerywharf/hosts/_host.py
+++ b/celerywharf/hosts/_host.py
@@ -13,11 +13,11 @@
 from celerywharf.generations import Generations
 from celerywharf.hosts._announcer import Announce, Announcer
 from celerywharf.hosts._routes import ROUTES
-from celerywharf.hosts._sockets import bind
 from celerywharf.membership import Membership
 from celerywharf.metrics import Metrics
 from celerywharf.orders import Orders
 from celerywharf.settings import HostSettings
+from celerywharf.sockets import bind
 from celerywharf.structures import HostIdentity
 from celerywharf.tables import Catalogue, TableService
 from celerywharf.timeline import HybridClock, Recorder
@@ -134,8 +134,10 @@
             SettingsError: an address cannot be listened on.
         """
         inner = self.settings.host.inner_bind
-        self.links.add_sockets(bind('inner', inner))
-        self.server.add_sockets(bind('listen', self.settings.host.listen))
+        self.links.add_sockets(bind('[host] inner', inner))
+        self.server.add_sockets(
+            bind('[host] listen', self.settings.host.listen)
+        )
         for part in self.parts:
             part.start()
         logger.info('host started', extra={'inner': str(inner)})
--- a/celerywharf/metrics/__init__.py
+++ b/celerywharf/metrics/__init__.py
@@ -1,6 +1,6 @@
 """Histograms and counters of a host."""
 
-from celerywharf.metrics._exposition import METRIC_ROUTES
+from celerywharf.metrics._exposition import METRIC_ROUTES, Collector
 from celerywharf.metrics._registry import (
     HISTOGRAMS,
     Metrics,
@@ -8,4 +8,11 @@
     merge,
 )
 
-__all__ = ('HISTOGRAMS', 'METRIC_ROUTES', 'Metrics', 'Snapshot', 'merge')
+__all__ = (
+    'Collector',
+    'HISTOGRAMS',
+    'METRIC_ROUTES',
+    'Metrics',
+    'Snapshot',
+    'merge',
+)
--- a/celerywharf/metrics/_registry.py
+++ b/celerywharf/metrics/_registry.py
@@ -13,6 +13,8 @@
 SIGNIFICANT_DIGITS = 2
 
 HISTOGRAMS: Mapping[str, str] = {
+    'backend_answer': 'from sending a call to its whole answer',
+    'first_event': 'from arrival of a stream to its first event',
     'first_token': 'from acceptance of a generation to its first token',
     'between_tokens': 'between two batches of tokens to a caller',
     'resume_silence': 'from the last token before a loss to the next',
--- /dev/null
+++ b/celerywharf/platform/__init__.py
@@ -0,0 +1,52 @@
+"""The only place that knows the names and forms of the users' platform."""
+
+from celerywharf.platform._documents import (
+    decode_backend_server,
+    decode_configuration,
+    decode_report,
+)
+from celerywharf.platform._events import Event, EventSplitter
+from celerywharf.platform._headers import (
+    PROBE_PATH,
+    READY_PATH,
+    AnswerHeaders,
+    RequestHeaders,
+    Resumption,
+    read_answer_headers,
+    read_request_headers,
+    server_headers,
+)
+from celerywharf.platform._store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    SERVER_TABLE,
+    HistoryGoneError,
+    Reading,
+    Row,
+    StoreClient,
+    boot_time_s,
+)
+
+__all__ = (
+    'CONFIGURATION_KEY',
+    'CONFIGURATION_TABLE',
+    'PROBE_PATH',
+    'READY_PATH',
+    'SERVER_TABLE',
+    'AnswerHeaders',
+    'Event',
+    'EventSplitter',
+    'HistoryGoneError',
+    'Reading',
+    'RequestHeaders',
+    'Resumption',
+    'Row',
+    'StoreClient',
+    'boot_time_s',
+    'decode_backend_server',
+    'decode_configuration',
+    'decode_report',
+    'read_answer_headers',
+    'read_request_headers',
+    'server_headers',
+)
--- a/celerywharf/settings/__init__.py
+++ b/celerywharf/settings/__init__.py
@@ -1,5 +1,6 @@
 """Checked settings of a host, read from an INI file."""
 
+from celerywharf.settings._front import FrontSettings
 from celerywharf.settings._loading import load, loads
 from celerywharf.settings._models import (
     GenerationSettings,
@@ -15,6 +16,7 @@
 )
 
 __all__ = (
+    'FrontSettings',
     'GenerationSettings',
     'HostSection',
     'HostSettings',
--- a/celerywharf/settings/_loading.py
+++ b/celerywharf/settings/_loading.py
@@ -5,7 +5,7 @@
 import configparser
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from pydantic import BaseModel, ValidationError
 
@@ -14,10 +14,19 @@
 
 SECRET_SECTION = 'keys'
 
+Settings = TypeVar('Settings', bound=BaseModel)
 
-def load(path: str | Path) -> HostSettings:
+
+def load(
+    path: str | Path,
+    model: type[Settings] = HostSettings,
+) -> Settings:
     """Read a settings file.
 
+    Args:
+        path: an INI file.
+        model: the sections and keys that it may have.
+
     Raises:
         SettingsError: one line for each wrong key.
     """
@@ -25,10 +34,14 @@
         text = Path(path).read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f'{path}: cannot be read: {error}') from None
-    return loads(text, source=str(path))
+    return loads(text, str(path), model)
 
 
-def loads(text: str, source: str = 'settings') -> HostSettings:
+def loads(
+    text: str,
+    source: str = 'settings',
+    model: type[Settings] = HostSettings,
+) -> Settings:
     """Read settings from INI text; see ``load``."""
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -38,15 +51,21 @@
         raise SettingsError(f'{source}: {message}') from None
     values = {name: dict(parser[name]) for name in parser.sections()}
     try:
-        return HostSettings.model_validate(values)
+        return model.model_validate(values)
     except ValidationError as error:
-        lines = [_describe(details, values) for details in error.errors()]
+        lines = [
+            _describe(model, details, values) for details in error.errors()
+        ]
         raise SettingsError(
             '\n'.join(f'{source}: {line}' for line in lines),
         ) from None
 
 
-def _describe(details: Mapping[str, Any], values: Mapping[str, Any]) -> str:
+def _describe(
+    settings: type[BaseModel],
+    details: Mapping[str, Any],
+    values: Mapping[str, Any],
+) -> str:
     section, *rest = map(str, details['loc'])
     if not rest:
         return f'[{section}]: {details["msg"]}'
@@ -54,12 +73,12 @@
     shown = repr(values.get(section, {}).get(key, 'missing'))
     if section == SECRET_SECTION and shown != repr('missing'):
         shown = '[redacted]'
-    allowed = _allowed(section, key)
+    allowed = _allowed(settings, section, key)
     return f'[{section}] {key} = {shown}: {details["msg"]}; {allowed}'
 
 
-def _allowed(section: str, key: str) -> str:
-    field = HostSettings.model_fields.get(section)
+def _allowed(settings: type[BaseModel], section: str, key: str) -> str:
+    field = settings.model_fields.get(section)
     model = field.annotation if field else None
     if not isinstance(model, type) or not issubclass(model, BaseModel):
         return 'the section is unknown'
--- a/celerywharf/hosts/_sockets.py
+++ b/celerywharf/sockets.py
@@ -14,11 +14,11 @@
     """Listen on an address.
 
     Raises:
-        SettingsError: it cannot be listened on; names the key in ``[host]``.
+        SettingsError: it cannot be listened on; names the key.
     """
     try:
         return bind_sockets(address.port, address.ip)
     except OSError as error:
         raise SettingsError(
-            f'[host] {key} = {address}: cannot listen: {error.strerror}',
+            f'{key} = {address}: cannot listen: {error.strerror}',
         ) from None
--- a/tests/admissions/test_choices.py
+++ b/tests/admissions/test_choices.py
@@ -6,11 +6,11 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from celerywharf.admissions.choices import Chooser, Plan
-from celerywharf.admissions.outliers import Outliers
 from celerywharf.admissions.ownership import owner_of
 from celerywharf.admissions.prefixes import CacheEvent, PrefixIndex
 from celerywharf.admissions.searches import Ask, Rejected, Search
 from celerywharf.admissions.tickets import Refusal
+from celerywharf.backends.outliers import Outliers
 from celerywharf.membership import Peer
 from celerywharf.structures import Address, HostIdentity
 from celerywharf.tables import BackendServer
