Count only arrivals against the retry budget; forget a replaced incarnation

Change: a retry draws on the budget once a send has arrived; a 421 drops that incarnation until its entry shows a new one; no copy is asked for before the first event.

--- a/celerywharf/backends/_directory.py
+++ b/celerywharf/backends/_directory.py
@@ -48,6 +48,11 @@
             server = replace(server, draining=True)
         self.servers[server.name] = server
 
+    def replaced(self, server: BackendServer) -> None:
+        """Note that another backend server answers at a server's address."""
+        self.left[server.name] = server.born_ms
+        self.drop(server.name)
+
     def unreadable(self, name: str) -> None:
         """Take an entry that names no backend server to use."""
         self.drop(name)
--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -46,10 +46,15 @@
             step = await self._send()
             if not isinstance(step, SendAgain):
                 return step
-            now_s = self.services.timers.now()
-            if not self.services.budget.take(self.service, now_s):
+            if not self._may_repeat():
                 return self.plan.unserved('retry budget is used up')
 
+    def _may_repeat(self) -> bool:
+        if not self.plan.arrivals:
+            return True
+        now_s = self.services.timers.now()
+        return self.services.budget.take(self.service, now_s)
+
     async def _send(self) -> Step:
         now_s = self.services.timers.now()
         remaining_s = self.request.ends_s() - now_s
--- a/celerywharf/forwarding/_outcomes.py
+++ b/celerywharf/forwarding/_outcomes.py
@@ -23,10 +23,12 @@
     Attributes:
         reason: for the log.
         reached: a backend server said so; otherwise none was reached.
+        replaced: another backend server has its address now.
     """
 
     reason: str
     reached: bool
+    replaced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -100,6 +100,11 @@
                     return SendAgain()
                 return Fail(HTTPStatus.BAD_GATEWAY, outcome.reason)
 
+    @property
+    def arrivals(self) -> int:
+        """Return how many sends reached a backend server."""
+        return self.sends + self.refusals
+
     @property
     def repeatable(self) -> bool:
         """Tell whether the request may run more than once."""
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -69,8 +69,10 @@
     headers: AnswerHeaders,
 ) -> Refused | None:
     """Return the outcome if the backend server did not run the request."""
-    if headers.not_run or status == HTTPStatus.MISDIRECTED_REQUEST:
-        return Refused(f'backend server refused with {status}', reached=True)
+    replaced = status == HTTPStatus.MISDIRECTED_REQUEST
+    if headers.not_run or replaced:
+        reason = f'backend server refused with {status}'
+        return Refused(reason, reached=True, replaced=replaced)
     return None
 
 
@@ -126,6 +128,19 @@
     return _judge(services, request, server, response, started_s)
 
 
+def note_failure(
+    services: Services,
+    server: BackendServer,
+    outcome: Outcome,
+) -> None:
+    """Remember that a backend server failed, or is not there any more."""
+    match outcome:
+        case Refused(replaced=True):
+            services.directory.replaced(server)
+        case _:
+            services.outliers.failed(server.name, services.timers.now())
+
+
 def failed_send(
     services: Services,
     server: BackendServer,
@@ -157,7 +172,7 @@
         headers,
     )
     if outcome is not None:
-        services.outliers.failed(server.name, now_s)
+        note_failure(services, server, outcome)
         return outcome
     services.outliers.succeeded(server.name)
     services.metrics.observe('backend_answer', now_s - started_s)
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -21,7 +21,7 @@
 )
 from celerywharf.forwarding._relays import Progress, StreamRelay
 from celerywharf.forwarding._requests import IncomingRequest
-from celerywharf.forwarding._sends import outgoing
+from celerywharf.forwarding._sends import note_failure, outgoing
 from celerywharf.forwarding._silence import Sight, SilenceWatch
 from celerywharf.forwarding._stories import Story
 from celerywharf.platform import PROBE_PATH, Resumption, decode_report
@@ -62,10 +62,15 @@
             step = await self._send()
             if not isinstance(step, SendAgain):
                 return step
-            now_s = self.services.timers.now()
-            if not self.services.budget.take(self.service, now_s):
+            if not self._may_repeat():
                 return self.plan.unserved('retry budget is used up')
 
+    def _may_repeat(self) -> bool:
+        if not self.plan.arrivals:
+            return True
+        now_s = self.services.timers.now()
+        return self.services.budget.take(self.service, now_s)
+
     async def _send(self) -> Step:
         now_s = self.services.timers.now()
         remaining_s = self.request.ends_s() - now_s
@@ -99,7 +104,8 @@
         """Remember who failed and where a copy of the run may be."""
         if isinstance(outcome, Lost):
             self.failed.add(server.name)
-            self.copy_at = backup
+            # Engines copy a run from its first event on.
+            self.copy_at = backup if self.progress.events else None
         elif resumption.copy_at is None:
             self.failed.add(server.name)
 
@@ -261,10 +267,7 @@
     def _score(self, server: BackendServer, outcome: Outcome) -> None:
         match outcome:
             case Lost() | Refused():
-                self.services.outliers.failed(
-                    server.name,
-                    self.services.timers.now(),
-                )
+                note_failure(self.services, server, outcome)
             case _:
                 self.services.outliers.succeeded(server.name)
 
