Ask engines for their report before a stream or its copy is placed

Change: two candidates and one place for the copy are asked for their report (incarnation, queue, runs); zones in which servers fail together are suspect.

--- a/celerywharf/backends/_directory.py
+++ b/celerywharf/backends/_directory.py
@@ -23,6 +23,7 @@
         self.servers: dict[str, BackendServer] = {}
         self.left: dict[str, int] = {}
         self.missing: set[str] = set()
+        self.since_s: dict[str, float] = {}
         self.outage_ended_s: float | None = None
         self.in_outage = False
 
@@ -36,12 +37,18 @@
             self.in_outage = False
             self.outage_ended_s = now_s
 
-    def seen(self, server: BackendServer) -> None:
+    def known_since_s(self, name: str) -> float:
+        """Return when an incarnation was first seen."""
+        return self.since_s.get(name, 0)
+
+    def seen(self, server: BackendServer, now_s: float) -> None:
         """Take an entry."""
         known = self.servers.get(server.name)
         if known is not None and _older(server, known):
             return
         self.missing.discard(server.name)
+        if known is None or known.born_ms != server.born_ms:
+            self.since_s[server.name] = now_s
         if server.draining:
             self.left[server.name] = server.born_ms
         elif self.left.get(server.name) == server.born_ms:
@@ -72,7 +79,7 @@
         """Take a reading of the whole table."""
         names = {server.name for server in servers}
         for server in servers:
-            self.seen(server)
+            self.seen(server, now_s)
         for name in tuple(self.servers):
             if name not in names:
                 self.vanished(name, now_s)
@@ -90,6 +97,7 @@
         """Forget a backend server."""
         self.missing.discard(name)
         self.servers.pop(name, None)
+        self.since_s.pop(name, None)
 
     def usable(self, service: str) -> list[BackendServer]:
         """Return the backend servers that may get new work."""
--- a/celerywharf/backends/_loads.py
+++ b/celerywharf/backends/_loads.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+
+from celerywharf.backends._servers import EngineReport
 
 REPORT_FRESH_S = 0.3  # later the load of a call's answer has changed
+ENGINE_REPORT_FRESH_S = 1.0  # about the time that one prompt takes
+ENGINE_REPORT_LAG_S = 0.15  # engines report their load of that long ago
+SENDS_KEPT = 16
 
 
 @dataclass(slots=True)
@@ -15,6 +21,11 @@
     reported: float = 0
     reported_at_s: float = float('-inf')
     alive_at_s: float = float('-inf')
+    report: EngineReport | None = None
+    report_at_s: float = float('-inf')
+    sent_at_s: deque[float] = field(
+        default_factory=lambda: deque(maxlen=SENDS_KEPT),
+    )
 
 
 class Loads:
@@ -23,9 +34,10 @@
     def __init__(self) -> None:
         self.loads: dict[str, _Load] = {}
 
-    def started(self, name: str, tokens: int) -> None:
+    def started(self, name: str, tokens: int, now_s: float) -> None:
         """Note a request that was sent."""
         load = self._load(name)
+        load.sent_at_s.append(now_s)
         load.requests += 1
         load.tokens += tokens
         load.prompts += 1 if tokens else 0
@@ -58,13 +70,43 @@
         """Return the requests of this host that are under way there."""
         return self._load(name).requests
 
-    def prompts(self, name: str) -> int:
-        """Return the prompts of this host that are not read yet there."""
-        return self._load(name).prompts
+    def report(self, name: str, report: EngineReport, now_s: float) -> None:
+        """Note an engine's own report."""
+        load = self._load(name)
+        load.report = report
+        load.report_at_s = now_s
+        load.alive_at_s = now_s
+
+    def report_at_s(self, name: str) -> float:
+        """Return when the last report came."""
+        return self._load(name).report_at_s
+
+    def prompts(self, name: str, now_s: float) -> int:
+        """Return how many prompts are not read yet there."""
+        load = self._load(name)
+        if not self._report_fresh(load, now_s):
+            return load.prompts
+        seen_s = load.report_at_s - ENGINE_REPORT_LAG_S
+        later = sum(sent_s > seen_s for sent_s in load.sent_at_s)
+        reported = load.report.waiting + load.report.prefilling
+        return max(load.prompts, reported + later)
+
+    def running(self, name: str, now_s: float) -> int:
+        """Return how many requests are under way there."""
+        load = self._load(name)
+        if not self._report_fresh(load, now_s):
+            return load.requests
+        return max(load.requests, load.report.running)
+
+    def tokens(self, name: str, now_s: float) -> int:
+        """Return the token memory used there."""
+        load = self._load(name)
+        if not self._report_fresh(load, now_s):
+            return load.tokens
+        return max(load.tokens, load.report.used_tokens)
 
-    def tokens(self, name: str) -> int:
-        """Return the token memory that this host uses there."""
-        return self._load(name).tokens
+    def _report_fresh(self, load: _Load, now_s: float) -> bool:
+        return now_s - load.report_at_s < ENGINE_REPORT_FRESH_S
 
     def recent(self, name: str, now_s: float) -> float:
         """Return the load last told, 0 if that is too old."""
--- a/celerywharf/backends/_placement.py
+++ b/celerywharf/backends/_placement.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from celerywharf.backends._condition import Condition
 from celerywharf.backends._directory import Directory
 from celerywharf.backends._loads import Loads
 from celerywharf.backends._servers import BackendServer
-from celerywharf.backends.outliers import Outliers
 
 # Costs of distance, in shares of a loaded server's slots.
 CALL_ZONE_COST = 0.15
@@ -19,6 +19,9 @@
 STREAM_REGION_COST = 0.8
 # A stream that runs slows a prompt down by about a quarter of a prompt.
 RUNNING_COST = 0.25
+# A server that may have failed with its zone is worse than a loaded one.
+SUSPECT_COST = 4.0
+SUSPECT_BACKUP_COST = 4.0
 TIE = 0.05  # random part that spreads equal choices
 
 
@@ -51,43 +54,45 @@
         self,
         directory: Directory,
         loads: Loads,
-        outliers: Outliers,
+        condition: Condition,
         availability_zone: str,
         regions: dict[str, str],
         random: Random,
     ) -> None:
         self.directory = directory
         self.loads = loads
-        self.outliers = outliers
+        self.condition = condition
         self.availability_zone = availability_zone
         self.regions = regions
         self.random = random
 
     def choose(self, demand: Demand, now_s: float) -> BackendServer | None:
         """Return the best backend server, None if none may get it."""
+        return next(iter(self.ranked(demand, now_s)), None)
+
+    def ranked(self, demand: Demand, now_s: float) -> list[BackendServer]:
+        """Return the backend servers that may get a request, best first."""
         usable = [
             server
             for server in self.directory.usable(demand.service)
-            if server.name not in demand.excluded and self._fits(server, demand)
+            if server.name not in demand.excluded
+            and self._fits(server, demand, now_s)
         ]
         healthy = [
-            server
-            for server in usable
-            if self.outliers.usable(server.name, now_s)
+            server for server in usable if self.condition.usable(server, now_s)
         ]
-        return min(
+        return sorted(
             healthy or usable,
             key=lambda server: self._cost(server, demand, now_s),
-            default=None,
         )
 
-    def backup(
+    def backups(
         self,
         server: BackendServer,
         demand: Demand,
         now_s: float,
-    ) -> BackendServer | None:
-        """Return where to keep a copy of a run's memory.
+    ) -> list[BackendServer]:
+        """Return where a copy of a run's memory may be kept, best first.
 
         Zones fail as a whole, so another zone is required; one of the same
         region is preferred.
@@ -97,24 +102,30 @@
             for other in self.directory.usable(server.service)
             if other.availability_zone != server.availability_zone
             and other.name not in demand.excluded
-            and self.outliers.usable(other.name, now_s)
-            and self._fits(other, demand)
+            and self.condition.usable(other, now_s)
+            and self._fits(other, demand, now_s)
         ]
         region = self.regions.get(server.availability_zone)
-        return min(
+        return sorted(
             others,
             key=lambda other: (
-                self.loads.tokens(other.name) / max(demand.capacity_tokens, 1)
+                self.condition.suspect(other, now_s) * SUSPECT_BACKUP_COST
+                + self.loads.tokens(other.name, now_s)
+                / max(demand.capacity_tokens, 1)
                 + (self.regions.get(other.availability_zone) != region)
                 + self.random.random() * TIE
             ),
-            default=None,
         )
 
-    def _fits(self, server: BackendServer, demand: Demand) -> bool:
+    def _fits(
+        self,
+        server: BackendServer,
+        demand: Demand,
+        now_s: float,
+    ) -> bool:
         if not demand.capacity_tokens:
             return True
-        used = self.loads.tokens(server.name)
+        used = self.loads.tokens(server.name, now_s)
         return not used or used + demand.tokens <= demand.capacity_tokens
 
     def _cost(
@@ -125,10 +136,12 @@
     ) -> float:
         name = server.name
         tie = self.random.random() * TIE
+        if self.condition.suspect(server, now_s):
+            tie += SUSPECT_COST
         if demand.tokens:
             work = (
-                self.loads.prompts(name)
-                + self.loads.requests(name) * RUNNING_COST
+                self.loads.prompts(name, now_s)
+                + self.loads.running(name, now_s) * RUNNING_COST
             )
             near = self._distance(server, STREAM_ZONE_COST, STREAM_REGION_COST)
             return work + near + tie
--- a/celerywharf/backends/_servers.py
+++ b/celerywharf/backends/_servers.py
@@ -36,9 +36,20 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineReport:
-    """Load of an engine, some hundred milliseconds old."""
+    """Load of an engine, some hundred milliseconds old.
+
+    Attributes:
+        waiting: requests in its queue.
+        running: requests that hold a slot.
+        prefilling: those of them that have made no event.
+        used_tokens: token memory that cannot yield.
+        capacity_tokens: token memory in all.
+        born_ms: start of the incarnation, Unix milliseconds; 0 if not told.
+    """
 
     waiting: int
     running: int
+    prefilling: int
     used_tokens: int
     capacity_tokens: int
+    born_ms: int
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -6,8 +6,9 @@
 from random import Random
 
 from celerywharf.adapters.transports import Transport
-from celerywharf.backends import Directory, Loads, Outliers, Placement
+from celerywharf.backends import Condition, Loads, Placement
 from celerywharf.forwarding._budget import RetryBudget
+from celerywharf.forwarding._reports import Reports
 from celerywharf.metrics import Metrics
 from celerywharf.routing import Knowledge
 from celerywharf.timers import TimerService
@@ -20,10 +21,10 @@
     transport: Transport
     timers: TimerService
     knowledge: Knowledge
-    directory: Directory
     loads: Loads
-    outliers: Outliers
+    condition: Condition
     placement: Placement
+    reports: Reports
     budget: RetryBudget
     metrics: Metrics
     random: Random
--- a/celerywharf/forwarding/_outcomes.py
+++ b/celerywharf/forwarding/_outcomes.py
@@ -37,9 +37,11 @@
 
     Attributes:
         reason: for the log.
+        broken: the connection broke or went silent; the server may be dead.
     """
 
     reason: str
+    broken: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -111,7 +111,7 @@
 
     def _end(self, error: TransportError | None) -> Outcome:
         if error:
-            return failed_send(self.services, self.server, error)
+            return failed_send(error)
         if self.splitter.rest:
             return Lost('stream ended inside an event')
         if self.status == HTTPStatus.OK:
--- /dev/null
+++ b/celerywharf/forwarding/_reports.py
@@ -0,0 +1,75 @@
+"""Asks engines for their load when a stream has to be placed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Iterable
+
+from celerywharf.adapters.transports import HttpRequest, Transport
+from celerywharf.backends import BackendServer, Condition, Loads
+from celerywharf.exceptions import ProtocolError, TransportError
+from celerywharf.platform import PROBE_PATH, decode_report
+from celerywharf.timers import TimerService
+
+logger = logging.getLogger(__name__)
+
+REPORT_TIMEOUT_S = 0.25  # a round trip between regions takes 40 ms
+# Engines report their load of some 100 ms ago; asking more often tells no more.
+REPORT_FRESH_S = 0.2
+
+
+class Reports:
+    """Fetches reports of engines, each at most once within a short time.
+
+    Answers the load of streams over many hosts: no host sees what the others
+    send, and an engine that has crashed keeps its entry for seconds.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        timers: TimerService,
+        loads: Loads,
+        condition: Condition,
+    ) -> None:
+        self.transport = transport
+        self.timers = timers
+        self.loads = loads
+        self.condition = condition
+
+    async def refresh(self, servers: Iterable[BackendServer]) -> None:
+        """Ask those servers whose last report is too old."""
+        now_s = self.timers.now()
+        await asyncio.gather(
+            *(
+                self.ask(server)
+                for server in servers
+                if now_s - self.loads.report_at_s(server.name) > REPORT_FRESH_S
+            ),
+        )
+
+    async def ask(self, server: BackendServer) -> bool:
+        """Ask one server; tell whether it lives."""
+        request = HttpRequest(
+            'GET',
+            f'http://{server.address}{PROBE_PATH}',
+            timeout_s=REPORT_TIMEOUT_S,
+            connect_timeout_s=REPORT_TIMEOUT_S,
+        )
+        try:
+            response = await self.transport.fetch(request)
+            report = decode_report(response.body)
+        except (TransportError, ProtocolError) as error:
+            logger.info(
+                'no report',
+                extra={'backend_server': server.name, 'reason': error.message},
+            )
+            self.condition.unreachable(server, self.timers.now())
+            return False
+        now_s = self.timers.now()
+        if report.born_ms and report.born_ms != server.born_ms:
+            self.condition.replaced(server, now_s)
+            return False
+        self.loads.report(server.name, report, now_s)
+        return True
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -9,7 +9,13 @@
 from celerywharf.backends import BackendServer
 from celerywharf.exceptions import TransportError
 from celerywharf.forwarding._context import Services
-from celerywharf.forwarding._outcomes import Answered, Lost, Outcome, Refused
+from celerywharf.forwarding._outcomes import (
+    Answered,
+    Finished,
+    Lost,
+    Outcome,
+    Refused,
+)
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.platform import (
     AnswerHeaders,
@@ -110,49 +116,65 @@
         patience_s: how long to wait for the answer.
     """
     started_s = services.timers.now()
-    services.loads.started(server.name, 0)
-    services.outliers.started(server.name)
+    services.loads.started(server.name, 0, started_s)
+    services.condition.started(server)
     try:
-        async with asyncio.timeout(patience_s):
-            response = await services.transport.fetch(
-                outgoing(request, server, remaining_s),
-            )
-    except TimeoutError:
-        services.outliers.failed(server.name, services.timers.now())
-        return Lost('no answer in time')
-    except TransportError as error:
-        return failed_send(services, server, error)
+        outcome = await _exchange(
+            services,
+            outgoing(request, server, remaining_s),
+            patience_s,
+        )
     finally:
         services.loads.ended(server.name, 0)
-        services.outliers.ended(server.name)
-    return _judge(services, request, server, response, started_s)
+        services.condition.ended(server)
+    if isinstance(outcome, HttpResponse):
+        outcome = _judge(services, request, server, outcome)
+    note_outcome(services, server, outcome)
+    if isinstance(outcome, Answered):
+        took_s = services.timers.now() - started_s
+        services.metrics.observe('backend_answer', took_s)
+    return outcome
 
 
-def note_failure(
+def note_outcome(
     services: Services,
     server: BackendServer,
     outcome: Outcome,
 ) -> None:
-    """Remember that a backend server failed, or is not there any more."""
+    """Judge a backend server by what a send to it came to."""
+    now_s = services.timers.now()
     match outcome:
         case Refused(replaced=True):
-            services.directory.replaced(server)
-        case _:
-            services.outliers.failed(server.name, services.timers.now())
-
-
-def failed_send(
-    services: Services,
-    server: BackendServer,
-    error: TransportError,
-) -> Outcome:
+            services.condition.replaced(server, now_s)
+        case Refused(reached=False):
+            services.condition.unreachable(server, now_s)
+        case Lost(broken=True):
+            services.condition.lost(server, now_s)
+        case Refused() | Lost():
+            services.condition.failed(server, now_s)
+        case Answered() | Finished():
+            services.condition.succeeded(server, now_s)
+
+
+def failed_send(error: TransportError) -> Refused | Lost:
     """Return the outcome of a send that curl reports as failed."""
-    now_s = services.timers.now()
     if error.verdict is Verdict.not_run:
-        services.outliers.unreachable(server.name, now_s)
         return Refused(error.message, reached=False)
-    services.outliers.failed(server.name, now_s)
-    return Lost(error.message)
+    return Lost(error.message, broken=True)
+
+
+async def _exchange(
+    services: Services,
+    request: HttpRequest,
+    patience_s: float,
+) -> HttpResponse | Refused | Lost:
+    try:
+        async with asyncio.timeout(patience_s):
+            return await services.transport.fetch(request)
+    except TimeoutError:
+        return Lost('no answer in time')
+    except TransportError as error:
+        return failed_send(error)
 
 
 def _judge(
@@ -160,20 +182,13 @@
     request: IncomingRequest,
     server: BackendServer,
     response: HttpResponse,
-    started_s: float,
 ) -> Outcome:
     headers = read_answer_headers(response.headers)
-    now_s = services.timers.now()
     if headers.load is not None:
+        now_s = services.timers.now()
         services.loads.reported(server.name, headers.load, now_s)
-    outcome = refusal(response.status, headers) or distrust(
-        request,
-        response.status,
-        headers,
+    return (
+        refusal(response.status, headers)
+        or distrust(request, response.status, headers)
+        or Answered(response, headers)
     )
-    if outcome is not None:
-        note_failure(services, server, outcome)
-        return outcome
-    services.outliers.succeeded(server.name)
-    services.metrics.observe('backend_answer', now_s - started_s)
-    return Answered(response, headers)
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import logging
+from dataclasses import replace
 
-from celerywharf.adapters.transports import HttpRequest
 from celerywharf.backends import BackendServer, Demand
-from celerywharf.exceptions import ProtocolError, TransportError
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import Services
 from celerywharf.forwarding._outcomes import Answered, Lost, Outcome, Refused
@@ -21,15 +19,14 @@
 )
 from celerywharf.forwarding._relays import Progress, StreamRelay
 from celerywharf.forwarding._requests import IncomingRequest
-from celerywharf.forwarding._sends import note_failure, outgoing
+from celerywharf.forwarding._sends import note_outcome, outgoing
 from celerywharf.forwarding._silence import Sight, SilenceWatch
 from celerywharf.forwarding._stories import Story
-from celerywharf.platform import PROBE_PATH, Resumption, decode_report
+from celerywharf.platform import Resumption
 from celerywharf.routing import ResumableStream
 
-logger = logging.getLogger(__name__)
-
-PROBE_TIMEOUT_S = 0.3  # a round trip between regions takes 40 ms
+CANDIDATES = 2  # engines asked for their load before a stream is placed
+BACKUP_CANDIDATES = 1  # the same for the place of its copy
 NO_GAP_TARGET_S = 2.0  # pause allowed on streams that cannot be resumed
 
 
@@ -76,10 +73,10 @@
         remaining_s = self.request.ends_s() - now_s
         if remaining_s <= 0:
             return self.plan.timed_out()
-        server, resumption = self._place(now_s)
+        server, resumption = await self._place()
         if server is None:
             return self.plan.unserved('no backend server')
-        backup = self._backup(server, now_s)
+        backup = await self._backup(server)
         outcome = await self._relay(server, resumption, remaining_s, backup)
         self._note(server, outcome, resumption, backup)
         remaining_s = self.request.ends_s() - self.services.timers.now()
@@ -118,44 +115,45 @@
             return self.plan.timed_out()
         return step
 
-    def _place(
-        self,
-        now_s: float,
-    ) -> tuple[BackendServer | None, Resumption]:
+    async def _place(self) -> tuple[BackendServer | None, Resumption]:
         last_event = self.progress.last_event
         copy = self.copy_at
         self.copy_at = None
         if copy is not None and copy.name not in self.failed:
             return copy, Resumption(last_event, copy.address)
-        server = self.services.placement.choose(
-            Demand(
-                self.service,
-                self.demand.tokens,
-                self.demand.capacity_tokens,
-                self.failed,
-            ),
+        ranked = self._ranked()
+        await self.services.reports.refresh(ranked[:CANDIDATES])
+        server = next(iter(self._ranked()), None)
+        return server, Resumption(last_event)
+
+    def _ranked(self) -> list[BackendServer]:
+        now_s = self.services.timers.now()
+        return self.services.placement.ranked(self._open_demand(), now_s)
+
+    async def _backup(self, server: BackendServer) -> BackendServer | None:
+        if not self._keeps_copies():
+            return None
+        ranked = self._backups(server)
+        await self.services.reports.refresh(ranked[:BACKUP_CANDIDATES])
+        return next(iter(self._backups(server)), None)
+
+    def _backups(self, server: BackendServer) -> list[BackendServer]:
+        now_s = self.services.timers.now()
+        return self.services.placement.backups(
+            server,
+            self._open_demand(),
             now_s,
         )
-        return server, Resumption(last_event)
 
-    def _backup(
-        self,
-        server: BackendServer,
-        now_s: float,
-    ) -> BackendServer | None:
+    def _keeps_copies(self) -> bool:
         configuration = self.services.knowledge.configuration
         service = configuration.services.get(self.service)
         if service is None or service.memory is None:
-            return None
-        if not service.memory.backups or not self.plan.repeatable:
-            return None
-        demand = Demand(
-            self.service,
-            self.demand.tokens,
-            self.demand.capacity_tokens,
-            self.failed,
-        )
-        return self.services.placement.backup(server, demand, now_s)
+            return False
+        return service.memory.backups and self.plan.repeatable
+
+    def _open_demand(self) -> Demand:
+        return replace(self.demand, excluded=self.failed)
 
     def _demand(self) -> Demand:
         configuration = self.services.knowledge.configuration
@@ -188,8 +186,8 @@
             watch,
         )
         tokens = self.demand.tokens
-        services.loads.started(server.name, tokens)
-        services.outliers.started(server.name)
+        services.loads.started(server.name, tokens, services.timers.now())
+        services.condition.started(server)
         transfer = services.transport.stream(
             outgoing(
                 self.request,
@@ -205,7 +203,11 @@
         finally:
             transfer.cancel()
             self._release(server, watch)
-        self._score(server, outcome)
+        match outcome:
+            case Refused(reached=True, replaced=False) if resumption.copy_at:
+                pass  # it holds no copy, which says nothing about its health
+            case _:
+                note_outcome(services, server, outcome)
         return outcome
 
     def _release(self, server: BackendServer, watch: SilenceWatch) -> None:
@@ -213,7 +215,7 @@
         if tokens and not watch.flowing:
             self.services.loads.prefilled(server.name)
         self.services.loads.ended(server.name, tokens)
-        self.services.outliers.ended(server.name)
+        self.services.condition.ended(server)
 
     async def _watch(
         self, relay: StreamRelay, server: BackendServer
@@ -229,48 +231,16 @@
                 return Lost('time is over')
             alive_at_s = self.services.loads.alive_at_s(server.name)
             sight = relay.watch.judge(now_s, alive_at_s)
-            if sight is Sight.suspect and not await self._probe(server):
+            if sight is Sight.suspect and not await self.services.reports.ask(
+                server
+            ):
                 sight = Sight.dead
             if relay.done.done():
                 return relay.done.result()
             if sight is Sight.dead:
-                self.services.outliers.unreachable(server.name, now_s)
-                return Lost('silence')
+                return Lost('silence', broken=True)
             wait_s = min(relay.watch.limit_s(), max(ends_s - now_s, 0))
 
-    async def _probe(self, server: BackendServer) -> bool:
-        try:
-            response = await self.services.transport.fetch(
-                HttpRequest(
-                    'GET',
-                    f'http://{server.address}{PROBE_PATH}',
-                    timeout_s=PROBE_TIMEOUT_S,
-                    connect_timeout_s=PROBE_TIMEOUT_S,
-                    fresh=True,
-                ),
-            )
-            report = decode_report(response.body)
-        except (TransportError, ProtocolError) as error:
-            logger.info(
-                'probe failed',
-                extra={
-                    'request_id': self.request.headers.request_id,
-                    'backend_server': server.name,
-                    'reason': error.message,
-                },
-            )
-            return False
-        logger.debug('probe', extra={'report': response.body.decode()})
-        self.services.loads.alive(server.name, self.services.timers.now())
-        return bool(report.running or report.waiting)
-
-    def _score(self, server: BackendServer, outcome: Outcome) -> None:
-        match outcome:
-            case Lost() | Refused():
-                note_failure(self.services, server, outcome)
-            case _:
-                self.services.outliers.succeeded(server.name)
-
     def _gap_target_s(self) -> float:
         match self.request.route.policy:
             case ResumableStream(gap_target_s=gap_target_s):
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -9,8 +9,13 @@
 from tornado.httpserver import HTTPServer
 
 from celerywharf.adapters import CurlTransport
-from celerywharf.backends import Directory, Loads, Outliers, Placement
-from celerywharf.forwarding import Forwarder, RetryBudget, Services
+from celerywharf.backends import Condition, Directory, Loads, Placement
+from celerywharf.forwarding import (
+    Forwarder,
+    Reports,
+    RetryBudget,
+    Services,
+)
 from celerywharf.fronts._admittance import Admittance
 from celerywharf.fronts._edge import Edge
 from celerywharf.fronts._leaving import Leaving
@@ -126,22 +131,27 @@
     def _services(self) -> Services:
         bounds = self.settings.bounds
         loads = Loads()
-        outliers = Outliers()
+        condition = Condition(self.directory, loads)
         return Services(
             transport=self.transport,
             timers=self.timers,
             knowledge=self.knowledge,
-            directory=self.directory,
             loads=loads,
-            outliers=outliers,
+            condition=condition,
             placement=Placement(
                 self.directory,
                 loads,
-                outliers,
+                condition,
                 self.settings.front.availability_zone,
                 self.settings.zones.regions,
                 self.random,
             ),
+            reports=Reports(
+                self.transport,
+                self.timers,
+                loads,
+                condition,
+            ),
             budget=RetryBudget(
                 bounds.retry_ratio * RATIO_SHARE,
                 int(bounds.retry_slack / HOSTS_SHARING_SLACK),
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -223,7 +223,7 @@
                     'sequence': server.sequence,
                 },
             )
-            self.directory.seen(server)
+            self.directory.seen(server, now_s)
 
     def lost(self) -> None:
         """Keep entries that lapse meanwhile."""
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Literal, TypeVar
+from typing import Any, Literal, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic.alias_generators import to_camel
@@ -156,6 +156,9 @@
     running: int
     kv_used: int
     kv_total: int
+    born: int = 0
+    # Only runs that have made an event are listed.
+    runs: list[Any] = Field(default_factory=list)
 
 
 def decode_configuration(text: bytes) -> Configuration:
@@ -214,8 +217,10 @@
     return EngineReport(
         waiting=document.queued,
         running=document.running,
+        prefilling=max(0, document.running - len(document.runs)),
         used_tokens=document.kv_used,
         capacity_tokens=document.kv_total,
+        born_ms=document.born,
     )
 
 
