Refuse streams at a host that is leaving

Change: from SIGTERM on a host answers new streams 503 with a short Retry-After and Connection: close; calls go on being served.

--- a/celerywharf/fronts/_admittance.py
+++ b/celerywharf/fronts/_admittance.py
@@ -7,10 +7,18 @@
 from http import HTTPStatus
 
 from celerywharf.platform import RequestHeaders
-from celerywharf.routing import ClientLimits, Configuration, Knowledge, Route
+from celerywharf.routing import (
+    ClientLimits,
+    Configuration,
+    Idempotent,
+    Knowledge,
+    NonIdempotent,
+    Route,
+)
 
 # Another host is asked after this: long enough for the balancer's next look.
 ELSEWHERE_RETRY_AFTER_S = 0.2
+LEAVING_RETRY_AFTER_S = 0.05  # other hosts take the request at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +51,11 @@
 
 
 class Admittance:
-    """Checks route and key against what this host knows."""
+    """Checks route and key against what this host knows.
+
+    Attributes:
+        leaving: the host is about to stop.
+    """
 
     def __init__(
         self,
@@ -52,6 +64,7 @@
     ) -> None:
         self.knowledge = knowledge
         self.boot_time_s = boot_time_s
+        self.leaving = False
 
     def limits(self) -> ClientLimits | None:
         """Return the bounds on what callers send, None if unknown."""
@@ -77,7 +90,30 @@
                 retry_after_s=ELSEWHERE_RETRY_AFTER_S,
                 elsewhere=True,
             )
-        return _check(configuration, target, host, headers, age_s)
+        admitted = _check(configuration, target, host, headers, age_s)
+        if self.leaving and isinstance(admitted, Admitted):
+            return self._before_leaving(admitted, configuration, age_s)
+        return admitted
+
+    def _before_leaving(
+        self,
+        admitted: Admitted,
+        configuration: Configuration,
+        age_s: float | None,
+    ) -> Admitted | Denied:
+        """Let short calls pass; a stream would outlast this host."""
+        match admitted.route.policy:
+            case Idempotent() | NonIdempotent():
+                return admitted
+            case _:
+                return Denied(
+                    HTTPStatus.SERVICE_UNAVAILABLE,
+                    'this host is leaving',
+                    configuration.version,
+                    age_s,
+                    retry_after_s=LEAVING_RETRY_AFTER_S,
+                    elsewhere=True,
+                )
 
 
 def _check(
--- a/celerywharf/fronts/_edge.py
+++ b/celerywharf/fronts/_edge.py
@@ -27,14 +27,12 @@
 
     Attributes:
         readers: one for each connection, waiting or at work.
-        leaving: callers are told to use another connection.
     """
 
     def __init__(self, admittance: Admittance, forwarder: Forwarder) -> None:
         self.admittance = admittance
         self.forwarder = forwarder
         self.readers: dict[object, RequestReader] = {}
-        self.leaving = False
 
     def start_request(
         self,
@@ -94,7 +92,7 @@
         self.has_body = (
             'Content-Length' in headers or 'Transfer-Encoding' in headers
         )
-        self.caller.closing = self.edge.leaving
+        self.caller.closing = self.edge.admittance.leaving
         try:
             self.headers = read_request_headers(headers.get_all())
         except ValueError as error:
@@ -117,7 +115,7 @@
         if self.caller.finished:
             return
         self.connection.set_close_callback(self.on_connection_close)
-        self.caller.closing = self.edge.leaving
+        self.caller.closing = self.edge.admittance.leaving
         admitted = self.edge.admittance.admit(
             self.start_line.path,
             self.host,
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -108,7 +108,7 @@
     def ready(self) -> bool:
         """Tell whether this front should get new connections."""
         return (
-            not self.edge.leaving
+            not self.edge.admittance.leaving
             and self.watchers[1].version is not None
             and self.knowledge.accepts_keys(boot_time_s())
         )
--- a/celerywharf/fronts/_leaving.py
+++ b/celerywharf/fronts/_leaving.py
@@ -34,7 +34,7 @@
         """Return when no request is under way or the grace time is over."""
         started_s = self.timers.now()
         ends_s = started_s + self.grace_s - STOP_RESERVE_S
-        self.edge.leaving = True
+        self.edge.admittance.leaving = True
         logger.info('leaving', extra={'requests': self.edge.busy()})
         await asyncio.sleep(BALANCER_NOTICES_S)
         while self.timers.now() < ends_s:
