Ask the next candidates for a report when the first are dead

Change: candidates are asked until the first of the ranking has a fresh report, three rounds at most.

--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable
 
 from celerywharf.adapters.transports import HttpRequest, Transport
 from celerywharf.backends import BackendServer, Condition, Loads
@@ -17,6 +17,7 @@
 REPORT_TIMEOUT_S = 0.25  # a round trip between regions takes 40 ms
 # Engines report their load of some 100 ms ago; asking more often tells no more.
 REPORT_FRESH_S = 0.2
+MOST_ROUNDS = 3  # when those asked do not answer, the next ones are
 
 
 class Reports:
@@ -38,16 +39,23 @@
         self.loads = loads
         self.condition = condition
 
-    async def refresh(self, servers: Iterable[BackendServer]) -> None:
-        """Ask those servers whose last report is too old."""
-        now_s = self.timers.now()
-        await asyncio.gather(
-            *(
-                self.ask(server)
-                for server in servers
-                if now_s - self.loads.report_at_s(server.name) > REPORT_FRESH_S
-            ),
-        )
+    async def best(
+        self,
+        rank: Callable[[], list[BackendServer]],
+        candidates: int,
+    ) -> BackendServer | None:
+        """Return the first of a ranking whose report is fresh.
+
+        Args:
+            rank: ranks by what is known when it is called.
+            candidates: how many of the first are asked at a time.
+        """
+        for _ in range(MOST_ROUNDS):
+            stale = [one for one in rank()[:candidates] if self._stale(one)]
+            if not stale:
+                break
+            await asyncio.gather(*(self.ask(server) for server in stale))
+        return next(iter(rank()), None)
 
     async def ask(self, server: BackendServer) -> bool:
         """Ask one server; tell whether it lives."""
@@ -73,3 +81,7 @@
             return False
         self.loads.report(server.name, report, now_s)
         return True
+
+    def _stale(self, server: BackendServer) -> bool:
+        age_s = self.timers.now() - self.loads.report_at_s(server.name)
+        return age_s > REPORT_FRESH_S
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from dataclasses import replace
 
 from celerywharf.backends import BackendServer, Demand
@@ -121,9 +122,7 @@
         self.copy_at = None
         if copy is not None and copy.name not in self.failed:
             return copy, Resumption(last_event, copy.address)
-        ranked = self._ranked()
-        await self.services.reports.refresh(ranked[:CANDIDATES])
-        server = next(iter(self._ranked()), None)
+        server = await self.services.reports.best(self._ranked, CANDIDATES)
         return server, Resumption(last_event)
 
     def _ranked(self) -> list[BackendServer]:
@@ -133,9 +132,10 @@
     async def _backup(self, server: BackendServer) -> BackendServer | None:
         if not self._keeps_copies():
             return None
-        ranked = self._backups(server)
-        await self.services.reports.refresh(ranked[:BACKUP_CANDIDATES])
-        return next(iter(self._backups(server)), None)
+        return await self.services.reports.best(
+            functools.partial(self._backups, server),
+            BACKUP_CANDIDATES,
+        )
 
     def _backups(self, server: BackendServer) -> list[BackendServer]:
         now_s = self.services.timers.now()
