Take a stream's load when it is placed; go on from a copy without reports

Change: a place is taken before any wait; a resumption from a copy chooses the next place for a copy unasked. The log of a stream tells its first event and longest gap.

--- a/celerywharf/forwarding/_forwarder.py
+++ b/celerywharf/forwarding/_forwarder.py
@@ -4,6 +4,7 @@
 
 import logging
 from http import HTTPStatus
+from typing import Any
 
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._calls import CallForwarding
@@ -35,15 +36,18 @@
         version = self.services.knowledge.configuration.version
         story = Story(request, version)
         service = self._pick_service(request)
+        details: dict[str, Any] = {}
         match request.route.policy:
             case ResumableStream() | SingleStream():
-                step = await StreamForwarding(
+                stream = StreamForwarding(
                     self.services,
                     request,
                     service,
                     story,
                     caller,
-                ).run()
+                )
+                step = await stream.run()
+                details = stream.details()
             case Idempotent() | NonIdempotent():
                 step = await CallForwarding(
                     self.services,
@@ -52,7 +56,7 @@
                     story,
                 ).run()
         self._answer(step, caller)
-        story.ended(step, self.services.timers.now())
+        story.ended(step, self.services.timers.now(), **details)
 
     def _answer(self, step: PassOn | Fail | Done, caller: Caller) -> None:
         match step:
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -36,11 +36,26 @@
     Attributes:
         last_event: id of the last event written; None before the first.
         events: how many were written.
+        first_s: when the first was written, monotonic seconds.
+        longest_gap_s: longest pause between two of them.
     """
 
     def __init__(self, last_event: int | None) -> None:
         self.last_event = last_event
         self.events = 0
+        self.first_s: float | None = None
+        self.last_s: float = 0
+        self.longest_gap_s: float = 0
+
+    def written(self, now_s: float) -> None:
+        """Note an event that was written to the caller."""
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            gap_s = now_s - self.last_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.last_s = now_s
+        self.events += 1
 
 
 class StreamRelay:
@@ -138,7 +153,7 @@
             self.progress.last_event = event.number
         if not self.caller.started:
             self.caller.begin(self.status, self.headers.passed_on)
-        self.progress.events += 1
+        self.progress.written(now_s)
         self.caller.write(event.text)
 
     def _settle(self, outcome: Outcome) -> None:
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 from dataclasses import replace
+from typing import Any
 
 from celerywharf.backends import BackendServer, Demand
 from celerywharf.forwarding._caller import Caller
@@ -26,6 +27,7 @@
 from celerywharf.platform import Resumption
 from celerywharf.routing import ResumableStream
 
+MILLISECONDS = 1000
 CANDIDATES = 2  # engines asked for their load before a stream is placed
 BACKUP_CANDIDATES = 1  # the same for the place of its copy
 NO_GAP_TARGET_S = 2.0  # pause allowed on streams that cannot be resumed
@@ -52,6 +54,7 @@
         self.demand = self._demand()
         self.failed: set[str] = set()
         self.copy_at: BackendServer | None = None
+        self.watch: SilenceWatch | None = None
 
     async def run(self) -> PassOn | Fail | Done:
         """Return what the caller is told, unless it already has it all."""
@@ -69,6 +72,18 @@
         now_s = self.services.timers.now()
         return self.services.budget.take(self.service, now_s)
 
+    def details(self) -> dict[str, Any]:
+        """Return what the log says of a stream that has ended."""
+        progress = self.progress
+        if progress.first_s is None:
+            return {'events': 0}
+        first_s = progress.first_s - self.request.arrived_s
+        return {
+            'events': progress.events,
+            'first_event_ms': round(first_s * MILLISECONDS),
+            'longest_gap_ms': round(progress.longest_gap_s * MILLISECONDS),
+        }
+
     async def _send(self) -> Step:
         now_s = self.services.timers.now()
         remaining_s = self.request.ends_s() - now_s
@@ -77,8 +92,13 @@
         server, resumption = await self._place()
         if server is None:
             return self.plan.unserved('no backend server')
-        backup = await self._backup(server)
-        outcome = await self._relay(server, resumption, remaining_s, backup)
+        # Taken at once, so that other streams placed now see it.
+        self._take(server)
+        try:
+            backup = await self._backup(server, resumption)
+            outcome = await self._relay(server, resumption, remaining_s, backup)
+        finally:
+            self._release(server)
         self._note(server, outcome, resumption, backup)
         remaining_s = self.request.ends_s() - self.services.timers.now()
         step = self._step(outcome, remaining_s)
@@ -129,9 +149,16 @@
         now_s = self.services.timers.now()
         return self.services.placement.ranked(self._open_demand(), now_s)
 
-    async def _backup(self, server: BackendServer) -> BackendServer | None:
+    async def _backup(
+        self,
+        server: BackendServer,
+        resumption: Resumption,
+    ) -> BackendServer | None:
         if not self._keeps_copies():
             return None
+        if resumption.copy_at is not None:
+            # The caller waits for the next event; reports take too long.
+            return next(iter(self._backups(server)), None)
         return await self.services.reports.best(
             functools.partial(self._backups, server),
             BACKUP_CANDIDATES,
@@ -176,18 +203,15 @@
         backup: BackendServer | None,
     ) -> Outcome:
         services = self.services
-        watch = SilenceWatch(self._gap_target_s(), services.timers.now())
+        self.watch = SilenceWatch(self._gap_target_s(), services.timers.now())
         relay = StreamRelay(
             services,
             self.request,
             server,
             self.caller,
             self.progress,
-            watch,
+            self.watch,
         )
-        tokens = self.demand.tokens
-        services.loads.started(server.name, tokens, services.timers.now())
-        services.condition.started(server)
         transfer = services.transport.stream(
             outgoing(
                 self.request,
@@ -202,7 +226,6 @@
             outcome = await self._watch(relay, server)
         finally:
             transfer.cancel()
-            self._release(server, watch)
         match outcome:
             case Refused(reached=True, replaced=False) if resumption.copy_at:
                 pass  # it holds no copy, which says nothing about its health
@@ -210,9 +233,15 @@
                 note_outcome(services, server, outcome)
         return outcome
 
-    def _release(self, server: BackendServer, watch: SilenceWatch) -> None:
+    def _take(self, server: BackendServer) -> None:
+        now_s = self.services.timers.now()
+        self.watch = None
+        self.services.loads.started(server.name, self.demand.tokens, now_s)
+        self.services.condition.started(server)
+
+    def _release(self, server: BackendServer) -> None:
         tokens = self.demand.tokens
-        if tokens and not watch.flowing:
+        if tokens and not (self.watch and self.watch.flowing):
             self.services.loads.prefilled(server.name)
         self.services.loads.ended(server.name, tokens)
         self.services.condition.ended(server)
