End a silent stream when its silence is due, or when a report shows it lost

And silence was looked at one limit after the last look, up to 0.7 s after the last event. Change: the watch says when silence is due; a report that lists the request as answering, or an empty queue, ends the send. Placing became a class of its own.

--- a/celerywharf/backends/_servers.py
+++ b/celerywharf/backends/_servers.py
@@ -45,6 +45,7 @@
         used_tokens: token memory that cannot yield.
         capacity_tokens: token memory in all.
         born_ms: start of the incarnation, Unix milliseconds; 0 if not told.
+        answering: ids of the requests that have made an event.
     """
 
     waiting: int
@@ -53,3 +54,4 @@
     used_tokens: int
     capacity_tokens: int
     born_ms: int
+    answering: frozenset[str] = frozenset()
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -99,7 +99,7 @@
             self.headers,
         )
         if outcome is not None:
-            self._settle(outcome)
+            self.settle(outcome)
 
     def on_chunk(self, chunk: bytes) -> None:
         """Pass on the events that are whole."""
@@ -108,12 +108,12 @@
         if self.status != HTTPStatus.OK:
             self.body += chunk
             if len(self.body) > LARGEST_ERROR_BYTES:
-                self._settle(Lost('error without end'))
+                self.settle(Lost('error without end'))
             return
         try:
             events = self.splitter.feed(chunk)
         except ValueError as error:
-            self._settle(Lost(str(error)))
+            self.settle(Lost(str(error)))
             return
         for event in events:
             self._on_event(event)
@@ -122,7 +122,12 @@
         """Settle the send."""
         if self.done.done():
             return
-        self._settle(self._end(error))
+        self.settle(self._end(error))
+
+    def settle(self, outcome: Outcome) -> None:
+        """End the send, unless it has ended."""
+        if not self.done.done():
+            self.done.set_result(outcome)
 
     def _end(self, error: TransportError | None) -> Outcome:
         if error:
@@ -148,14 +153,10 @@
             if last is not None and event.number <= last:
                 return
             if event.number != (last or 0) + 1:
-                self._settle(Lost(f'event {event.number} follows {last}'))
+                self.settle(Lost(f'event {event.number} follows {last}'))
                 return
             self.progress.last_event = event.number
         if not self.caller.started:
             self.caller.begin(self.status, self.headers.passed_on)
         self.progress.written(now_s)
         self.caller.write(event.text)
-
-    def _settle(self, outcome: Outcome) -> None:
-        if not self.done.done():
-            self.done.set_result(outcome)
--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from celerywharf.adapters.transports import HttpRequest, Transport
-from celerywharf.backends import BackendServer, Condition, Loads
+from celerywharf.backends import BackendServer, Condition, EngineReport, Loads
 from celerywharf.exceptions import ProtocolError, TransportError
 from celerywharf.platform import PROBE_PATH, decode_report
 from celerywharf.timers import TimerService
@@ -57,8 +57,8 @@
             await asyncio.gather(*(self.ask(server) for server in stale))
         return next(iter(rank()), None)
 
-    async def ask(self, server: BackendServer) -> bool:
-        """Ask one server; tell whether it lives."""
+    async def ask(self, server: BackendServer) -> EngineReport | None:
+        """Ask one server; return its report, None if it does not live."""
         request = HttpRequest(
             'GET',
             f'http://{server.address}{PROBE_PATH}',
@@ -74,13 +74,13 @@
                 extra={'backend_server': server.name, 'reason': error.message},
             )
             self.condition.unreachable(server, self.timers.now())
-            return False
+            return None
         now_s = self.timers.now()
         if report.born_ms and report.born_ms != server.born_ms:
             self.condition.replaced(server, now_s)
-            return False
+            return None
         self.loads.report(server.name, report, now_s)
-        return True
+        return report
 
     def _stale(self, server: BackendServer) -> bool:
         age_s = self.timers.now() - self.loads.report_at_s(server.name)
--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -5,6 +5,8 @@
 import enum
 from collections import deque
 
+from celerywharf.backends import EngineReport
+
 GAPS_KEPT = 8
 # Share of the longest pause on time that silence may last: the rest is for
 # reaching another backend server.
@@ -23,6 +25,19 @@
     dead = 'dead'
 
 
+def judge_report(report: EngineReport, request_id: str) -> Sight:
+    """Tell what an engine's report means for a stream without an event.
+
+    An engine that has made events for it, or that has nothing left to read,
+    will not be heard on this connection any more.
+    """
+    if request_id in report.answering:
+        return Sight.dead
+    if report.waiting or report.prefilling:
+        return Sight.alive
+    return Sight.dead
+
+
 class SilenceWatch:
     """Judges the silence of one stream against its engine's own pace."""
 
@@ -53,9 +68,11 @@
             alive_at_s: last sign of life of the backend server, on this or
                 any other request.
         """
-        silent_s = now_s - max(self.last_s, alive_at_s)
-        if self.flowing:
-            return Sight.dead if silent_s > self.limit_s() else Sight.alive
-        if silent_s > FIRST_EVENT_SILENCE_S:
-            return Sight.suspect
-        return Sight.alive
+        if now_s < self.due_s(alive_at_s):
+            return Sight.alive
+        return Sight.dead if self.flowing else Sight.suspect
+
+    def due_s(self, alive_at_s: float) -> float:
+        """Return when silence has lasted too long unless it ends before."""
+        limit_s = self.limit_s() if self.flowing else FIRST_EVENT_SILENCE_S
+        return max(self.last_s, alive_at_s) + limit_s
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import functools
-from dataclasses import replace
 from typing import Any
 
-from celerywharf.backends import BackendServer, Demand
+from celerywharf.backends import BackendServer
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import Services
 from celerywharf.forwarding._outcomes import Answered, Lost, Outcome, Refused
+from celerywharf.forwarding._placing import StreamPlacing
 from celerywharf.forwarding._plans import (
     Done,
     Fail,
@@ -22,14 +21,13 @@
 from celerywharf.forwarding._relays import Progress, StreamRelay
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._sends import note_outcome, outgoing
-from celerywharf.forwarding._silence import Sight, SilenceWatch
+from celerywharf.forwarding._silence import Sight, SilenceWatch, judge_report
 from celerywharf.forwarding._stories import Story
 from celerywharf.platform import Resumption
 from celerywharf.routing import ResumableStream
 
 MILLISECONDS = 1000
-CANDIDATES = 2  # engines asked for their load before a stream is placed
-BACKUP_CANDIDATES = 1  # the same for the place of its copy
+LEAST_WAIT_S = 0.005  # keeps a late timer from turning into a busy loop
 NO_GAP_TARGET_S = 2.0  # pause allowed on streams that cannot be resumed
 
 
@@ -51,9 +49,12 @@
         self.caller = caller
         self.plan = RetryPlan(request.route.policy, request.route.max_attempts)
         self.progress = Progress(request.headers.last_event)
-        self.demand = self._demand()
-        self.failed: set[str] = set()
-        self.copy_at: BackendServer | None = None
+        self.placing = StreamPlacing(
+            services,
+            request,
+            service,
+            self.progress,
+        )
         self.watch: SilenceWatch | None = None
 
     async def run(self) -> PassOn | Fail | Done:
@@ -89,17 +90,19 @@
         remaining_s = self.request.ends_s() - now_s
         if remaining_s <= 0:
             return self.plan.timed_out()
-        server, resumption = await self._place()
+        server, resumption = await self.placing.place()
         if server is None:
             return self.plan.unserved('no backend server')
         # Taken at once, so that other streams placed now see it.
-        self._take(server)
+        self.watch = None
+        self.placing.take(server)
         try:
-            backup = await self._backup(server, resumption)
+            backup = await self.placing.backup(server, resumption)
             outcome = await self._relay(server, resumption, remaining_s, backup)
         finally:
-            self._release(server)
-        self._note(server, outcome, resumption, backup)
+            flowing = self.watch is not None and self.watch.flowing
+            self.placing.release(server, prefilled=flowing)
+        self.placing.note(server, outcome, resumption, backup)
         remaining_s = self.request.ends_s() - self.services.timers.now()
         step = self._step(outcome, remaining_s)
         self.story.sent(
@@ -112,21 +115,6 @@
         )
         return step
 
-    def _note(
-        self,
-        server: BackendServer,
-        outcome: Outcome,
-        resumption: Resumption,
-        backup: BackendServer | None,
-    ) -> None:
-        """Remember who failed and where a copy of the run may be."""
-        if isinstance(outcome, Lost):
-            self.failed.add(server.name)
-            # Engines copy a run from its first event on.
-            self.copy_at = backup if self.progress.events else None
-        elif resumption.copy_at is None:
-            self.failed.add(server.name)
-
     def _step(self, outcome: Outcome, remaining_s: float) -> Step:
         if isinstance(outcome, Answered) and self.caller.started:
             status = outcome.response.status
@@ -136,65 +124,6 @@
             return self.plan.timed_out()
         return step
 
-    async def _place(self) -> tuple[BackendServer | None, Resumption]:
-        last_event = self.progress.last_event
-        copy = self.copy_at
-        self.copy_at = None
-        if copy is not None and copy.name not in self.failed:
-            return copy, Resumption(last_event, copy.address)
-        server = await self.services.reports.best(self._ranked, CANDIDATES)
-        return server, Resumption(last_event)
-
-    def _ranked(self) -> list[BackendServer]:
-        now_s = self.services.timers.now()
-        return self.services.placement.ranked(self._open_demand(), now_s)
-
-    async def _backup(
-        self,
-        server: BackendServer,
-        resumption: Resumption,
-    ) -> BackendServer | None:
-        if not self._keeps_copies():
-            return None
-        if resumption.copy_at is not None:
-            # The caller waits for the next event; reports take too long.
-            return next(iter(self._backups(server)), None)
-        return await self.services.reports.best(
-            functools.partial(self._backups, server),
-            BACKUP_CANDIDATES,
-        )
-
-    def _backups(self, server: BackendServer) -> list[BackendServer]:
-        now_s = self.services.timers.now()
-        return self.services.placement.backups(
-            server,
-            self._open_demand(),
-            now_s,
-        )
-
-    def _keeps_copies(self) -> bool:
-        configuration = self.services.knowledge.configuration
-        service = configuration.services.get(self.service)
-        if service is None or service.memory is None:
-            return False
-        return service.memory.backups and self.plan.repeatable
-
-    def _open_demand(self) -> Demand:
-        return replace(self.demand, excluded=self.failed)
-
-    def _demand(self) -> Demand:
-        configuration = self.services.knowledge.configuration
-        service = configuration.services.get(self.service)
-        headers = self.request.headers
-        capacity = 0
-        if service is not None and service.memory is not None:
-            capacity = service.memory.capacity_tokens
-        return Demand(
-            self.service,
-            headers.prompt_tokens + headers.output_tokens,
-            capacity,
-        )
-
     async def _relay(
         self,
         server: BackendServer,
@@ -233,42 +162,36 @@
                 note_outcome(services, server, outcome)
         return outcome
 
-    def _take(self, server: BackendServer) -> None:
-        now_s = self.services.timers.now()
-        self.watch = None
-        self.services.loads.started(server.name, self.demand.tokens, now_s)
-        self.services.condition.started(server)
-
-    def _release(self, server: BackendServer) -> None:
-        tokens = self.demand.tokens
-        if tokens and not (self.watch and self.watch.flowing):
-            self.services.loads.prefilled(server.name)
-        self.services.loads.ended(server.name, tokens)
-        self.services.condition.ended(server)
-
     async def _watch(
         self, relay: StreamRelay, server: BackendServer
     ) -> Outcome:
         ends_s = self.request.ends_s()
-        wait_s = relay.watch.limit_s()
         while True:
-            await asyncio.wait({relay.done}, timeout=wait_s)
-            if relay.done.done():
-                return relay.done.result()
             now_s = self.services.timers.now()
-            if now_s >= ends_s:
-                return Lost('time is over')
-            alive_at_s = self.services.loads.alive_at_s(server.name)
-            sight = relay.watch.judge(now_s, alive_at_s)
-            if sight is Sight.suspect and not await self.services.reports.ask(
-                server
-            ):
-                sight = Sight.dead
+            due_s = relay.watch.due_s(self._alive_at_s(server))
+            wait_s = max(min(due_s, ends_s) - now_s, LEAST_WAIT_S)
+            await asyncio.wait({relay.done}, timeout=wait_s)
+            if not relay.done.done():
+                await self._look(relay, server)
             if relay.done.done():
                 return relay.done.result()
-            if sight is Sight.dead:
-                return Lost('silence', broken=True)
-            wait_s = min(relay.watch.limit_s(), max(ends_s - now_s, 0))
+
+    async def _look(self, relay: StreamRelay, server: BackendServer) -> None:
+        """Give a silent send up if its time is over or its server is dead."""
+        now_s = self.services.timers.now()
+        if now_s >= self.request.ends_s():
+            relay.settle(Lost('time is over'))
+            return
+        sight = relay.watch.judge(now_s, self._alive_at_s(server))
+        if sight is Sight.suspect:
+            report = await self.services.reports.ask(server)
+            request_id = self.request.headers.request_id
+            sight = judge_report(report, request_id) if report else Sight.dead
+        if sight is Sight.dead:
+            relay.settle(Lost('silence', broken=True))
+
+    def _alive_at_s(self, server: BackendServer) -> float:
+        return self.services.loads.alive_at_s(server.name)
 
     def _gap_target_s(self) -> float:
         match self.request.route.policy:
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -158,7 +158,7 @@
     kv_total: int
     born: int = 0
     # Only runs that have made an event are listed.
-    runs: list[Any] = Field(default_factory=list)
+    runs: list[list[Any]] = Field(default_factory=list)
 
 
 def decode_configuration(text: bytes) -> Configuration:
@@ -221,6 +221,7 @@
         used_tokens=document.kv_used,
         capacity_tokens=document.kv_total,
         born_ms=document.born,
+        answering=frozenset(str(run[0]) for run in document.runs if run),
     )
 
 
