Refuse what comes too late in a graceful stop; forward nothing after a close

A request crossed the close of its idle connection and was forwarded all the same; calls that came in the last moments of the grace time were cut by the end of the process. Change: a connection closed as idle forwards nothing any more; in the last 2.5 s every request is refused as not run.

--- a/celerywharf/fronts/_admittance.py
+++ b/celerywharf/fronts/_admittance.py
@@ -55,6 +55,7 @@
 
     Attributes:
         leaving: the host is about to stop.
+        last_call_over: not even a short call can end before the host stops.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         self.knowledge = knowledge
         self.boot_time_s = boot_time_s
         self.leaving = False
+        self.last_call_over = False
 
     def limits(self) -> ClientLimits | None:
         """Return the bounds on what callers send, None if unknown."""
@@ -103,7 +105,7 @@
     ) -> Admitted | Denied:
         """Let short calls pass; a stream would outlast this host."""
         match admitted.route.policy:
-            case Idempotent() | NonIdempotent():
+            case Idempotent() | NonIdempotent() if not self.last_call_over:
                 return admitted
             case _:
                 return Denied(
--- a/celerywharf/fronts/_edge.py
+++ b/celerywharf/fronts/_edge.py
@@ -56,7 +56,7 @@
         """Close connections on which no request has begun."""
         for reader in tuple(self.readers.values()):
             if reader.idle:
-                reader.connection.close()
+                reader.abandon()
 
     def busy(self) -> int:
         """Return how many requests are under way."""
@@ -79,6 +79,11 @@
         self.arrived_s: float = 0
         self.task: asyncio.Task | None = None
 
+    def abandon(self) -> None:
+        """Close the connection; what crosses the close is not forwarded."""
+        self.caller.gone = True
+        self.connection.close()
+
     def headers_received(
         self,
         start_line: RequestStartLine,
@@ -112,7 +117,7 @@
 
     def finish(self) -> None:
         """Serve the request."""
-        if self.caller.finished:
+        if self.caller.finished or self.caller.gone:
             return
         self.connection.set_close_callback(self.on_connection_close)
         self.caller.closing = self.edge.admittance.leaving
--- a/celerywharf/fronts/_leaving.py
+++ b/celerywharf/fronts/_leaving.py
@@ -13,6 +13,8 @@
 # The balancer looks each second and believes the second miss.
 BALANCER_NOTICES_S = 2.3
 CHECK_PERIOD_S = 0.1
+# Calls that come later are refused: each has this long to end.
+LAST_CALL_S = 2.5
 # Part of the grace time that is left to the end of the process.
 STOP_RESERVE_S = 0.4
 
@@ -38,6 +40,8 @@
         logger.info('leaving', extra={'requests': self.edge.busy()})
         await asyncio.sleep(BALANCER_NOTICES_S)
         while self.timers.now() < ends_s:
+            if self.timers.now() > ends_s - LAST_CALL_S:
+                self.edge.admittance.last_call_over = True
             self.edge.close_idle()
             if not self.edge.readers:
                 return
