--- a/celerywharf/fronts/_admittance.py
+++ b/celerywharf/fronts/_admittance.py
@@ -18,7 +18,8 @@
 
 # Another host is asked after this: long enough for the balancer's next look.
 ELSEWHERE_RETRY_AFTER_S = 0.2
-LEAVING_RETRY_AFTER_S = 0.05  # other hosts take the request at once
+# Several hosts may leave together; by then the balancer has noticed some.
+LEAVING_RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -11,6 +11,8 @@
                   [--cache-event-drop-ratio R] [--load-report-lag-ms MS]
                   [--detach-grace-s S] [--record FILE]
   standins application [--listen ADDRESS] [--name NAME] [--seed N]
+  standins store [--listen ADDRESS]
+  standins model-server [--listen ADDRESS] [--name NAME]
   standins link --to ADDRESS [--listen ADDRESS] [--control ADDRESS]
 
 Options:
@@ -50,7 +52,14 @@
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import PeriodicCallback
 
-from standins import control, engine_calls, platform, serving
+from standins import (
+    control,
+    engine_calls,
+    model_servers,
+    platform,
+    serving,
+    stores,
+)
 from standins.applications import PlainService, make_service_application
 from standins.engines import REPORT_PERIOD_S, Engine, EngineSettings
 from standins.faults import EngineSwitches
@@ -118,6 +127,19 @@
     await serving.serve(application, options['--listen'])
 
 
+async def run_store(options: dict[str, Any]) -> None:
+    """Serve the platform's metadata store."""
+    application = stores.make_store_application(stores.Store())
+    await serving.serve(application, options['--listen'])
+
+
+async def run_model_server(options: dict[str, Any]) -> None:
+    """Serve a backend server of the platform."""
+    server = model_servers.ModelServer(options['--name'])
+    application = model_servers.make_model_application(server)
+    await serving.serve(application, options['--listen'])
+
+
 async def run_link(options: dict[str, Any]) -> None:
     """Forward connections, and take switches on a port of their own."""
     link = Link(options['--to'])
@@ -139,6 +161,8 @@
         'engine': run_engine,
         'application': run_application,
         'link': run_link,
+        'store': run_store,
+        'model-server': run_model_server,
     }
     chosen = next(name for name in commands if options[name])
     asyncio.run(commands[chosen](options))
--- /dev/null
+++ b/standins/fronts.py
@@ -0,0 +1,228 @@
+"""A store, backend servers and fronts of the users' platform together."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import client
+from typing import Any
+
+from standins.calls import call
+from standins.launching import Fleet, find_free_port
+from standins.serving import split_address
+
+KEY = 'key-of-lakeshore'
+ACCOUNT = 'lakeshore'
+STREAM_PATH = '/narrate/a'
+CALL_PATH = '/buy/a'
+LOOKUP_PATH = '/look/a'
+HOST = 'shop.example'
+TIMEOUT_S = 10
+READ_BYTES = 65536
+CONFIG_SETTLES_S = 0.3
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: None when the connection ended before a status.
+        headers: names in lower case.
+        body: all bytes that came.
+        whole: the answer was complete.
+        took_s: time to the end.
+    """
+
+    status: int | None = None
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+    whole: bool = False
+    took_s: float = 0
+
+    @property
+    def events(self) -> list[int]:
+        """Return the ids of the events, in order."""
+        lines = self.body.decode().split('\n')
+        return [int(line[4:]) for line in lines if line.startswith('id: ')]
+
+
+class PlatformRig:
+    """Runs the users' platform with stand-ins."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.version = 0
+        self.keys = [KEY]
+        self.store = fleet.start_store().address
+        self.fronts: dict[str, str] = {}
+        self.servers: dict[str, str] = {}
+        self.configure()
+
+    def configure(self, **changes: Any) -> None:
+        """Write a new version of the configuration."""
+        self.version += 1
+        self.put('op', 'config', {**self.configuration(), **changes})
+
+    def put(self, table: str, key: str, content: Any) -> None:
+        """Write a row of the store."""
+        row = {'table': table, 'key': key, 'content': content}
+        call(self.store, 'POST', '/rows', row)
+
+    def configuration(self) -> dict[str, Any]:
+        """Return the configuration as the operator writes it."""
+        return {
+            'version': self.version,
+            'routes': [
+                _route('/narrate/', 'narrator', 'streaming', streamResume=True),
+                _route('/buy/', 'desk', 'non_idempotent'),
+                _route('/look/', 'desk', 'idempotent', maxAttempts=2),
+            ],
+            'services': [
+                {
+                    'name': 'narrator',
+                    'healthPath': '/healthz',
+                    'engine': {'kvCapacity': 88000, 'backups': True},
+                },
+                {'name': 'desk', 'healthPath': '/healthz'},
+            ],
+            'limits': {
+                'maxHeaderBytes': 16384,
+                'maxBodyBytes': 100_000,
+                'headerTimeoutMs': 3000,
+                'idleTimeoutMs': 15000,
+            },
+            'tenants': [{'name': ACCOUNT, 'apiKeys': self.keys}],
+        }
+
+    def add_server(
+        self,
+        name: str,
+        service: str,
+        zone: str = 'north-1',
+        **switches: Any,
+    ) -> None:
+        """Start a backend server and let it register."""
+        started = self.fleet.start_model_server(name)
+        self.servers[name] = started.address
+        if switches:
+            self.fleet.control(name, **switches)
+        self.register(name, service, zone)
+
+    def register(
+        self,
+        name: str,
+        service: str,
+        zone: str = 'north-1',
+        **changes: Any,
+    ) -> None:
+        """Write the entry of a backend server."""
+        entry = {
+            'service': service,
+            'address': self.servers[name],
+            'zone': zone,
+            'state': 'ready',
+            'slots': 12,
+            'seq': 1,
+            'coldLeftMs': 0,
+            'born': self.fleet.record(name)['born'],
+        }
+        self.put('servers', name, {**entry, **changes})
+
+    def add_front(
+        self,
+        name: str,
+        store: str | None = None,
+        **bounds: Any,
+    ) -> str:
+        """Start a front; return where callers reach it."""
+        listen = f'127.0.0.1:{find_free_port()}'
+        health = f'127.0.0.1:{find_free_port()}'
+        settings = {
+            'front': {
+                'name': name,
+                'availability_zone': 'north-1',
+                'listen': listen,
+                'health': health,
+            },
+            'zones': {'regions': 'north-1=north north-2=north south-1=south'},
+            'store': {'address': store or self.store},
+            'bounds': {'revoke_ms': 5000, 'grace_s': 4, **bounds},
+            'log': {'level': 'debug'},
+        }
+        self.fleet.start_front(name, settings, health)
+        self.fronts[name] = listen
+        return listen
+
+    def runs(self, name: str) -> list[dict[str, Any]]:
+        """Return what a backend server ran."""
+        return self.fleet.record(name)['runs']
+
+    def all_runs(self) -> list[dict[str, Any]]:
+        """Return what all living backend servers ran."""
+        return [run for name in self.servers for run in self.runs(name)]
+
+
+def _route(prefix: str, service: str, kind: str, **more: Any) -> dict[str, Any]:
+    return {
+        'name': f'r{prefix.strip("/")}',
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'timeoutMs': 5000,
+        'latencyTargetMs': 500,
+        'gapTargetMs': 700,
+        'service': service,
+        'maxAttempts': 5 if kind == 'streaming' else 1,
+        **more,
+    }
+
+
+def request_headers(**changes: str | None) -> dict[str, str]:
+    """Return the headers of a caller; None leaves one out."""
+    headers: dict[str, str | None] = {
+        'Host': HOST,
+        'Attempt-Id': secrets.token_hex(8),
+        'Deadline-Ms': '5000',
+        'Authorization': f'Bearer {KEY}',
+    }
+    headers.update(
+        {name.replace('_', '-'): text for name, text in changes.items()},
+    )
+    return {name: text for name, text in headers.items() if text is not None}
+
+
+def send(
+    address: str,
+    path: str,
+    method: str = 'POST',
+    body: bytes | None = b'{}',
+    headers: Mapping[str, str] | None = None,
+) -> Answer:
+    """Send a request and read what comes until the answer or socket ends."""
+    host, port = split_address(address)
+    connection = client.HTTPConnection(host, port, timeout=TIMEOUT_S)
+    answer = Answer()
+    started_s = time.monotonic()
+    try:
+        connection.request(method, path, body, dict(headers or {}))
+        _read(connection, answer)
+    except (OSError, client.HTTPException):
+        answer.whole = False
+    finally:
+        connection.close()
+    answer.took_s = time.monotonic() - started_s
+    return answer
+
+
+def _read(connection: client.HTTPConnection, answer: Answer) -> None:
+    response = connection.getresponse()
+    answer.status = response.status
+    answer.headers = {
+        name.lower(): text for name, text in response.getheaders()
+    }
+    while chunk := response.read1(READ_BYTES):
+        answer.body += chunk
+    answer.whole = True
--- a/standins/launching.py
+++ b/standins/launching.py
@@ -54,6 +54,35 @@
         """Start a link to an address; `address` is its near end."""
         return self._start_standin('link', name, {'to': to, **options})
 
+    def start_store(self, name: str = 'store') -> Started:
+        """Start a metadata store."""
+        return self._start_standin('store', name, {})
+
+    def start_model_server(self, name: str, **options: Any) -> Started:
+        """Start a backend server of the users' platform."""
+        named = {'name': name, **options}
+        return self._start_standin('model-server', name, named)
+
+    def start_front(
+        self,
+        name: str,
+        settings: SettingsMapping,
+        health: str,
+    ) -> Started:
+        """Start a front and wait until it is ready.
+
+        Args:
+            name: name of the process in the fleet.
+            settings: options by section.
+            health: ``ip:port`` of its health check.
+        """
+        started = self._spawn_host(name, settings, health, 'front')
+        _wait_until(
+            lambda: self._health(started, '/api/ready') == HTTPStatus.OK,
+            f'{name} to be ready',
+        )
+        return started
+
     def start_host(
         self,
         name: str,
@@ -165,13 +194,14 @@
         name: str,
         settings: str | SettingsMapping,
         address: str,
+        command: str = 'serve',
     ) -> Started:
         path = self.folder / f'{name}.ini'
         if isinstance(settings, str):
             path.write_text(settings)
         else:
             _write_ini(path, settings)
-        arguments = ['celerywharf', 'serve', '--config', str(path)]
+        arguments = ['celerywharf', command, '--config', str(path)]
         with (self.folder / f'{name}.out').open('a') as output:
             process = self.spawn(name, arguments, output)
         started = Started(name, process, address, '')
@@ -181,11 +211,15 @@
     def _is_ready(self, started: Started) -> bool:
         return self._health(started) == HTTPStatus.OK
 
-    def _health(self, started: Started) -> int | None:
+    def _health(
+        self,
+        started: Started,
+        path: str = '/healthz',
+    ) -> int | None:
         if not started.is_running:
             raise ChildProcessError(f'{started.name}: {self.log(started.name)}')
         try:
-            return call(started.address, 'GET', '/healthz')[0]
+            return call(started.address, 'GET', path)[0]
         except OSError:
             return None
 
--- /dev/null
+++ b/standins/model_servers.py
@@ -0,0 +1,284 @@
+"""A backend server of the platform: streams with copies, and plain calls."""
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.iostream import StreamClosedError
+from tornado.web import Application
+
+from standins import control
+
+OK = 200
+BAD_REQUEST = 400
+MISDIRECTED = 421
+UNAVAILABLE = 503
+TOKENS_PER_EVENT = 7
+OTHER_ID = 'ffffffffffffffff'
+
+
+@dataclass(slots=True)
+class ModelSwitches(control.Switches):
+    """Failure switches of a backend server.
+
+    Attributes:
+        full: refuse everything as not run.
+        event_ms: time between events.
+        prefill_ms: time to the first event of a run without a copy.
+        work_ms: time of a plain call.
+        silent: runs go on and nothing of them is sent.
+        break_after: reset each stream after that many events.
+        cut: read calls, run them and reset the connection.
+        other_id: answer with the id of another request.
+        unsigned: answer without signature.
+        encoded: answer with an encoded body.
+        twice: send a second whole answer behind each answer.
+        shorten: end each answer before its last byte.
+        status: of the answers to calls.
+    """
+
+    full: bool = False
+    event_ms: float = 20
+    prefill_ms: float = 20
+    work_ms: float = 1
+    silent: bool = False
+    break_after: int | None = None
+    cut: bool = False
+    other_id: bool = False
+    unsigned: bool = False
+    encoded: bool = False
+    twice: bool = False
+    shorten: bool = False
+    status: int = OK
+
+
+@dataclass(slots=True)
+class ServedRun:
+    """What the server did for one request."""
+
+    request_id: str
+    method: str
+    target: str
+    account: str | None
+    body: str
+    first: int = 0
+    from_copy: bool = False
+    headers: dict[str, str] = field(default_factory=dict)
+    events: int = 0
+    state: str = 'running'
+    ended_s: float = 0
+
+
+class ModelServer(control.Standin):
+    """One incarnation of a backend server."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(ModelSwitches())
+        self.name = name
+        self.born_ms = int(time.time() * control.MS_PER_S)
+        self.runs: list[ServedRun] = []
+        self.copies: dict[str, int] = {}
+        self.http = AsyncHTTPClient()
+
+    def record(self) -> dict[str, Any]:
+        """Return all runs."""
+        return {
+            'name': self.name,
+            'born': self.born_ms,
+            'runs': [
+                {name: getattr(run, name) for name in run.__slots__}
+                for run in self.runs
+            ],
+        }
+
+    def report(self) -> dict[str, Any]:
+        """Return the load as the platform's engines tell it."""
+        running = [run for run in self.runs if run.state == 'running']
+        return {
+            'queued': 0,
+            'running': len(running),
+            'kvUsed': 0,
+            'kvTotal': 88000,
+            'born': self.born_ms,
+            'runs': [
+                [run.request_id, 0, run.events, 5]
+                for run in running
+                if run.events
+            ],
+        }
+
+    async def copy(self, address: str, run: ServedRun) -> None:
+        """Send the state of a run to another server."""
+        body = json.dumps({'id': run.request_id, 'events': run.events})
+        await self.http.fetch(
+            HTTPRequest(f'http://{address}/copy', 'POST', body=body),
+            raise_error=False,
+        )
+
+
+class _ReportHandler(control.OuterHandler):
+    def get(self) -> None:
+        self.answer(OK, self.standin.report())
+
+
+class _CopyHandler(control.OuterHandler):
+    def post(self) -> None:
+        told = self.read_json()
+        self.standin.copies[told['id']] = told['events']
+        self.answer(OK, {})
+
+
+class _ServeHandler(control.OuterHandler):
+    SUPPORTED_METHODS = ('GET', 'POST')
+
+    def initialize(self, standin: ModelServer) -> None:
+        """Bind the call to its stand-in."""
+        super().initialize(standin)
+        self.served: ServedRun | None = None
+
+    async def get(self, *_: Any) -> None:
+        await self.serve()
+
+    async def post(self, *_: Any) -> None:
+        await self.serve()
+
+    async def serve(self) -> None:
+        """Run or refuse a request."""
+        refusal = self.refusal()
+        if refusal:
+            self.set_header('Not-Run', '1')
+            self.set_header('Instance-Id', self.standin.name)
+            self.answer(refusal, {})
+            return
+        self.served = self.begin()
+        try:
+            await self.run(self.served)
+        except StreamClosedError:
+            self.on_connection_close()
+        if self.served.state != 'abandoned':
+            self.served.ended_s = time.monotonic()
+
+    def on_connection_close(self) -> None:
+        """Note that the caller of a run has gone."""
+        if self.served is not None and self.served.state == 'running':
+            self.served.state = 'abandoned'
+            self.served.ended_s = time.monotonic()
+
+    def refusal(self) -> int | None:
+        """Return the status if the request does not run."""
+        headers = self.request.headers
+        if headers.get('Expect-Instance') not in {None, self.standin.name}:
+            return MISDIRECTED
+        if 'Attempt-Id' not in headers:
+            return BAD_REQUEST
+        if self.standin.switches.full:
+            return UNAVAILABLE
+        copy = headers.get('Kv-From')
+        if copy and copy.rpartition('/')[2] not in self.standin.copies:
+            return UNAVAILABLE
+        return None
+
+    def begin(self) -> ServedRun:
+        """Note a run."""
+        headers = self.request.headers
+        run = ServedRun(
+            request_id=headers['Attempt-Id'],
+            method=self.request.method,
+            target=self.request.uri,
+            account=headers.get('Tenant'),
+            body=self.request.body.decode('latin-1'),
+            first=int(headers.get('Last-Event-Id', 0)),
+            from_copy='Kv-From' in headers,
+            headers={name.lower(): text for name, text in headers.items()},
+        )
+        self.standin.runs.append(run)
+        return run
+
+    async def run(self, run: ServedRun) -> None:
+        """Do the work."""
+        switches = self.standin.switches
+        echoed = OTHER_ID if switches.other_id else run.request_id
+        self.set_header('Attempt-Id', echoed)
+        if not switches.unsigned:
+            self.set_header('Server-Stamp', f'stamp.{self.standin.name}')
+        if switches.encoded:
+            self.set_header('Content-Encoding', 'gzip')
+        if 'Token-Count' in self.request.headers:
+            await self.run_stream(run)
+        else:
+            await self.run_call(run)
+
+    async def run_call(self, run: ServedRun) -> None:
+        """Answer a plain call with what was asked."""
+        switches = self.standin.switches
+        await asyncio.sleep(switches.work_ms / control.MS_PER_S)
+        run.state = 'ended'
+        if switches.cut:
+            self.cut()
+            return
+        body = json.dumps({'id': run.request_id, 'by': self.standin.name})
+        if switches.shorten or switches.twice:
+            await self.write_raw(body, run)
+            return
+        self.set_status(switches.status)
+        self.finish(body)
+
+    async def write_raw(self, body: str, run: ServedRun) -> None:
+        """Write an answer that breaks the protocol."""
+        short = 1 if self.standin.switches.shorten else 0
+        answer = (
+            f'HTTP/1.1 200 OK\r\nAttempt-Id: {run.request_id}\r\n'
+            f'Server-Stamp: stamp\r\nContent-Length: {len(body) + short}\r\n'
+            f'\r\n{body}'
+        )
+        if self.standin.switches.twice:
+            answer += answer.replace(run.request_id, OTHER_ID)
+        stream = self.detach()
+        await stream.write(answer.encode())
+        stream.close()
+
+    async def run_stream(self, run: ServedRun) -> None:
+        """Send events from the last one that the caller has."""
+        switches = self.standin.switches
+        _, tokens = map(int, self.request.headers['Token-Count'].split(','))
+        if not run.from_copy:
+            await asyncio.sleep(switches.prefill_ms / control.MS_PER_S)
+        self.set_header('Content-Type', 'text/event-stream')
+        backup = self.request.headers.get('Kv-Backup')
+        for number in range(run.first + 1, tokens // TOKENS_PER_EVENT + 1):
+            await asyncio.sleep(switches.event_ms / control.MS_PER_S)
+            run.events = number
+            if switches.break_after == number - run.first - 1:
+                run.state = 'broken'
+                self.cut()
+                return
+            await self.send_event(number)
+            if backup:
+                await self.standin.copy(backup, run)
+        while switches.silent:
+            await self.standin.changed.wait()
+        if run.state == 'running':
+            run.state = 'ended'
+
+    async def send_event(self, number: int) -> None:
+        """Send one event, unless silent."""
+        if self.request.connection.stream.closed():
+            raise StreamClosedError
+        if not self.standin.switches.silent:
+            self.write(f'id: {number}\ndata: word-{number}\n\n')
+            await self.flush()
+
+
+def make_model_application(server: ModelServer) -> Application:
+    """Return the calls of a backend server."""
+    return control.make_application(
+        server,
+        [
+            ('/api/report', _ReportHandler),
+            ('/copy', _CopyHandler),
+            ('/(.*)', _ServeHandler),
+        ],
+    )
--- /dev/null
+++ b/tests/backends/test_placement.py
@@ -0,0 +1,159 @@
+"""Placement of streams and calls under load, by replay."""
+
+import random
+
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from celerywharf.backends import (
+    Condition,
+    Demand,
+    Directory,
+    EngineReport,
+    Loads,
+    Placement,
+)
+from tests.backends.test_directory import SERVICE, make_server
+
+scenarios('placement.feature')
+
+NOW_S = 100.0
+CAPACITY_TOKENS = 88_000
+STREAM = Demand(SERVICE, tokens=9_000, capacity_tokens=CAPACITY_TOKENS)
+CALL = Demand(SERVICE)
+DRAWS = 30
+
+
+class World:
+    """One host's view, at a time that each step moves on."""
+
+    def __init__(self):
+        self.now_s = NOW_S
+        self.directory = Directory()
+        self.loads = Loads()
+        self.condition = Condition(self.directory, self.loads)
+        self.placement = Placement(
+            self.directory,
+            self.loads,
+            self.condition,
+            'near-1',
+            {'near-1': 'near', 'near-2': 'near', 'far-1': 'far'},
+            random.Random(1),
+        )
+
+    def add(self, names, zone):
+        """Let servers appear."""
+        for name in names.split():
+            self.directory.seen(make_server(name, zone), self.now_s)
+        self.now_s += 0.1
+
+    def report(self, name, waiting=0, used=0):
+        """Take a report."""
+        report = EngineReport(
+            waiting=waiting,
+            running=0,
+            prefilling=0,
+            used_tokens=used,
+            capacity_tokens=CAPACITY_TOKENS,
+            born_ms=1,
+        )
+        self.now_s += 0.01
+        self.loads.report(name, report, self.now_s)
+
+    def places(self, demand):
+        """Return all places that equal draws give."""
+        return {
+            self.placement.choose(demand, self.now_s).name for _ in range(DRAWS)
+        }
+
+
+@given(
+    'zones near-1 and near-2 in one region and far-1 in another',
+    target_fixture='world',
+)
+def _world():
+    return World()
+
+
+@given('a host in near-1')
+def _host(world):
+    assert world.placement.availability_zone == 'near-1'
+
+
+@given(parsers.parse('servers {names} in {zone}'))
+@when(parsers.parse('servers {names} appear in {zone}'))
+def _more(world, names, zone):
+    world.add(names, zone)
+
+
+@when(parsers.parse('a1 and a2 each report {waiting:d} prompts waiting'))
+def _waiting(world, waiting):
+    world.report('a1', waiting)
+    world.report('a2', waiting)
+
+
+@when(parsers.parse('{name} reports {waiting:d} prompts waiting'))
+def _one_waiting(world, name, waiting):
+    world.report(name, waiting)
+
+
+@when(parsers.parse('{name} reports {used:d} tokens used'))
+def _used(world, name, used):
+    world.report(name, used=used)
+
+
+@when(parsers.parse('{count:d} streams are placed at once'))
+def _placed(world, count):
+    for _ in range(count):
+        server = world.placement.choose(STREAM, world.now_s)
+        world.loads.started(server.name, STREAM.tokens, world.now_s)
+
+
+@when(parsers.re('(?P<name>[a-z][0-9]) is lost'))
+def _lost(world, name):
+    world.now_s += 0.01
+    world.condition.lost(world.directory.servers[name], world.now_s)
+
+
+@when('every server is lost')
+def _all_lost(world):
+    for server in tuple(world.directory.servers.values()):
+        world.condition.unreachable(server, world.now_s)
+
+
+@then(parsers.parse('a stream goes to one of {names}'))
+def _stream(world, names):
+    assert world.places(STREAM) <= set(names.split())
+
+
+@then(parsers.parse('a call goes to one of {names}'))
+def _call(world, names):
+    assert world.places(CALL) <= set(names.split())
+
+
+@then(parsers.parse('no server has more than {most:d} of them'))
+def _spread(world, most):
+    names = world.directory.servers
+    assert max(world.loads.requests(name) for name in names) <= most
+
+
+@then(parsers.parse('the copy of a stream on a1 is kept on one of {names}'))
+def _copy(world, names):
+    server = world.directory.servers['a1']
+    kept = {
+        world.placement.backups(server, STREAM, world.now_s)[0].name
+        for _ in range(DRAWS)
+    }
+    assert kept <= set(names.split())
+
+
+@then(parsers.parse('{name} is passed over'))
+def _passed(world, name):
+    assert name not in world.places(STREAM)
+    assert name not in world.places(CALL)
+
+
+@then(parsers.parse('none of {names} is suspect'))
+def _trusted(world, names):
+    for name in names.split():
+        server = world.directory.servers[name]
+        assert not world.condition.suspect(server, world.now_s)
--- /dev/null
+++ b/tests/fronts/test_fronts.py
@@ -0,0 +1,474 @@
+"""Fronts between real stand-ins of store, engines and callers."""
+
+import re
+import signal
+import socket
+import threading
+import time
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from standins.fronts import (
+    ACCOUNT,
+    CALL_PATH,
+    KEY,
+    LOOKUP_PATH,
+    STREAM_PATH,
+    PlatformRig,
+    request_headers,
+    send,
+)
+from standins.serving import split_address
+
+scenarios('fronts.feature')
+
+FAULTS = {
+    'do well': {},
+    'cut the connection': {'cut': True},
+    'answer for another': {'other_id': True},
+    'answer without signature': {'unsigned': True},
+    'encode their answers': {'encoded': True},
+    'shorten their answers': {'shorten': True},
+    'answer twice': {'twice': True},
+    'fail': {'status': 500},
+    'are full': {'full': True},
+}
+SOON_S = 4.0
+POLL_S = 0.1
+BYTES_PER_READ = 4096
+SYSTEM_HEADERS = {
+    'Hold': 'h1',
+    'Pin_Ms': '900',
+    'Kv_Backup': '127.0.0.1:1',
+    'Kv_From': '127.0.0.1:1/x',
+    'Kv_Fetch': '127.0.0.1:1',
+    'Tenant': 'somebody',
+    'Request_Urgency': '0',
+    'Expect_Version': '9',
+}
+
+
+class Called:
+    """What callers of a scenario got."""
+
+    def __init__(self):
+        self.answers = []
+        self.thread = None
+
+    @property
+    def last(self):
+        """Return the last answer."""
+        return self.answers[-1]
+
+    def stream(self, address, events, **headers):
+        """Ask for a stream."""
+        tokens = {'Token_Count': f'100,{events * 7}', **headers}
+        self.answers.append(
+            send(address, STREAM_PATH, headers=request_headers(**tokens)),
+        )
+
+    def start_stream(self, address, events):
+        """Ask for a stream in a thread."""
+        self.thread = threading.Thread(
+            target=self.stream,
+            args=(address, events),
+        )
+        self.thread.start()
+
+    def buy(self, address, **headers):
+        """Buy once."""
+        answer = send(address, CALL_PATH, headers=request_headers(**headers))
+        self.answers.append(answer)
+        return answer
+
+
+@pytest.fixture
+def called():
+    return Called()
+
+
+@given('a platform', target_fixture='rig')
+def _platform(fleet):
+    return PlatformRig(fleet)
+
+
+@given(parsers.re(r'engines (?P<engines>.*), and a front'))
+def _engines(rig, engines):
+    for name, zone in re.findall(r'(e\d) in ([\w-]+)', engines):
+        rig.add_server(name, 'narrator', zone)
+    rig.add_front('front')
+
+
+@given('desks d1, d2 and a front')
+def _desks(rig):
+    rig.add_server('d1', 'desk')
+    rig.add_server('d2', 'desk')
+    rig.add_front('front')
+
+
+@given('desks d1, d2 and a front behind a link to the store')
+def _linked(rig, fleet):
+    rig.add_server('d1', 'desk')
+    rig.add_server('d2', 'desk')
+    link = fleet.start_link('link', rig.store)
+    rig.add_front('front', store=link.address)
+
+
+@given('a front whose store is away')
+def _no_store(rig, fleet):
+    link = fleet.start_link('link', rig.store)
+    fleet.control('link', cut=True)
+    with pytest.raises(TimeoutError):
+        rig.add_front('front', store=link.address)
+    settings = (fleet.folder / 'front.ini').read_text()
+    rig.fronts['front'] = re.search(r'listen = (\S+)', settings)[1]
+
+
+@given(parsers.parse('{name} breaks its streams after {count:d} events'))
+def _breaks(fleet, name, count):
+    fleet.control(name, break_after=count)
+
+
+@given(
+    parsers.parse('{name} sends nothing of its streams after {count:d} events')
+)
+def _falls_silent(rig, fleet, name, count):
+    def silence():
+        while True:
+            runs = rig.runs(name)
+            if runs and runs[0]['events'] >= count:
+                fleet.control(name, silent=True)
+                return
+            time.sleep(0.01)
+
+    threading.Thread(target=silence, daemon=True).start()
+
+
+@given(parsers.parse('{name} needs {prefill:d} ms for a prompt'))
+def _slow_prompt(fleet, name, prefill):
+    fleet.control(name, prefill_ms=prefill)
+
+
+@given(parsers.parse('both desks {fault}'))
+def _faulty(fleet, fault):
+    for name in ('d1', 'd2'):
+        fleet.control(name, **FAULTS[fault])
+
+
+@given('desk d1 cuts its connections')
+def _one_cuts(fleet):
+    fleet.control('d1', cut=True)
+
+
+@given('the entry of a dead desk d0 names the address of d1')
+def _ghost(rig):
+    rig.servers['d0'] = rig.servers['d1']
+    entry = {
+        'service': 'desk',
+        'address': rig.servers['d1'],
+        'zone': 'north-1',
+        'state': 'ready',
+        'slots': 12,
+        'seq': 1,
+        'coldLeftMs': 0,
+        'born': 1,
+    }
+    rig.put('servers', 'd0', entry)
+    del rig.servers['d0']
+    time.sleep(0.3)
+
+
+@when(parsers.parse('a caller asks for a stream of {events:d} events'))
+def _stream(rig, called, events):
+    called.stream(rig.fronts['front'], events)
+
+
+@when(
+    parsers.parse(
+        'a caller asks for a stream of {events:d} events and {name} is killed '
+        'after {delay:g} s',
+    ),
+)
+def _stream_killed(rig, fleet, called, events, name, delay):
+    called.start_stream(rig.fronts['front'], events)
+    time.sleep(delay)
+    assert rig.runs(name)
+    fleet.kill(name)
+    del rig.servers[name]
+    called.thread.join()
+
+
+@when('a caller buys')
+@when('a caller buys at once')
+def _buys(rig, called):
+    called.buy(rig.fronts['front'])
+
+
+@when(parsers.parse('a caller buys {count:d} times'))
+def _buys_often(rig, called, count):
+    for _ in range(count):
+        called.buy(rig.fronts['front'])
+
+
+@when(parsers.parse('a caller looks up {count:d} times'))
+def _looks_up(rig, called, count):
+    for number in range(count):
+        headers = request_headers(Attempt_Id=f'{number:016x}')
+        called.answers.append(
+            send(rig.fronts['front'], LOOKUP_PATH, 'GET', None, headers),
+        )
+
+
+@when(parsers.parse('a caller leaves its stream after {delay:g} s'))
+def _leaves(rig, delay):
+    headers = request_headers(Token_Count='100,7000')
+    lines = [f'{name}: {text}' for name, text in headers.items()]
+    request = '\r\n'.join(
+        [f'POST {STREAM_PATH} HTTP/1.1', *lines, 'Content-Length: 0', '', ''],
+    )
+    with socket.create_connection(split_address(rig.fronts['front'])) as caller:
+        caller.sendall(request.encode())
+        time.sleep(delay)
+        assert caller.recv(BYTES_PER_READ)
+
+
+@when(
+    parsers.parse(
+        'the front gets SIGTERM during a stream of {events:d} events'
+    ),
+)
+def _leaving(rig, fleet, called):
+    called.start_stream(rig.fronts['front'], 40)
+    time.sleep(0.3)
+    fleet.members['front'].process.send_signal(signal.SIGTERM)
+    time.sleep(0.1)
+    rig.add_server('d1', 'desk')
+    time.sleep(0.2)
+    called.refused = send(
+        rig.fronts['front'],
+        STREAM_PATH,
+        headers=request_headers(Token_Count='100,70'),
+    )
+    called.bought = send(
+        rig.fronts['front'],
+        CALL_PATH,
+        headers=request_headers(),
+    )
+    called.thread.join()
+
+
+@when('the link is cut and the key taken away')
+def _cut(rig, fleet):
+    fleet.control('link', cut=True)
+    rig.keys.clear()
+    rig.configure()
+
+
+@when('the link is healed')
+def _healed(fleet):
+    fleet.control('link', cut=False)
+
+
+@when(parsers.parse('{span:g} s pass'))
+def _pass(span):
+    time.sleep(span)
+
+
+@when(
+    'the front is stopped, the key taken away, and the front woken after 5 s',
+)
+def _stopped(rig, fleet):
+    process = fleet.members['front'].process
+    process.send_signal(signal.SIGSTOP)
+    rig.keys.clear()
+    rig.configure()
+    fleet.control('link', cut=True)
+    time.sleep(5)
+    process.send_signal(signal.SIGCONT)
+
+
+@when('the store drops its history and takes the key away')
+def _forget(rig, fleet):
+    rig.keys.clear()
+    rig.configure()
+    fleet.control('store', forget=True)
+
+
+@when('entries of other writers appear')
+def _strange_entries(rig):
+    rig.put('servers', 's1', 'no JSON at all')
+    rig.put('servers', 's2', {'service': 'desk'})
+    rig.put('servers', 's3', {'service': 7, 'address': [], 'state': 'odd'})
+    time.sleep(0.3)
+
+
+@when('a caller sends headers of the system with its stream')
+def _system_headers(rig, called):
+    called.stream(rig.fronts['front'], 5, **SYSTEM_HEADERS)
+
+
+@when(parsers.parse('a caller sends bad input: {what}'))
+def _bad(rig, called, what):
+    called.status = _raw_status(rig.fronts['front'], BAD_INPUT[what])
+
+
+@then(parsers.parse('the caller has events 1 to {last:d} and a whole answer'))
+def _whole(called, last):
+    assert called.last.status == 200
+    assert called.last.events == list(range(1, last + 1))
+    assert called.last.whole
+
+
+@then('exactly 1 run began, for account lakeshore, without the key')
+def _one_run(rig):
+    (run,) = rig.all_runs()
+    assert run['account'] == ACCOUNT
+    assert KEY not in str(run['headers'])
+
+
+@then(parsers.parse('{name} went on from a copy'))
+def _copied(rig, name):
+    assert [run['from_copy'] for run in rig.runs(name)] == [True]
+
+
+@then(
+    parsers.parse(
+        'no two runs of a request worked at the same time for {span:g} s',
+    ),
+)
+def _one_at_a_time(rig, span):
+    first = rig.runs('e1')[0]
+    second = rig.runs('e2')[0]
+    assert first['state'] == 'abandoned'
+    assert first['ended_s'] < second['ended_s']
+    worked_s = (20 - second['first']) * 0.02
+    assert first['ended_s'] - (second['ended_s'] - worked_s) < span
+
+
+@then(parsers.parse('the caller gets {status:d}'))
+def _gets(called, status):
+    assert called.last.status == status
+
+
+@then(parsers.parse('the caller does not get {status:d}'))
+def _gets_not(called, status):
+    assert called.last.status != status
+
+
+@then(parsers.parse('the purchase ran {count:d} times'))
+def _ran(rig, count):
+    assert len(rig.all_runs()) == count
+
+
+@then('each lookup was answered with its own answer')
+def _own_answers(called):
+    for number, answer in enumerate(called.answers):
+        assert answer.status == 200
+        assert f'{number:016x}'.encode() in answer.body
+
+
+@then('the answer says when to come back')
+def _comes_back(called):
+    assert 0 < float(called.last.headers['retry-after']) < 2
+
+
+@then('each purchase was answered and ran once')
+def _each_once(rig, called):
+    assert [answer.status for answer in called.answers] == [
+        200 for _ in range(6)
+    ]
+    ids = [run['request_id'] for run in rig.all_runs()]
+    assert len(ids) == len(set(ids)) == 6
+
+
+@then(parsers.parse('no run works any more {span:g} s later'))
+def _stopped_work(rig, span):
+    time.sleep(span)
+    assert [run['state'] for run in rig.all_runs()] == ['abandoned']
+
+
+@then('a stream asked for meanwhile was refused as not run')
+def _refused(rig, called):
+    assert called.refused.status == 503
+    assert float(called.refused.headers['retry-after']) > 0
+    assert called.refused.headers['connection'] == 'close'
+    assert len(rig.runs('e1')) == 1
+
+
+@then(
+    'a call asked for meanwhile was answered, on a connection to be closed',
+)
+def _answered(called):
+    assert called.bought.status == 200
+    assert called.bought.headers['connection'] == 'close'
+
+
+@then(parsers.parse('a caller who buys soon gets {status:d}'))
+def _soon(rig, called, status):
+    deadline_s = time.monotonic() + SOON_S
+    while time.monotonic() < deadline_s:
+        if called.buy(rig.fronts['front']).status == status:
+            return
+        time.sleep(POLL_S)
+    pytest.fail(f'last answer: {called.last}')
+
+
+@then(parsers.parse('a caller who buys gets {status:d}'))
+def _buys_gets(rig, called, status):
+    assert called.buy(rig.fronts['front']).status == status
+
+
+@then('none of them reached the engine')
+def _kept_out(rig):
+    (run,) = rig.all_runs()
+    for name, text in SYSTEM_HEADERS.items():
+        assert run['headers'].get(name.replace('_', '-').lower()) != text
+
+
+@then(parsers.parse('it gets {status:d} and nothing ran'))
+def _nothing_ran(rig, called, status):
+    assert called.status == status
+    assert not rig.all_runs()
+
+
+def _raw(path, *lines, body='', **changes):
+    headers = [
+        f'{name}: {text}' for name, text in request_headers(**changes).items()
+    ]
+    head = [f'POST {path} HTTP/1.1', *headers, *lines, '', '']
+    return '\r\n'.join(head).encode() + body.encode()
+
+
+BAD_INPUT = {
+    'two lengths': _raw(
+        CALL_PATH, 'Content-Length: 2', 'Content-Length: 5', body='{}'
+    ),
+    'a length and chunks': _raw(
+        CALL_PATH,
+        'Content-Length: 4',
+        'Transfer-Encoding: chunked',
+        body='0\r\n\r\nPOST /buy/x HTTP/1.1\r\n\r\n',
+    ),
+    'a chunk of no size': _raw(
+        CALL_PATH, 'Transfer-Encoding: chunked', body='zz\r\n{}\r\n0\r\n\r\n'
+    ),
+    'an unknown key': _raw(
+        CALL_PATH, 'Content-Length: 0', Authorization='Bearer wrong-key'
+    ),
+    'no key': _raw(CALL_PATH, 'Content-Length: 0', Authorization=None),
+    'an unknown path': _raw('/nowhere/a', 'Content-Length: 0'),
+    'a body that is too large': _raw(
+        CALL_PATH, 'Content-Length: 200000', body='x' * 1000
+    ),
+    'a deadline that is no number': _raw(
+        CALL_PATH, 'Content-Length: 0', Deadline_Ms='soon'
+    ),
+}
+
+
+def _raw_status(address, request):
+    with socket.create_connection(split_address(address), timeout=5) as caller:
+        caller.sendall(request)
+        received = caller.recv(BYTES_PER_READ)
+    return int(received.split()[1])
