Fewer calls to the store and fewer reports: gather changes, ask later

Change: 0.25 s between changes and the next poll, polls of 2.0 and 2.5 s, a stream without events is asked about after 1 s of silence.

--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -14,7 +14,7 @@
 SHORTEST_SILENCE_S = 0.25
 PACE_FACTOR = 4.0  # slower engines get more time
 # Before the first event silence is a queue or a prompt being read.
-FIRST_EVENT_SILENCE_S = 0.5
+FIRST_EVENT_SILENCE_S = 1.0
 
 
 class Sight(enum.Enum):
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -30,9 +30,11 @@
 
 # Short enough that a host which loses the store has served for the time in
 # which its knowledge may be trusted, counted from the loss.
-CONFIGURATION_POLL_S = 1.5
+CONFIGURATION_POLL_S = 2.0
 # Bounds how long a connection that went silent hides a leaving server.
-SERVER_POLL_S = 2.0
+SERVER_POLL_S = 2.5
+# Changes come in bursts; one call brings those of this time.
+GATHER_S = 0.25
 # After failed calls; a store that is back is found within the last one.
 BACKOFF_S = (0.2, 0.4, 0.7)
 JITTER = 0.3  # share of a wait that is random
@@ -105,6 +107,8 @@
             self._note_answer()
             self.take_changes(reading)
         self.version = reading.version
+        if reading.rows:
+            await asyncio.sleep(GATHER_S)
 
     def _note_answer(self) -> None:
         if self.failures:
--- a/tests/forwarding/silence.feature
+++ b/tests/forwarding/silence.feature
@@ -14,6 +14,7 @@
       | none                | 0.45 | 0     | alive   |
       | none                | 1.2  | 0     | suspect |
       | none                | 1.2  | 1.0   | alive   |
+      | none                | 0.95 | 0     | alive   |
 
   Scenario: the next look is due when the silence gets too long
     Given a stream that may pause 0.7 s and got events at 1.0 1.03 1.06
