Bound the logs of fronts, tell a request's story, count and time

Cause: the on-call engineers have only logs and metrics; a log line a request had no bound and a full pipe would have stopped the host. Counters of requests, sends and denials; histograms of first events and silences of resumptions. Events without a number are not passed on.

--- a/celerywharf/api.py
+++ b/celerywharf/api.py
@@ -60,9 +60,9 @@
         SettingsError: the settings are wrong or a port is in use.
     """
     loaded = settings.load(path, FrontSettings)
-    logs.configure(
+    logs.configure_bounded(
         loaded.log.level,
-        stream=sys.stdout,
+        sys.stdout.fileno(),
         host=loaded.front.name,
         availability_zone=loaded.front.availability_zone,
     )
--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -17,6 +17,7 @@
   status     A host, and the table's revision at all hosts.
   timeline   What happened, over all processes.
   usage      What each client account cost.
+  explain    The story of a request, from log files.
   version    Print the version.
 
 See 'celerywharf <command> --help'.
@@ -41,6 +42,7 @@
 COMMANDS = {
     'timeline': 'celerywharf.cli._timeline',
     'usage': 'celerywharf.cli._usage',
+    'explain': 'celerywharf.cli._explain',
     'serve': 'celerywharf.cli._serve',
     'front': 'celerywharf.cli._front',
     'config': 'celerywharf.cli._config',
--- a/celerywharf/forwarding/_forwarder.py
+++ b/celerywharf/forwarding/_forwarder.py
@@ -56,8 +56,27 @@
                     story,
                 ).run()
         self._answer(step, caller)
+        self._count(request, step)
         story.ended(step, self.services.timers.now(), **details)
 
+    def _count(
+        self,
+        request: IncomingRequest,
+        step: PassOn | Fail | Done,
+    ) -> None:
+        match step:
+            case PassOn():
+                status = step.response.status
+            case Fail():
+                status = int(step.status)
+            case Done():
+                status = int(HTTPStatus.OK)
+        self.services.metrics.count(
+            'requests',
+            policy=type(request.route.policy).__name__,
+            status=str(status),
+        )
+
     def _answer(self, step: PassOn | Fail | Done, caller: Caller) -> None:
         match step:
             case PassOn():
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -147,16 +147,25 @@
         if not self.watch.flowing:
             self.services.loads.prefilled(self.server.name)
         self.watch.event(now_s)
-        self.events += 1
-        last = self.progress.last_event
-        if event.number is not None:
-            if last is not None and event.number <= last:
-                return
-            if event.number != (last or 0) + 1:
-                self.settle(Lost(f'event {event.number} follows {last}'))
-                return
-            self.progress.last_event = event.number
+        last = self.progress.last_event or 0
+        if event.number is None or event.number > last + 1:
+            self.settle(Lost(f'event {event.number} follows {last}'))
+        elif event.number == last + 1:
+            self._pass_on(event, now_s)
+
+    def _pass_on(self, event: Event, now_s: float) -> None:
         if not self.caller.started:
             self.caller.begin(self.status, self.headers.passed_on)
+        self._observe(now_s)
         self.progress.written(now_s)
+        self.progress.last_event = event.number
+        self.events += 1
         self.caller.write(event.text)
+
+    def _observe(self, now_s: float) -> None:
+        metrics = self.services.metrics
+        if self.progress.first_s is None:
+            first_s = now_s - self.request.arrived_s
+            metrics.observe('first_event', first_s)
+        elif not self.events:
+            metrics.observe('resume_silence', now_s - self.progress.last_s)
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -143,6 +143,11 @@
 ) -> None:
     """Judge a backend server by what a send to it came to."""
     now_s = services.timers.now()
+    services.metrics.count(
+        'sends',
+        service=server.service,
+        outcome=type(outcome).__name__,
+    )
     match outcome:
         case Refused(replaced=True):
             services.condition.replaced(server, now_s)
--- a/celerywharf/forwarding/_stories.py
+++ b/celerywharf/forwarding/_stories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from http import HTTPStatus
 from typing import Any
 
 from celerywharf.backends import BackendServer
@@ -13,7 +14,7 @@
     Outcome,
     Refused,
 )
-from celerywharf.forwarding._plans import Fail, PassOn, Step
+from celerywharf.forwarding._plans import Done, Fail, PassOn, Step
 from celerywharf.forwarding._requests import IncomingRequest
 
 logger = logging.getLogger(__name__)
@@ -28,6 +29,7 @@
         self.request = request
         self.version = version
         self.sends = 0
+        self.servers: list[str] = []
 
     def sent(
         self,
@@ -38,6 +40,7 @@
     ) -> None:
         """Log a send that did not settle the request."""
         self.sends += 1
+        self.servers.append(server.name)
         if isinstance(outcome, Finished) or isinstance(step, PassOn):
             return
         logger.info(
@@ -59,6 +62,7 @@
             'route': self.request.route.name,
             'configuration': self.version,
             'sends': self.sends,
+            'backend_servers': self.servers,
             'took_ms': round(
                 (now_s - self.request.arrived_s) * MILLISECONDS,
                 1,
@@ -68,9 +72,13 @@
         match step:
             case PassOn():
                 fields['status'] = step.response.status
+            case Done():
+                fields['status'] = int(HTTPStatus.OK)
             case Fail():
                 fields['status'] = int(step.status)
                 fields['reason'] = step.reason
+        served = not isinstance(step, Fail)
+        fields['routine'] = served and self.sends == 1
         logger.info('request ended', extra=fields)
 
 
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -111,7 +111,7 @@
             step,
             last_event=self.progress.last_event,
             resumed_from_copy=resumption.copy_at is not None,
-            availability_zone=server.availability_zone,
+            server_zone=server.availability_zone,
         )
         return step
 
--- a/celerywharf/fronts/_edge.py
+++ b/celerywharf/fronts/_edge.py
@@ -172,6 +172,8 @@
             )
 
     def _deny(self, denied: Denied) -> None:
+        metrics = self.edge.forwarder.services.metrics
+        metrics.count('denied', status=str(int(denied.status)))
         logger.info(
             'request refused',
             extra={
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -225,6 +225,8 @@
                     'server': server.name,
                     'draining': server.draining,
                     'sequence': server.sequence,
+                    'born_ms': server.born_ms,
+                    'routine': not server.draining,
                 },
             )
             self.directory.seen(server, now_s)
--- a/celerywharf/logs/__init__.py
+++ b/celerywharf/logs/__init__.py
@@ -1,5 +1,9 @@
 """Logs as JSON lines."""
 
-from celerywharf.logs._json import configure, log_context
+from celerywharf.logs._json import (
+    configure,
+    configure_bounded,
+    log_context,
+)
 
-__all__ = ('configure', 'log_context')
+__all__ = ('configure', 'configure_bounded', 'log_context')
--- a/celerywharf/logs/_json.py
+++ b/celerywharf/logs/_json.py
@@ -14,13 +14,15 @@
 from collections.abc import Iterator, Sequence
 from typing import Any, TextIO
 
+from celerywharf.logs._bounded import BoundedHandler
+
 SECRET_WORDS = ('key', 'token', 'secret', 'authorization', 'password')
 REDACTED = '[redacted]'
 SHORTEST_SECRET_CHARACTERS = 4
 
 _STANDARD_FIELDS = frozenset(
     vars(logging.makeLogRecord({})),
-) | {'message', 'asctime', 'taskName'}
+) | {'message', 'asctime', 'taskName', 'routine'}
 _context: contextvars.ContextVar[dict[str, Any] | None] = (
     contextvars.ContextVar('log_context', default=None)
 )
@@ -99,7 +101,26 @@
         fixed: fields added to every line, such as host and zone.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(JsonFormatter(fixed, secrets))
+    _install(handler, level, JsonFormatter(fixed, secrets))
+
+
+def configure_bounded(level: str, descriptor: int, **fixed: Any) -> None:
+    """Send all logs of the process to a descriptor, bounded in volume.
+
+    Args:
+        level: lowest level written.
+        descriptor: a file or pipe; it is never waited for.
+        fixed: fields added to every line, such as host and zone.
+    """
+    _install(BoundedHandler(descriptor), level, JsonFormatter(fixed, ()))
+
+
+def _install(
+    handler: logging.Handler,
+    level: str,
+    formatter: logging.Formatter,
+) -> None:
+    handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
