--- a/celerywharf/cli/_config.py
+++ b/celerywharf/cli/_config.py
@@ -1,13 +1,16 @@
 """celerywharf config: check a settings file.
 
 Usage:
-  celerywharf config check FILE
-  celerywharf config reference
+  celerywharf config check [--front] FILE
+  celerywharf config reference [--front]
   celerywharf config (-h | --help)
 
 Commands:
   check      Name section, key, value and what is allowed for each error.
   reference  Print every section and key with its default.
+
+Options:
+  --front    Settings of a front instead of an entry host.
 """
 
 from __future__ import annotations
@@ -16,6 +19,7 @@
 from collections.abc import Iterator, Sequence
 
 from docopt import docopt
+from pydantic import BaseModel
 
 from celerywharf import settings
 from celerywharf.cli._exits import ExitCode
@@ -24,24 +28,28 @@
 def run(words: Sequence[str]) -> int:
     """Check a file or print the reference."""
     options = docopt(__doc__, argv=list(words))
+    model = settings.HostSettings
+    if options['--front']:
+        model = settings.FrontSettings
     if options['reference']:
-        sys.stdout.writelines(f'{line}\n' for line in reference())
+        sys.stdout.writelines(f'{line}\n' for line in reference(model))
         return ExitCode.done
-    settings.load(options['FILE'])
+    settings.load(options['FILE'], model)
     sys.stdout.write(f'{options["FILE"]}: settings are valid\n')
     return ExitCode.done
 
 
-def reference() -> Iterator[str]:
+def reference(model: type[BaseModel]) -> Iterator[str]:
     """Yield the lines of a commented settings file."""
-    for section, holder in settings.HostSettings.model_fields.items():
+    for section, holder in model.model_fields.items():
         yield f'[{section}]'
         for key, field in holder.annotation.model_fields.items():
             yield f'; {field.description}'
             if field.is_required():
                 yield f'{key} ='
                 continue
-            default = field.default
-            text = '' if default in {None, ()} else default
+            default = field.get_default(call_default_factory=True)
+            default = default or None
+            text = '' if default is None else default
             yield f'; {key} = {text}'
         yield ''
--- a/tests/settings/test_reference.py
+++ b/tests/settings/test_reference.py
@@ -1,15 +1,17 @@
 """The reference is made from the checked models and stays current."""
 
+import re
 from pathlib import Path
 
-from pytest_bdd import scenarios, then, when
+from pytest_bdd import parsers, scenarios, then, when
 
 from celerywharf import settings
 from celerywharf.cli._config import reference
 
 scenarios('reference.feature')
 
-PAGE = Path(__file__).parents[2] / 'docs' / 'settings.ini'
+ROOT = Path(__file__).parents[2]
+TEMPLATE = ROOT / 'deploy' / 'front.ini.template'
 REQUIRED = {
     'name': 'a',
     'region': 'r',
@@ -17,22 +19,65 @@
     'listen': '127.0.0.1:1',
     'inner': '127.0.0.1:2',
     'operator': 'a-key-of-operators',
+    'health': '127.0.0.1:4',
+    'address': '127.0.0.1:5',
     'url': 'http://127.0.0.1:3',
 }
 
 
 @when('the reference is printed', target_fixture='lines')
 def _printed():
-    return list(reference())
+    return list(reference(settings.HostSettings))
 
 
-@then('it equals docs/settings.ini')
-def _current(lines):
-    assert PAGE.read_text().splitlines() == lines
+@when('the reference of fronts is printed', target_fixture='lines')
+def _front_printed():
+    return list(reference(settings.FrontSettings))
+
+
+@when('the template of the deployment is filled in', target_fixture='text')
+def _template():
+    text = TEMPLATE.read_text()
+    text = re.sub(r'{{#zones}}.*{{/zones}}', '    z=r', text, flags=re.DOTALL)
+    values = {
+        'nodeName': 'front-a',
+        'zone': 'z',
+        'listen.front': '127.0.0.1:1',
+        'listen.ready': '127.0.0.1:2',
+        'ip': '127.0.0.1',
+        'platform.address': '127.0.0.1:3',
+    }
+    return re.sub(
+        r'{{([\w.]+)}}', lambda found: values.get(found[1], '7'), text
+    )
+
+
+@then('it loads as settings of a front')
+def _template_loads(text):
+    loaded = settings.loads(text, model=settings.FrontSettings)
+    assert loaded.front.availability_zone == 'z'
+    assert loaded.zones.regions == {'z': 'r'}
+    assert loaded.bounds.grace_s == 7
+
+
+@then(parsers.parse('it equals {page}'))
+def _current(lines, page):
+    assert (ROOT / page).read_text().splitlines() == lines
 
 
 @then('it loads once the required keys are filled in')
 def _loads(lines):
+    loaded = settings.loads(_filled(lines))
+    assert loaded.host.name == 'a'
+
+
+@then('it loads as settings of a front once the required keys are filled in')
+def _front_loads(lines):
+    loaded = settings.loads(_filled(lines), model=settings.FrontSettings)
+    assert loaded.front.name == 'a'
+
+
+def _filled(lines):
     section = ''
     filled = []
     for line in lines:
@@ -44,5 +89,4 @@
                 value = f'{value}-{name}-key-for-tests'
             line = f'{name} = {value}'
         filled.append(line)
-    loaded = settings.loads('\n'.join(filled))
-    assert loaded.host.name == 'a'
+    return '\n'.join(filled)
