Take settings over that change while a front runs, with or without a signal

Cause: the platform may change the settings file without SIGHUP; a front only took its log level over, on SIGHUP. Change: the file is looked at every 2 s; bounds and log level take effect, wrong settings are logged and not taken. Polls gather changes 0.5 s (configuration) and 0.8 s (servers): store calls were the largest price on the grown sites.

--- a/celerywharf/api.py
+++ b/celerywharf/api.py
@@ -3,19 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import signal
 import sys
 from pathlib import Path
 
 from celerywharf import logs, settings
-from celerywharf.exceptions import SettingsError
 from celerywharf.fronts import Front
 from celerywharf.hosts import Host
 from celerywharf.settings import FrontSettings, HostSettings
 
-logger = logging.getLogger(__name__)
-
 
 def check(path: str | Path) -> HostSettings:
     """Read a settings file and return it checked.
@@ -70,26 +66,16 @@
 
 
 async def _serve_front(loaded: FrontSettings, path: str | Path) -> None:
-    front = Front(loaded)
+    front = Front(loaded, Path(path))
     loop = asyncio.get_running_loop()
     signals = _Signals(front)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.received)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    loop.add_signal_handler(signal.SIGHUP, front.reload)
     await front.start()
     await front.stopped.wait()
 
 
-def _reload(path: str | Path) -> None:
-    try:
-        loaded = settings.load(path, FrontSettings)
-    except SettingsError as error:
-        logger.error('settings kept', extra={'reason': error.message})
-        return
-    logging.getLogger().setLevel(loaded.log.level.upper())
-    logger.info('settings read again', extra={'level': loaded.log.level})
-
-
 async def _serve(loaded: HostSettings) -> None:
     host = Host(loaded)
     signals = _Signals(host)
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from pathlib import Path
 from random import Random
 
 from tornado.httpserver import HTTPServer
@@ -19,6 +20,7 @@
 from celerywharf.fronts._admittance import Admittance
 from celerywharf.fronts._edge import Edge
 from celerywharf.fronts._leaving import Leaving
+from celerywharf.fronts._reload import Reload, SettingsWatcher
 from celerywharf.fronts._status import StatusPage, build_status_server
 from celerywharf.fronts._watchers import ConfigurationWatcher, ServerWatcher
 from celerywharf.metrics import Metrics
@@ -52,7 +54,7 @@
         stopped: set when the process may end.
     """
 
-    def __init__(self, settings: FrontSettings) -> None:
+    def __init__(self, settings: FrontSettings, path: Path) -> None:
         self.settings = settings
         self.random = Random()
         self.timers = TimerService()
@@ -75,6 +77,7 @@
                 self.timers,
             ),
         )
+        self.settings_watcher = SettingsWatcher(path, self.timers, self.apply)
         self.leaving = Leaving(
             self.edge,
             self.timers,
@@ -85,8 +88,8 @@
 
     async def start(self) -> None:
         """Listen and follow the store."""
-        for watcher in self.watchers:
-            watcher.start()
+        for part in (*self.watchers, self.settings_watcher):
+            part.start()
         self._listen()
         logger.info('started', extra={'listen': self.settings.front.listen})
 
@@ -99,12 +102,24 @@
         """Stop at once."""
         for server in self.servers:
             server.stop()
-        for watcher in self.watchers:
-            await watcher.stop()
+        for part in (*self.watchers, self.settings_watcher):
+            await part.stop()
         self.transport.close()
         logger.info('stopped', extra={'cut_off': self.edge.busy()})
         self.stopped.set()
 
+    def reload(self) -> None:
+        """Read the settings file again."""
+        self.settings_watcher.post(Reload())
+
+    def apply(self, settings: FrontSettings) -> None:
+        """Take bounds and log level over; addresses need a restart."""
+        bounds = settings.bounds
+        self.knowledge.lease_s = bounds.revoke_ms / MILLISECONDS
+        self.leaving.grace_s = bounds.grace_s
+        self.services.budget.ratio = bounds.retry_ratio * RATIO_SHARE
+        logging.getLogger().setLevel(settings.log.level.upper())
+
     def ready(self) -> bool:
         """Tell whether this front should get new connections."""
         return (
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -33,8 +33,10 @@
 CONFIGURATION_POLL_S = 2.0
 # Bounds how long a connection that went silent hides a leaving server.
 SERVER_POLL_S = 2.5
-# Changes come in bursts; one call brings those of this time.
-GATHER_S = 0.25
+# Changes come in bursts; one call brings those of this time.  A configuration
+# has 2.5 s to take effect, and so has the leaving of a server.
+CONFIGURATION_GATHER_S = 0.5
+SERVER_GATHER_S = 0.8
 # After failed calls; a store that is back is found within the last one.
 BACKOFF_S = (0.2, 0.4, 0.7)
 JITTER = 0.3  # share of a wait that is random
@@ -56,6 +58,7 @@
 
     table = ''
     poll_s: float = 0
+    gather_s: float = 0
 
     def __init__(self, store: StoreClient, random: Random) -> None:
         super().__init__()
@@ -108,7 +111,7 @@
             self.take_changes(reading)
         self.version = reading.version
         if reading.rows:
-            await asyncio.sleep(GATHER_S)
+            await asyncio.sleep(self.gather_s)
 
     def _note_answer(self) -> None:
         if self.failures:
@@ -136,6 +139,7 @@
 
     table = CONFIGURATION_TABLE
     poll_s = CONFIGURATION_POLL_S
+    gather_s = CONFIGURATION_GATHER_S
 
     def __init__(
         self,
@@ -182,6 +186,7 @@
 
     table = SERVER_TABLE
     poll_s = SERVER_POLL_S
+    gather_s = SERVER_GATHER_S
 
     def __init__(
         self,
--- a/tests/fronts/fronts.feature
+++ b/tests/fronts/fronts.feature
@@ -110,6 +110,26 @@
     And a caller buys 6 times
     Then each purchase was answered and ran once
 
+  Scenario Outline: settings that change are taken over while requests run
+    Given desks d1, d2 and a front behind a link to the store
+    When the settings say that a revoked key works for 2 s at most, <how>
+    And the link is cut and the key taken away
+    And 2.2 s pass
+    And a caller buys
+    Then the caller gets 503
+    And the purchase ran 0 times
+
+    Examples:
+      | how              |
+      | told by a signal |
+      | without a signal |
+
+  Scenario: wrong settings are not taken over
+    Given desks d1, d2 and a front
+    When the settings become wrong, told by a signal
+    And a caller buys
+    Then the caller gets 200
+
   Scenario: a caller cannot set what only the system may set
     Given engines e1 in north-1, and a front
     When a caller sends headers of the system with its stream
--- a/tests/fronts/test_fronts.py
+++ b/tests/fronts/test_fronts.py
@@ -288,6 +288,36 @@
     process.send_signal(signal.SIGCONT)
 
 
+@when(
+    parsers.parse(
+        'the settings say that a revoked key works for 2 s at most, {how}',
+    ),
+)
+def _shorter(fleet, how):
+    _rewrite(fleet, 'revoke_ms = 5000', 'revoke_ms = 2000')
+    if how == 'told by a signal':
+        fleet.members['front'].process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+    else:
+        time.sleep(2.5)
+    output = (fleet.folder / 'front.out').read_text()
+    assert output.count('settings read again') == 1
+
+
+@when('the settings become wrong, told by a signal')
+def _wrong(fleet):
+    _rewrite(fleet, 'revoke_ms = 5000', 'revoke_ms = soon')
+    fleet.members['front'].process.send_signal(signal.SIGHUP)
+    time.sleep(0.3)
+
+
+def _rewrite(fleet, before, after):
+    path = fleet.folder / 'front.ini'
+    text = path.read_text()
+    assert before in text
+    path.write_text(text.replace(before, after))
+
+
 @when('the store drops its history and takes the key away')
 def _forget(rig, fleet):
     rig.keys.clear()
