--- /dev/null
+++ b/tests/forwarding/relays.feature
@@ -0,0 +1,33 @@
+Feature: Which events of a send reach the caller
+  Scenario Outline: only whole events, each once and in order
+    Given a caller that has events up to <last>
+    When an engine's stream brings <pieces>
+    Then the caller gets events <events>
+    And the send is <outcome>
+
+    Examples:
+      | last | pieces                        | events  | outcome  |
+      | 0    | 1 2 3 end                     | 1 2 3   | finished |
+      | 2    | 3 4 end                       | 3 4     | finished |
+      | 2    | 1 2 3 4 end                   | 3 4     | finished |
+      | 0    | 1 2 2 3 end                   | 1 2 3   | finished |
+      | 0    | 1 3 4 end                     | 1       | lost     |
+      | 2    | 4 end                         | none    | lost     |
+      | 0    | 1 half-2 end                  | 1       | lost     |
+      | 0    | 1 half-2 reset                | 1       | lost     |
+      | 0    | 1 unnumbered 2 end            | 1       | lost     |
+      | 0    | 1 2 reset                     | 1 2     | lost     |
+
+  Scenario Outline: an answer that is not the engine's own never reaches a caller
+    Given a caller that has events up to 0
+    When the stream's headers are <wrong>
+    Then the caller gets events none
+    And the send is <outcome>
+
+    Examples:
+      | wrong                 | outcome |
+      | of another request    | lost    |
+      | without signature     | lost    |
+      | of an encoded body    | lost    |
+      | a refusal             | refused |
+      | of another incarnation | refused |
--- /dev/null
+++ b/tests/forwarding/test_relays.py
@@ -0,0 +1,166 @@
+"""Events of a send, by replay through the relay."""
+
+import asyncio
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from celerywharf.backends import Condition, Directory, Loads
+from celerywharf.exceptions import TransportError
+from celerywharf.forwarding import Caller, IncomingRequest, Services
+from celerywharf.forwarding._outcomes import Finished, Lost, Refused
+from celerywharf.forwarding._relays import Progress, StreamRelay
+from celerywharf.forwarding._silence import SilenceWatch
+from celerywharf.metrics import Metrics
+from celerywharf.platform import read_request_headers
+from celerywharf.routing import ResumableStream, Route
+from celerywharf.timers import TimerService
+from tests.backends.test_directory import make_server
+
+scenarios('relays.feature')
+
+REQUEST_ID = 'r1'
+OWN = {'attempt-id': REQUEST_ID, 'server-stamp': 's'}
+WRONG = {
+    'of another request': (200, {**OWN, 'attempt-id': 'r2'}),
+    'without signature': (200, {'attempt-id': REQUEST_ID}),
+    'of an encoded body': (200, {**OWN, 'content-encoding': 'gzip'}),
+    'a refusal': (503, {'not-run': '1'}),
+    'of another incarnation': (421, {'instance-id': 'i-2'}),
+}
+OUTCOMES = {'finished': Finished, 'lost': Lost, 'refused': Refused}
+
+
+class RecordingCaller(Caller):
+    """Keeps what would go to the caller."""
+
+    def __init__(self):
+        self.text = b''
+
+    def begin(self, status, headers):
+        """Note the start."""
+        self.started = True
+
+    def write(self, chunk):
+        """Note a part."""
+        assert self.started
+        self.text += chunk
+
+    def answer(self, status, headers, body):
+        """Fail: no whole answer is expected."""
+        raise AssertionError('answered')
+
+    end = answer
+    abort = answer
+    fail = answer
+
+
+def _services():
+    directory = Directory()
+    loads = Loads()
+    return Services(
+        transport=None,
+        timers=TimerService(),
+        knowledge=None,
+        loads=loads,
+        condition=Condition(directory, loads),
+        placement=None,
+        reports=None,
+        budget=None,
+        metrics=Metrics(),
+        random=None,
+    )
+
+
+def _request():
+    route = Route(
+        name='r',
+        host='h',
+        prefix='/',
+        policy=ResumableStream(0.7),
+        timeout_s=5,
+        latency_target_s=1,
+        priority=0,
+        services=(),
+        max_attempts=5,
+        public=True,
+    )
+    headers = read_request_headers([('Attempt-Id', REQUEST_ID)])
+    return IncomingRequest('POST', '/', b'', headers, route, None, 0)
+
+
+async def _play(last, act):
+    caller = RecordingCaller()
+    relay = StreamRelay(
+        _services(),
+        _request(),
+        make_server('e1'),
+        caller,
+        Progress(last or None),
+        SilenceWatch(0.7, 0),
+    )
+    act(relay)
+    return caller, relay.done.result()
+
+
+def _bring(relay, pieces):
+    relay.on_headers(200, OWN)
+    for piece in pieces.split():
+        match piece.partition('-'):
+            case ('end', _, _):
+                relay.on_end(None)
+            case ('reset', _, _):
+                relay.on_end(TransportError('reset'))
+            case ('half', _, number):
+                relay.on_chunk(f'id: {number}\ndata: wo'.encode())
+            case ('unnumbered', _, _):
+                relay.on_chunk(b'data: word\n\n')
+            case (number, _, _):
+                text = f'id: {number}\ndata: word\n\n'.encode()
+                relay.on_chunk(text[:4])
+                relay.on_chunk(text[4:])
+
+
+@given(
+    parsers.parse('a caller that has events up to {last:d}'),
+    target_fixture='last',
+)
+def _last(last):
+    return last
+
+
+@when(
+    parsers.parse("an engine's stream brings {pieces}"),
+    target_fixture='played',
+)
+def _stream(last, pieces):
+    return asyncio.run(_play(last, lambda relay: _bring(relay, pieces)))
+
+
+@when(
+    parsers.parse("the stream's headers are {wrong}"),
+    target_fixture='played',
+)
+def _headers(last, wrong):
+    def act(relay):
+        relay.on_headers(*WRONG[wrong])
+        relay.on_chunk(b'id: 1\ndata: word\n\n')
+        relay.on_end(None)
+
+    return asyncio.run(_play(last, act))
+
+
+@then(parsers.parse('the caller gets events {events}'))
+def _events(played, events):
+    expected = '' if events == 'none' else events
+    lines = played[0].text.decode().split('\n')
+    got = [line[4:] for line in lines if line.startswith('id: ')]
+    assert got == expected.split()
+    assert played[0].text.endswith(b'\n\n') or not got
+
+
+@then(parsers.parse('the send is {outcome}'))
+def _outcome(played, outcome):
+    if outcome not in OUTCOMES:
+        pytest.fail(outcome)
+    assert isinstance(played[1], OUTCOMES[outcome])
