Keep streams under way from ending with the retry budget; pass failures on

And a call whose budget was gone after a server's 500 would have ended in a 502 of ours. Calls and streams share one loop of sends.

--- a/celerywharf/forwarding/_budget.py
+++ b/celerywharf/forwarding/_budget.py
@@ -17,7 +17,8 @@
 
     Each host keeps to the ratio of its own requests, so that no message
     between hosts is needed; the fixed part lets a host with few requests
-    retry at all.
+    retry at all.  A stream under way may use a second fixed part: breaking it
+    off loses all that its engine has done.
     """
 
     def __init__(self, ratio: float, fixed: int, window_s: float) -> None:
@@ -31,10 +32,23 @@
         window = self._window(service, now_s)
         window.requests.append(now_s)
 
-    def take(self, service: str, now_s: float) -> bool:
-        """Count a retry if there is budget for it."""
+    def take(
+        self,
+        service: str,
+        now_s: float,
+        *,
+        under_way: bool = False,
+    ) -> bool:
+        """Count a retry if there is budget for it.
+
+        Args:
+            service: what the request is for.
+            now_s: monotonic seconds.
+            under_way: the caller already has a part of the answer.
+        """
         window = self._window(service, now_s)
-        allowed = self.fixed + self.ratio * len(window.requests)
+        fixed = 2 * self.fixed if under_way else self.fixed
+        allowed = fixed + self.ratio * len(window.requests)
         if len(window.retries) >= allowed:
             return False
         window.retries.append(now_s)
--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -4,14 +4,8 @@
 
 from celerywharf.backends import Demand
 from celerywharf.forwarding._context import Services
-from celerywharf.forwarding._plans import (
-    Done,
-    Fail,
-    PassOn,
-    RetryPlan,
-    SendAgain,
-    Step,
-)
+from celerywharf.forwarding._plans import Fail, Step
+from celerywharf.forwarding._repeating import Forwarding
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._sends import send_call
 from celerywharf.forwarding._stories import Story
@@ -22,7 +16,7 @@
 LEAST_PATIENCE_S = 0.02
 
 
-class CallForwarding:
+class CallForwarding(Forwarding):
     """Sends one call until it is answered or given up."""
 
     def __init__(
@@ -32,37 +26,18 @@
         service: str,
         story: Story,
     ) -> None:
-        self.services = services
-        self.request = request
-        self.service = service
-        self.story = story
-        self.plan = RetryPlan(request.route.policy, request.route.max_attempts)
+        super().__init__(services, request, service, story)
         self.tried: set[str] = set()
 
-    async def run(self) -> PassOn | Fail | Done:
-        """Return what the caller is told."""
-        self.services.budget.requested(self.service, self.services.timers.now())
-        while True:
-            step = await self._send()
-            if not isinstance(step, SendAgain):
-                return step
-            if not self._may_repeat():
-                return self.plan.unserved('retry budget is used up')
-
-    def _may_repeat(self) -> bool:
-        if not self.plan.arrivals:
-            return True
-        now_s = self.services.timers.now()
-        return self.services.budget.take(self.service, now_s)
-
-    async def _send(self) -> Step:
+    async def send(self) -> Step:
+        """Send the call to a server that has not had it."""
         now_s = self.services.timers.now()
         remaining_s = self.request.ends_s() - now_s
         if remaining_s <= 0:
             return self.plan.timed_out()
         server = self._choose(now_s)
         if server is None:
-            return self.plan.unserved('no backend server')
+            return self.plan.given_up('no backend server')
         self.tried.add(server.name)
         outcome = await send_call(
             self.services,
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -69,6 +69,7 @@
         sends: sends that may have run.
         refusals: sends that a backend server refused.
         maybe_ran: some send may have run, so no status may promise otherwise.
+        answer: a backend server's own answer to the last send.
     """
 
     def __init__(self, policy: Policy, max_attempts: int) -> None:
@@ -77,6 +78,7 @@
         self.sends = 0
         self.refusals = 0
         self.maybe_ran = False
+        self.answer: PassOn | None = None
 
     def after(self, outcome: Outcome, remaining_s: float) -> Step:
         """Return what follows an outcome.
@@ -96,6 +98,7 @@
             case Lost():
                 self.sends += 1
                 self.maybe_ran = True
+                self.answer = None
                 if self.repeatable and self._may_send(remaining_s):
                     return SendAgain()
                 return Fail(HTTPStatus.BAD_GATEWAY, outcome.reason)
@@ -114,6 +117,13 @@
             case NonIdempotent() | SingleStream():
                 return False
 
+    def given_up(self, reason: str) -> PassOn | Fail:
+        """Return the end when the request is not sent again.
+
+        A backend server's own failure is passed on rather than replaced.
+        """
+        return self.answer or self.unserved(reason)
+
     def unserved(self, reason: str) -> Fail:
         """Return the error when no backend server may get the request."""
         if self.maybe_ran:
@@ -132,10 +142,11 @@
     def _after_answer(self, outcome: Answered, remaining_s: float) -> Step:
         self.sends += 1
         self.maybe_ran = True
+        self.answer = PassOn(outcome.response, outcome.headers)
         failed = outcome.response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if failed and self.repeatable and self._may_send(remaining_s):
             return SendAgain()
-        return PassOn(outcome.response, outcome.headers)
+        return self.answer
 
     def _may_send(self, remaining_s: float) -> bool:
         return (
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -10,15 +10,9 @@
 from celerywharf.forwarding._context import Services
 from celerywharf.forwarding._outcomes import Answered, Lost, Outcome, Refused
 from celerywharf.forwarding._placing import StreamPlacing
-from celerywharf.forwarding._plans import (
-    Done,
-    Fail,
-    PassOn,
-    RetryPlan,
-    SendAgain,
-    Step,
-)
+from celerywharf.forwarding._plans import Fail, Step
 from celerywharf.forwarding._relays import Progress, StreamRelay
+from celerywharf.forwarding._repeating import Forwarding
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._sends import note_outcome, outgoing
 from celerywharf.forwarding._silence import Sight, SilenceWatch, judge_report
@@ -31,7 +25,7 @@
 NO_GAP_TARGET_S = 2.0  # pause allowed on streams that cannot be resumed
 
 
-class StreamForwarding:
+class StreamForwarding(Forwarding):
     """Sends one stream until its end or until it is given up."""
 
     def __init__(
@@ -42,36 +36,15 @@
         story: Story,
         caller: Caller,
     ) -> None:
-        self.services = services
-        self.request = request
-        self.service = service
-        self.story = story
+        super().__init__(services, request, service, story)
         self.caller = caller
-        self.plan = RetryPlan(request.route.policy, request.route.max_attempts)
         self.progress = Progress(request.headers.last_event)
-        self.placing = StreamPlacing(
-            services,
-            request,
-            service,
-            self.progress,
-        )
+        self.placing = StreamPlacing(services, request, service, self.progress)
         self.watch: SilenceWatch | None = None
 
-    async def run(self) -> PassOn | Fail | Done:
-        """Return what the caller is told, unless it already has it all."""
-        self.services.budget.requested(self.service, self.services.timers.now())
-        while True:
-            step = await self._send()
-            if not isinstance(step, SendAgain):
-                return step
-            if not self._may_repeat():
-                return self.plan.unserved('retry budget is used up')
-
-    def _may_repeat(self) -> bool:
-        if not self.plan.arrivals:
-            return True
-        now_s = self.services.timers.now()
-        return self.services.budget.take(self.service, now_s)
+    def under_way(self) -> bool:
+        """Tell whether the caller has events of this answer."""
+        return self.caller.started
 
     def details(self) -> dict[str, Any]:
         """Return what the log says of a stream that has ended."""
@@ -85,14 +58,15 @@
             'longest_gap_ms': round(progress.longest_gap_s * MILLISECONDS),
         }
 
-    async def _send(self) -> Step:
+    async def send(self) -> Step:
+        """Send the stream to an engine from the last event written."""
         now_s = self.services.timers.now()
         remaining_s = self.request.ends_s() - now_s
         if remaining_s <= 0:
             return self.plan.timed_out()
         server, resumption = await self.placing.place()
         if server is None:
-            return self.plan.unserved('no backend server')
+            return self.plan.given_up('no backend server')
         # Taken at once, so that other streams placed now see it.
         self.watch = None
         self.placing.take(server)
--- a/tests/forwarding/plans.feature
+++ b/tests/forwarding/plans.feature
@@ -32,6 +32,8 @@
       | outcomes | end |
       | refused  | 503 |
       | lost     | 502 |
+      | answered-500 | 500 |
+      | answered-500 lost | 502 |
 
   Scenario: nothing is sent when there is no time left
     Given a request that is idempotent and may be sent to 2 servers
@@ -43,3 +45,9 @@
     When 1000 requests of which each wants a retry come within 5 s
     Then 510 retries are allowed
     And after 20 s a retry is allowed again
+
+  Scenario: a stream under way is not broken off for the budget's first part
+    Given a budget of 0 retries a request and 10 beside, over 10 s
+    When 10 retries were taken
+    Then a request is not retried
+    And a stream under way is, 10 times
--- a/tests/forwarding/test_plans.py
+++ b/tests/forwarding/test_plans.py
@@ -85,7 +85,7 @@
 @when('no server is left')
 def _nobody(plan, steps):
     assert steps[-1] == SendAgain()
-    steps.append(plan.unserved('no backend server'))
+    steps.append(plan.given_up('no backend server'))
 
 
 @then(parsers.parse('the caller gets {end}'))
@@ -135,3 +135,21 @@
 @then(parsers.parse('after {later:d} s a retry is allowed again'))
 def _again(budget, later):
     assert budget.take('service', later)
+
+
+@when(parsers.parse('{count:d} retries were taken'))
+def _taken(budget, count):
+    assert all(budget.take('service', 0) for _ in range(count))
+
+
+@then('a request is not retried')
+def _not_retried(budget):
+    assert not budget.take('service', 0)
+
+
+@then(parsers.parse('a stream under way is, {count:d} times'))
+def _under_way(budget, count):
+    taken = [
+        budget.take('service', 0, under_way=True) for _ in range(count + 1)
+    ]
+    assert taken == [*(True for _ in range(count)), False]
