--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -34,9 +34,9 @@
 # Bounds how long a connection that went silent hides a leaving server.
 SERVER_POLL_S = 2.5
 # Changes come in bursts; one call brings those of this time.  A configuration
-# has 2.5 s to take effect, and so has the leaving of a server.
+# has 2.5 s to take effect; servers that are back after a crash are needed soon.
 CONFIGURATION_GATHER_S = 0.5
-SERVER_GATHER_S = 0.8
+SERVER_GATHER_S = 0.25
 # After failed calls; a store that is back is found within the last one.
 BACKOFF_S = (0.2, 0.4, 0.7)
 JITTER = 0.3  # share of a wait that is random
