--- a/tests/fronts/test_leaving.py
+++ b/tests/fronts/test_graceful_stop.py
@@ -21,7 +21,7 @@
 )
 from tests.routing.test_knowledge import make_configuration
 
-scenarios('leaving.feature')
+scenarios('graceful_stop.feature')
 
 NOW_S = 100.0
 KEY = 'key-1'
