Notice a lost answer beside others; keep waiting where nothing may follow

Change: own silence ends a send after 0.8 of the allowed pause, also beside others; silence is looked at only while another send may follow.

--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -117,6 +117,11 @@
             case NonIdempotent() | SingleStream():
                 return False
 
+    @property
+    def has_alternative(self) -> bool:
+        """Tell whether a send under way could be followed by another."""
+        return self.repeatable and self.sends + 1 < self.max_attempts
+
     def given_up(self, reason: str) -> PassOn | Fail:
         """Return the end when the request is not sent again.
 
--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -11,6 +11,8 @@
 # Share of the longest pause on time that silence may last: the rest is for
 # reaching another backend server.
 SILENCE_SHARE = 0.5
+# The same where the engine is heard on other requests; this answer is lost.
+OWN_SILENCE_SHARE = 0.8
 SHORTEST_SILENCE_S = 0.25
 PACE_FACTOR = 4.0  # slower engines get more time
 # Before the first event silence is a queue or a prompt being read.
@@ -74,5 +76,8 @@
 
     def due_s(self, alive_at_s: float) -> float:
         """Return when silence has lasted too long unless it ends before."""
-        limit_s = self.limit_s() if self.flowing else FIRST_EVENT_SILENCE_S
-        return max(self.last_s, alive_at_s) + limit_s
+        heard_s = max(self.last_s, alive_at_s)
+        if not self.flowing:
+            return heard_s + FIRST_EVENT_SILENCE_S
+        own_s = max(self.gap_target_s * OWN_SILENCE_SHARE, self.limit_s())
+        return min(heard_s + self.limit_s(), self.last_s + own_s)
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -142,7 +142,9 @@
         ends_s = self.request.ends_s()
         while True:
             now_s = self.services.timers.now()
-            due_s = relay.watch.due_s(self._alive_at_s(server))
+            due_s = ends_s
+            if self.plan.has_alternative:
+                due_s = relay.watch.due_s(self._alive_at_s(server))
             wait_s = max(min(due_s, ends_s) - now_s, LEAST_WAIT_S)
             await asyncio.wait({relay.done}, timeout=wait_s)
             if not relay.done.done():
@@ -151,11 +153,16 @@
                 return relay.done.result()
 
     async def _look(self, relay: StreamRelay, server: BackendServer) -> None:
-        """Give a silent send up if its time is over or its server is dead."""
+        """Give a silent send up if its time is over or its server is dead.
+
+        Without another server to go to, silence is no reason to end it.
+        """
         now_s = self.services.timers.now()
         if now_s >= self.request.ends_s():
             relay.settle(Lost('time is over'))
             return
+        if not self.plan.has_alternative:
+            return
         sight = relay.watch.judge(now_s, self._alive_at_s(server))
         if sight is Sight.suspect:
             report = await self.services.reports.ask(server)
--- a/tests/forwarding/plans.feature
+++ b/tests/forwarding/plans.feature
@@ -35,6 +35,16 @@
       | answered-500 | 500 |
       | answered-500 lost | 502 |
 
+  Scenario Outline: silence ends a send only where another may follow
+    Given a request that is <policy> and may be sent to <most> servers
+    Then a silent send is <given up>
+
+    Examples:
+      | policy        | most | given up |
+      | stream        | 5    | given up |
+      | stream        | 1    | kept     |
+      | single stream | 5    | kept     |
+
   Scenario: nothing is sent when there is no time left
     Given a request that is idempotent and may be sent to 2 servers
     When its sends end with 0.01 s left: lost
--- a/tests/forwarding/test_plans.py
+++ b/tests/forwarding/test_plans.py
@@ -153,3 +153,8 @@
         budget.take('service', 0, under_way=True) for _ in range(count + 1)
     ]
     assert taken == [*(True for _ in range(count)), False]
+
+
+@then(parsers.parse('a silent send is {end}'))
+def _silent(plan, end):
+    assert plan.has_alternative == (end == 'given up')
