Let one front of each zone read the store for the others

After the loss of power at 34.9 s the 29 fronts of the far region read a configuration of 1,124 routes at the same moment: the link between the regions held answers back for up to 10 s, polls timed out, and 850 requests were refused with 503 there.

Ruled out: longer polls alone. Half of the calls follow changes, and they do nothing for the link between regions.

Change: package `sharing`. A row of the store names the reader of a zone, without a term; the other fronts ask it by the inner protocol and read the store themselves whenever it does not answer, has not heard the store for 2 s, or brings a clock that went back. Whoever finds it gone replaces the row under a condition. The store's clock travels along, so the age of keys counts from the store's answer; only answers to own calls map that clock to ours.

--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import secrets
 from pathlib import Path
 from random import Random
 
@@ -27,7 +28,10 @@
 from celerywharf.platform import StoreClient, boot_time_s
 from celerywharf.routing import Knowledge
 from celerywharf.settings import FrontSettings
+from celerywharf.sharing import Reader, ReaderChoice, SharedStore
 from celerywharf.sockets import bind
+from celerywharf.structures import HostIdentity
+from celerywharf.tasks import Part
 from celerywharf.timers import TimerService
 
 logger = logging.getLogger(__name__)
@@ -39,6 +43,7 @@
 RATIO_SHARE = 0.9  # keeps the sum over all hosts below the ratio
 IDLE_TIMEOUT_S = 20.0  # beyond the idle time that callers may use
 BODY_TIMEOUT_S = 30.0  # longest time for which a caller may send a body
+PEER_KEY_BYTES = 16  # as much as the nonces of the handshake
 HEADER_BYTES = 65536  # beyond any configured limit of callers
 
 
@@ -68,10 +73,12 @@
             Admittance(self.knowledge, boot_time_s),
             Forwarder(self.services),
         )
+        self.shared = self._shared_store()
+        source = self.shared or self.store
         self.watchers = (
-            ConfigurationWatcher(self.store, self.random, self.knowledge),
+            ConfigurationWatcher(source, self.random, self.knowledge),
             ServerWatcher(
-                self.store,
+                source,
                 self.random,
                 self.directory,
                 self.timers,
@@ -88,9 +95,9 @@
 
     async def start(self) -> None:
         """Listen and follow the store."""
-        for part in (*self.watchers, self.settings_watcher):
-            part.start()
         self._listen()
+        for part in self._parts():
+            part.start()
         logger.info('started', extra={'listen': self.settings.front.listen})
 
     async def drain(self) -> None:
@@ -102,7 +109,7 @@
         """Stop at once."""
         for server in self.servers:
             server.stop()
-        for part in (*self.watchers, self.settings_watcher):
+        for part in self._parts():
             await part.stop()
         self.transport.close()
         logger.info('stopped', extra={'cut_off': self.edge.busy()})
@@ -128,6 +135,30 @@
             and self.knowledge.accepts_keys(boot_time_s())
         )
 
+    def _parts(self) -> tuple[Part, ...]:
+        parts = (*self.watchers, self.settings_watcher)
+        return parts if self.shared is None else (self.shared, *parts)
+
+    def _shared_store(self) -> SharedStore | None:
+        front = self.settings.front
+        if front.peers is None:
+            return None
+        me = Reader(front.peers, secrets.token_bytes(PEER_KEY_BYTES), 0)
+        regions = self.settings.zones.regions
+        return SharedStore(
+            self.store,
+            ReaderChoice(me, self.random),
+            HostIdentity(
+                front.name,
+                regions.get(front.availability_zone, ''),
+                front.availability_zone,
+                front.peers,
+                int(self.timers.wall() * MILLISECONDS),
+            ),
+            self.knowledge.synchronize,
+            self.metrics,
+        )
+
     def _listen(self) -> None:
         front = self.settings.front
         callers = HTTPServer(
@@ -142,6 +173,8 @@
         if front.metrics is not None:
             status.add_sockets(bind('[front] metrics', front.metrics))
         self.servers = [callers, status]
+        if self.shared is not None:
+            self.shared.server.add_sockets(bind('[front] peers', front.peers))
 
     def _services(self) -> Services:
         bounds = self.settings.bounds
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -23,6 +23,7 @@
     decode_configuration,
 )
 from celerywharf.routing import Knowledge
+from celerywharf.sharing import SharedStore
 from celerywharf.tasks import Part
 from celerywharf.timers import TimerService
 
@@ -42,6 +43,8 @@
 JITTER = 0.3  # share of a wait that is random
 EXPIRY_PERIOD_S = 0.25
 
+TableSource = StoreClient | SharedStore
+
 
 @dataclass(frozen=True, slots=True)
 class Expire:
@@ -60,7 +63,7 @@
     poll_s: float = 0
     gather_s: float = 0
 
-    def __init__(self, store: StoreClient, random: Random) -> None:
+    def __init__(self, store: TableSource, random: Random) -> None:
         super().__init__()
         self.store = store
         self.random = random
@@ -110,7 +113,7 @@
             self._note_answer()
             self.take_changes(reading)
         self.version = reading.version
-        if reading.rows:
+        if reading.rows and not reading.sighting.relayed:
             await asyncio.sleep(self.gather_s)
 
     def _note_answer(self) -> None:
@@ -143,7 +146,7 @@
 
     def __init__(
         self,
-        store: StoreClient,
+        store: TableSource,
         random: Random,
         knowledge: Knowledge,
     ) -> None:
@@ -190,7 +193,7 @@
 
     def __init__(
         self,
-        store: StoreClient,
+        store: TableSource,
         random: Random,
         directory: Directory,
         timers: TimerService,
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -24,6 +24,7 @@
     Reading,
     Row,
     StoreClient,
+    Written,
     boot_time_s,
 )
 
@@ -42,6 +43,7 @@
     'Resumption',
     'Row',
     'StoreClient',
+    'Written',
     'boot_time_s',
     'decode_backend_server',
     'decode_configuration',
--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -11,7 +11,11 @@
 
 from pydantic import BaseModel, Field, ValidationError
 
-from celerywharf.adapters.transports import HttpRequest, Transport
+from celerywharf.adapters.transports import (
+    HttpRequest,
+    HttpResponse,
+    Transport,
+)
 from celerywharf.exceptions import PlatformUnavailableError
 from celerywharf.routing import Sighting
 from celerywharf.structures import Address
@@ -20,6 +24,8 @@
 CONFIGURATION_KEY = 'config'
 SERVER_TABLE = 'servers'
 MILLISECONDS = 1000
+# 412 tells the rows as they are, where a condition of a write failed.
+ANSWERS = frozenset((HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED))
 CALL_TIMEOUT_S = 1.0  # an undisturbed answer takes some milliseconds
 POLL_SLACK_S = 0.8  # an answer that is this late will not come any more
 
@@ -38,11 +44,13 @@
         key: its name in the table.
         content: its bytes; None if it was removed or cannot be decoded.
         removed: the row is gone.
+        version: of the transaction that wrote it.
     """
 
     key: str
     content: bytes | None
     removed: bool
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,10 +68,24 @@
     sighting: Sighting
 
 
+@dataclass(frozen=True, slots=True)
+class Written:
+    """What became of a write under a condition.
+
+    Attributes:
+        version: of the row that was written; None if its condition failed.
+        other: the row as it is instead; None if there is none.
+    """
+
+    version: int | None = None
+    other: Row | None = None
+
+
 class _Row(BaseModel):
     key: str
     value: str | None = None
     tombstone: bool = False
+    api_version: int = Field(default=0, alias='apiVersion')
 
     def row(self) -> Row:
         """Return the row in our form."""
@@ -73,7 +95,7 @@
                 content = base64.b64decode(self.value, validate=True)
             except binascii.Error:
                 content = None
-        return Row(self.key, content, self.tombstone)
+        return Row(self.key, content, self.tombstone, self.api_version)
 
 
 class _Answer(BaseModel):
@@ -84,12 +106,23 @@
 
 
 class StoreClient:
-    """Reads tables and waits for their changes."""
+    """Reads tables, waits for their changes, writes rows."""
 
     def __init__(self, transport: Transport, address: Address) -> None:
         self.transport = transport
         self.address = address
 
+    async def read_row(self, table: str, key: str) -> Reading:
+        """Read one row.
+
+        Raises:
+            PlatformUnavailableError: the store did not answer.
+        """
+        query = {'table': table, 'part': '', 'from': key, 'to': f'{key}\0'}
+        answer, sighting = await self._get('rows-get', query)
+        rows = tuple(one.row() for one in answer.rows)
+        return Reading(rows, answer.api_version, sighting)
+
     async def read(self, table: str, first: str = '') -> Reading:
         """Read a table from a key on, all pages.
 
@@ -105,9 +138,21 @@
                 return Reading(tuple(rows), answer.api_version, sighting)
             first = f'{answer.rows[-1].key}\0'
 
-    async def watch(self, table: str, after: int, wait_s: float) -> Reading:
+    async def watch(
+        self,
+        table: str,
+        after: int,
+        wait_s: float,
+        slack_s: float = POLL_SLACK_S,
+    ) -> Reading:
         """Wait for changes of a table after a version.
 
+        Args:
+            table: its name.
+            after: the version.
+            wait_s: how long the store waits for the first change.
+            slack_s: how much later its answer may come.
+
         Raises:
             HistoryGoneError: read the table anew.
             PlatformUnavailableError: the store did not answer.
@@ -117,35 +162,73 @@
             'after': str(after),
             'waitMs': str(int(wait_s * MILLISECONDS)),
         }
-        answer, sighting = await self._get('rows-feed', query, wait_s)
+        timeout_s = wait_s + slack_s
+        answer, sighting = await self._get('rows-feed', query, timeout_s)
         rows = tuple(one.row() for one in answer.rows)
         return Reading(rows, answer.api_version, sighting)
 
+    async def write(
+        self,
+        table: str,
+        key: str,
+        content: bytes,
+        replaces: int,
+    ) -> Written:
+        """Write a row if it still has a version, 0 for one that is not there.
+
+        Raises:
+            PlatformUnavailableError: the store did not answer; the row may
+                be written, also later.
+        """
+        name = {'table': table, 'part': '', 'key': key}
+        value = base64.b64encode(content).decode()
+        transaction = {
+            'precondition': [{**name, 'apiVersion': replaces}],
+            'setKeys': [{**name, 'value': value}],
+            'delete': [],
+        }
+        request = HttpRequest.with_json(
+            'POST',
+            f'http://{self.address}/api/rows-tx',
+            transaction,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        response, answer, _ = await self._call('rows-tx', request)
+        if response.status == HTTPStatus.OK:
+            return Written(version=answer.api_version)
+        return Written(other=next((one.row() for one in answer.rows), None))
+
     async def _get(
         self,
         call: str,
         query: dict[str, str],
-        wait_s: float = 0,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[_Answer, Sighting]:
-        sent_s = boot_time_s()
-        timeout_s = wait_s + POLL_SLACK_S if wait_s else CALL_TIMEOUT_S
-        response = await self.transport.fetch(
-            HttpRequest(
-                'GET',
-                f'http://{self.address}/api/{call}?{urlencode(query)}',
-                timeout_s=timeout_s,
-            ),
+        request = HttpRequest(
+            'GET',
+            f'http://{self.address}/api/{call}?{urlencode(query)}',
+            timeout_s=timeout_s,
         )
+        _, answer, sighting = await self._call(call, request)
+        return answer, sighting
+
+    async def _call(
+        self,
+        call: str,
+        request: HttpRequest,
+    ) -> tuple[HttpResponse, _Answer, Sighting]:
+        sent_s = boot_time_s()
+        response = await self.transport.fetch(request)
         if response.status == HTTPStatus.GONE:
             raise HistoryGoneError('the store dropped the history')
-        if response.status != HTTPStatus.OK:
+        if response.status not in ANSWERS:
             raise PlatformUnavailableError(f'{call}: {response.status}')
         try:
             answer = _Answer.model_validate_json(response.body)
         except ValidationError as error:
             raise PlatformUnavailableError(f'{call}: {error}') from None
         store_s = answer.now_ms / MILLISECONDS
-        return answer, Sighting(sent_s, boot_time_s(), store_s)
+        return response, answer, Sighting(sent_s, boot_time_s(), store_s)
 
 
 def boot_time_s() -> float:
--- a/celerywharf/routing/_knowledge.py
+++ b/celerywharf/routing/_knowledge.py
@@ -17,11 +17,14 @@
         sent_s: when the call left, in seconds of CLOCK_BOOTTIME.
         received_s: when the answer was here, same clock.
         store_s: the store's steady clock in the answer, seconds.
+        relayed: another host asked and passed the answer on, so ``sent_s``
+            does not bound its age.
     """
 
     sent_s: float
     received_s: float
     store_s: float
+    relayed: bool = False
 
 
 class Knowledge:
@@ -39,13 +42,23 @@
         self.current_at_s: float | None = None
         self.clock_offset_s: float | None = None
 
-    def confirm(self, sighting: Sighting) -> None:
-        """Note that the store was heard and nothing newer is missing here."""
+    def synchronize(self, sighting: Sighting) -> None:
+        """Map the store's clock to ours by an answer to a call of our own."""
+        if sighting.relayed:
+            return
         offset_s = sighting.received_s - sighting.store_s
         if self.clock_offset_s is None or offset_s < self.clock_offset_s:
             self.clock_offset_s = offset_s
-        estimate_s = sighting.store_s + self.clock_offset_s
-        moment_s = min(max(estimate_s, sighting.sent_s), sighting.received_s)
+
+    def confirm(self, sighting: Sighting) -> None:
+        """Note that the store was heard and nothing newer is missing here."""
+        self.synchronize(sighting)
+        if self.clock_offset_s is None:
+            return
+        moment_s = sighting.store_s + self.clock_offset_s
+        if not sighting.relayed:
+            moment_s = max(moment_s, sighting.sent_s)
+        moment_s = min(moment_s, sighting.received_s)
         if self.current_at_s is None or moment_s > self.current_at_s:
             self.current_at_s = moment_s
 
--- a/celerywharf/settings/_front.py
+++ b/celerywharf/settings/_front.py
@@ -46,6 +46,13 @@
         default=None,
         description='metrics, ip:port; they are also beside the health check',
     )
+    peers: AddressField | None = Field(
+        default=None,
+        description=(
+            'other fronts of the zone, ip:port; one of them reads the store '
+            'for the others, without it this front reads for itself'
+        ),
+    )
 
 
 class ZoneSection(_Section):
--- /dev/null
+++ b/celerywharf/sharing/_mirror.py
@@ -0,0 +1,66 @@
+"""What a table held when this front last read it."""
+
+from __future__ import annotations
+
+from celerywharf.platform import Reading, Row
+
+# Beyond this many removed rows the older half is forgotten; who asks for
+# changes since before then reads the whole table.
+MOST_REMOVED = 2000
+
+
+class Mirror:
+    """The newest state of each row of a table.
+
+    Attributes:
+        rows: newest state by key, removed rows too.
+        version: of the newest reading; None before the first.
+        oldest: version since which all changes are known.
+        store_s: the store's clock in the newest reading.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.version: int | None = None
+        self.oldest = 0
+        self.store_s: float = 0
+
+    def replace(self, reading: Reading) -> None:
+        """Take a reading of the whole table."""
+        self.rows = {row.key: row for row in reading.rows}
+        self.oldest = reading.version
+        self._heard(reading)
+
+    def update(self, reading: Reading) -> None:
+        """Take the rows that changed since the last reading."""
+        for row in reading.rows:
+            self.rows[row.key] = row
+        self._heard(reading)
+        self._forget()
+
+    def tells_since(self, version: int) -> bool:
+        """Tell whether all changes after a version are known."""
+        return version >= self.oldest
+
+    def since(self, version: int) -> tuple[Row, ...]:
+        """Return the rows that changed after a version."""
+        return tuple(row for row in self.rows.values() if row.version > version)
+
+    def present(self) -> tuple[Row, ...]:
+        """Return the rows that are there."""
+        return tuple(row for row in self.rows.values() if not row.removed)
+
+    def _heard(self, reading: Reading) -> None:
+        self.version = max(self.version or 0, reading.version)
+        self.store_s = reading.sighting.store_s
+
+    def _forget(self) -> None:
+        removed = sorted(
+            (row for row in self.rows.values() if row.removed),
+            key=lambda row: row.version,
+        )
+        if len(removed) <= MOST_REMOVED:
+            return
+        for row in removed[: len(removed) // 2]:
+            self.oldest = max(self.oldest, row.version)
+            self.rows.pop(row.key)
--- a/celerywharf/wire/__init__.py
+++ b/celerywharf/wire/__init__.py
@@ -1,4 +1,4 @@
-"""The inner protocol: what entry hosts say to each other.
+"""The inner protocol: what hosts of celerywharf say to each other.
 
 Cap'n Proto messages in length-prefixed frames over TCP.  Each concern has a
 module of message dataclasses here and a schema of the same name under
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -13,6 +13,7 @@
     journals,
     membership,
     orders,
+    sharing,
     tables,
     timelines,
 )
@@ -24,6 +25,7 @@
     claims,
     membership,
     orders,
+    sharing,
     tables,
     timelines,
     idempotency,
--- /dev/null
+++ b/celerywharf/wire/schemas/sharing.capnp
@@ -0,0 +1,21 @@
+@0xc8f23b9a6d17e405;
+
+struct TableQuestion {
+  table @0 :Text;
+  after @1 :Int64;
+  waitS @2 :Float64;
+}
+
+struct SharedRow {
+  key @0 :Text;
+  content @1 :Data;
+  readable @2 :Bool;
+  removed @3 :Bool;
+  version @4 :Int64;
+}
+
+struct TableAnswer {
+  rows @0 :List(SharedRow);
+  version @1 :Int64;
+  storeS @2 :Float64;
+}
--- a/standins/fronts.py
+++ b/standins/fronts.py
@@ -58,6 +58,7 @@
         self.keys = [KEY]
         self.store = fleet.start_store().address
         self.fronts: dict[str, str] = {}
+        self.health: dict[str, str] = {}
         self.servers: dict[str, str] = {}
         self.configure()
 
@@ -135,9 +136,18 @@
         self,
         name: str,
         store: str | None = None,
+        *,
+        shares: bool = False,
         **bounds: Any,
     ) -> str:
-        """Start a front; return where callers reach it."""
+        """Start a front; return where callers reach it.
+
+        Args:
+            name: of the front.
+            store: where it reaches the store, if not directly.
+            shares: one front of its zone reads the store for the others.
+            bounds: changes of the section ``[bounds]``.
+        """
         listen = f'127.0.0.1:{find_free_port()}'
         health = f'127.0.0.1:{find_free_port()}'
         settings = {
@@ -152,6 +162,9 @@
             'bounds': {'revoke_ms': 5000, 'grace_s': 4, **bounds},
             'log': {'level': 'debug'},
         }
+        if shares:
+            settings['front']['peers'] = f'127.0.0.1:{find_free_port()}'
+        self.health[name] = health
         self.fleet.start_front(name, settings, health)
         self.fronts[name] = listen
         return listen
--- a/standins/stores.py
+++ b/standins/stores.py
@@ -13,6 +13,7 @@
 
 OK = 200
 GONE = 410
+CONDITION_FAILED = 412
 
 
 @dataclass(slots=True)
@@ -88,6 +89,13 @@
             if change.table == table and change.version > after
         ]
 
+    def row_version(self, table: str, key: str) -> int:
+        """Return the version of a row, 0 if it is not there."""
+        for change in reversed(self.changes):
+            if (change.table, change.key) == (table, key):
+                return 0 if change.text is None else change.version
+        return 0
+
     def answer(self, rows: list[dict[str, Any]]) -> dict[str, Any]:
         """Return the body of an answer."""
         return {
@@ -118,10 +126,34 @@
 class _GetHandler(control.OuterHandler):
     def get(self) -> None:
         self.standin.calls += 1
-        rows = self.standin.rows(self.get_argument('table'))
+        first = self.get_argument('from', '')
+        end = self.get_argument('to', None)
+        rows = [
+            row
+            for row in self.standin.rows(self.get_argument('table'))
+            if row['key'] >= first and (end is None or row['key'] < end)
+        ]
         self.answer(OK, self.standin.answer(rows))
 
 
+class _TransactionHandler(control.OuterHandler):
+    """One row written under a condition on the same row."""
+
+    def post(self) -> None:
+        store = self.standin
+        store.calls += 1
+        told = self.read_json()
+        condition = told['precondition'][0]
+        table, key = condition['table'], condition['key']
+        if store.row_version(table, key) != condition['apiVersion']:
+            rows = [row for row in store.rows(table) if row['key'] == key]
+            self.answer(CONDITION_FAILED, store.answer(rows))
+            return
+        text = base64.b64decode(told['setKeys'][0]['value']).decode()
+        store.put(table, key, text)
+        self.answer(OK, store.answer([]))
+
+
 class _FeedHandler(control.OuterHandler):
     async def get(self) -> None:
         store = self.standin
@@ -149,6 +181,7 @@
         [
             ('/rows', _RowsHandler),
             ('/api/rows-get', _GetHandler),
+            ('/api/rows-tx', _TransactionHandler),
             ('/api/rows-feed', _FeedHandler),
         ],
     )
--- a/tests/routing/knowledge.feature
+++ b/tests/routing/knowledge.feature
@@ -31,3 +31,17 @@
   Scenario: without any configuration no key is accepted
     Given a host that may serve a revoked key for 5 s
     Then keys are refused at 0.1 s
+
+  Scenario: an answer that another host passed on is as old as the store's clock in it
+    Given a host that may serve a revoked key for 5 s
+    When the store answers a call sent at 10.0 s at 10.01 s with its clock at 3.0 s
+    And a host passes on at 14.0 s what the store's clock said at 4.5 s
+    Then the knowledge is from 11.51 s
+
+  Scenario: an answer that another host passed on tells nothing of the clock
+    Given a host that may serve a revoked key for 5 s
+    When a host passes on at 14.0 s what the store's clock said at 4.5 s
+    Then keys are refused at 14.1 s
+    When the store answers a call sent at 20.0 s at 20.01 s with its clock at 13.0 s
+    And a host passes on at 21.0 s what the store's clock said at 13.5 s
+    Then the knowledge is from 20.51 s
--- a/tests/routing/test_knowledge.py
+++ b/tests/routing/test_knowledge.py
@@ -43,6 +43,16 @@
     knowledge.confirm(Sighting(sent, received, store))
 
 
+@when(
+    parsers.parse(
+        "a host passes on at {received:g} s what the store's clock said at "
+        '{store:g} s',
+    ),
+)
+def _passed_on(knowledge, received, store):
+    knowledge.confirm(Sighting(received, received, store, relayed=True))
+
+
 @when(parsers.parse('versions {versions} are offered'), target_fixture='taken')
 def _offer(knowledge, versions):
     return sum(
