Rank a bounded part of a service; forget servers that are gone

Cause: with 12,000 servers in the directory a ranking scanned all of them and sorted its whole service, up to six times a stream; what was known of servers that are gone (loads, outliers, marks of those that left) was never dropped.

--- a/celerywharf/backends/_condition.py
+++ b/celerywharf/backends/_condition.py
@@ -56,6 +56,11 @@
         self.directory.replaced(server)
         self._fail_zone(server, now_s)
 
+    def sweep(self) -> None:
+        """Drop what is known of servers that are gone."""
+        self.outliers.keep(self.directory.servers)
+        self.loads.keep(self.directory.servers)
+
     def usable(self, server: BackendServer, now_s: float) -> bool:
         """Tell whether a server may get work."""
         return self.outliers.usable(server.name, now_s)
--- a/celerywharf/backends/_directory.py
+++ b/celerywharf/backends/_directory.py
@@ -8,6 +8,9 @@
 
 # Entries that lapsed during an outage are back within two seconds of its end.
 RETURN_S = 2.0
+# An entry written before its server left comes seconds later at most; a system
+# of 12,000 servers replaces this many in two days.
+MOST_LEFT = 10_000
 
 
 class Directory:
@@ -17,10 +20,18 @@
     entry that vanishes around an outage is kept for a while after its end; one
     that vanishes otherwise is dropped at once.  A server that said that it is
     leaving stays left, whatever older entries say.
+
+    Attributes:
+        servers: all entries, by name.
+        open: those that may get new work, by service and name.
+        left: start of the incarnations that said that they leave.
+        missing: names that vanished around an outage.
+        since_s: when an incarnation was first seen.
     """
 
     def __init__(self) -> None:
         self.servers: dict[str, BackendServer] = {}
+        self.open: dict[str, dict[str, BackendServer]] = {}
         self.left: dict[str, int] = {}
         self.missing: set[str] = set()
         self.since_s: dict[str, float] = {}
@@ -50,14 +61,18 @@
         if known is None or known.born_ms != server.born_ms:
             self.since_s[server.name] = now_s
         if server.draining:
-            self.left[server.name] = server.born_ms
+            self._leaves(server)
         elif self.left.get(server.name) == server.born_ms:
             server = replace(server, draining=True)
+        if known is not None:
+            self._close(known)
         self.servers[server.name] = server
+        if not server.draining:
+            self.open.setdefault(server.service, {})[server.name] = server
 
     def replaced(self, server: BackendServer) -> None:
         """Note that another backend server answers at a server's address."""
-        self.left[server.name] = server.born_ms
+        self._leaves(server)
         self.drop(server.name)
 
     def unreadable(self, name: str) -> None:
@@ -96,16 +111,26 @@
     def drop(self, name: str) -> None:
         """Forget a backend server."""
         self.missing.discard(name)
-        self.servers.pop(name, None)
         self.since_s.pop(name, None)
+        known = self.servers.pop(name, None)
+        if known is not None:
+            self._close(known)
 
     def usable(self, service: str) -> list[BackendServer]:
         """Return the backend servers that may get new work."""
-        return [
-            server
-            for server in self.servers.values()
-            if server.service == service and not server.draining
-        ]
+        return list(self.open.get(service, {}).values())
+
+    def _leaves(self, server: BackendServer) -> None:
+        self.left.pop(server.name, None)
+        self.left[server.name] = server.born_ms
+        if len(self.left) > MOST_LEFT:
+            self.left.pop(next(iter(self.left)))
+
+    def _close(self, server: BackendServer) -> None:
+        names = self.open.get(server.service, {})
+        names.pop(server.name, None)
+        if not names:
+            self.open.pop(server.service, None)
 
     def _outage_recent(self, now_s: float) -> bool:
         if self.in_outage:
--- a/celerywharf/backends/_loads.py
+++ b/celerywharf/backends/_loads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from celerywharf.backends._servers import EngineReport
@@ -52,6 +53,14 @@
         load.requests -= 1
         load.tokens -= tokens
 
+    def keep(self, names: Container[str]) -> None:
+        """Drop other servers where nothing of this host is under way."""
+        self.loads = {
+            name: load
+            for name, load in self.loads.items()
+            if load.requests or name in names
+        }
+
     def reported(self, name: str, load: float, now_s: float) -> None:
         """Note the load that an answer told, over the server's slots."""
         known = self._load(name)
--- a/celerywharf/backends/_placement.py
+++ b/celerywharf/backends/_placement.py
@@ -22,6 +22,9 @@
 # A server that may have failed with its zone is worse than a loaded one.
 SUSPECT_COST = 4.0
 SUSPECT_BACKUP_COST = 4.0
+# Ranking takes a few microseconds a server.  A random part of this size misses
+# the least loaded tenth of a service once in a thousand times.
+MOST_RANKED = 128
 TIE = 0.05  # random part that spreads equal choices
 
 
@@ -74,7 +77,7 @@
         """Return the backend servers that may get a request, best first."""
         usable = [
             server
-            for server in self.directory.usable(demand.service)
+            for server in self._sample(demand.service)
             if server.name not in demand.excluded
             and self._fits(server, demand, now_s)
         ]
@@ -99,7 +102,7 @@
         """
         others = [
             other
-            for other in self.directory.usable(server.service)
+            for other in self._sample(server.service)
             if other.availability_zone != server.availability_zone
             and other.name not in demand.excluded
             and self.condition.usable(other, now_s)
@@ -117,6 +120,29 @@
             ),
         )
 
+    def _sample(self, service: str) -> list[BackendServer]:
+        """Return all usable servers, of a large service a random part.
+
+        Up to half of it are near ones, so that distance still decides.
+        """
+        usable = self.directory.usable(service)
+        if len(usable) <= MOST_RANKED:
+            return usable
+        zone = self.availability_zone
+        near = [one for one in usable if one.availability_zone == zone]
+        far = [one for one in usable if one.availability_zone != zone]
+        near = self._draw(near, MOST_RANKED // 2)
+        return near + self._draw(far, MOST_RANKED - len(near))
+
+    def _draw(
+        self,
+        servers: list[BackendServer],
+        count: int,
+    ) -> list[BackendServer]:
+        if len(servers) <= count:
+            return servers
+        return self.random.sample(servers, count)
+
     def _fits(
         self,
         server: BackendServer,
--- a/celerywharf/backends/outliers.py
+++ b/celerywharf/backends/outliers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import statistics
+from collections.abc import Container
 from dataclasses import dataclass
 
 ERRORS_IN_A_ROW = 3
@@ -83,6 +84,14 @@
             now + UNREACHABLE_S,
         )
 
+    def keep(self, names: Container[str]) -> None:
+        """Drop other backend servers where nothing is under way."""
+        self.records = {
+            name: record
+            for name, record in self.records.items()
+            if record.in_flight or name in names
+        }
+
     def answered(self, name: str, answer_s: float, now: float) -> bool:
         """Note the time to a first answer; tell whether it was too slow."""
         record = self._record(name)
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -80,7 +80,7 @@
             ServerWatcher(
                 source,
                 self.random,
-                self.directory,
+                self.services.condition,
                 self.timers,
             ),
         )
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any
 
-from celerywharf.backends import BackendServer, Directory
+from celerywharf.backends import BackendServer, Condition
 from celerywharf.exceptions import CelerywharfError, ProtocolError
 from celerywharf.platform import (
     CONFIGURATION_KEY,
@@ -42,6 +42,8 @@
 BACKOFF_S = (0.2, 0.4, 0.7)
 JITTER = 0.3  # share of a wait that is random
 EXPIRY_PERIOD_S = 0.25
+# Later than any outcome of a server that is gone; a few hundred leave an hour.
+SWEEP_PERIOD_S = 30.0
 
 TableSource = StoreClient | SharedStore
 
@@ -51,6 +53,11 @@
     """Time to drop entries that did not come back."""
 
 
+@dataclass(frozen=True, slots=True)
+class Sweep:
+    """Time to forget servers that are gone."""
+
+
 class TableWatcher(Part):
     """Reads a table, then follows its changes.
 
@@ -195,23 +202,28 @@
         self,
         store: TableSource,
         random: Random,
-        directory: Directory,
+        condition: Condition,
         timers: TimerService,
     ) -> None:
         super().__init__(store, random)
-        self.directory = directory
+        self.condition = condition
+        self.directory = condition.directory
         self.timers = timers
 
     def start(self) -> None:
         """Follow the table and drop what does not come back."""
         super().start()
         self.timers.every(EXPIRY_PERIOD_S, self.post, Expire())
+        self.timers.every(SWEEP_PERIOD_S, self.post, Sweep())
 
     def handle(self, message: Any) -> None:
-        """Drop entries that stayed away."""
-        if isinstance(message, Expire):
-            for name in self.directory.expire(self.timers.now()):
-                logger.info('backend server gone', extra={'server': name})
+        """Drop entries that stayed away, and what is known of their servers."""
+        match message:
+            case Expire():
+                for name in self.directory.expire(self.timers.now()):
+                    logger.info('backend server gone', extra={'server': name})
+            case Sweep():
+                self.condition.sweep()
 
     def take_all(self, reading: Reading) -> None:
         """Replace the list."""
--- a/tests/backends/directory.feature
+++ b/tests/backends/directory.feature
@@ -44,3 +44,13 @@
     Then the usable servers are none
     When an entry is seen: a ready 2 born 5
     Then the usable servers are none
+
+  Scenario: a server that moves to another service serves only that
+    Given entries seen: a ready 1 born 5
+    When the entry of a names another service
+    Then the usable servers are none
+
+  Scenario: marks of servers that left are not kept for ever
+    Given entries seen: a draining 1 born 5
+    When 10000 other servers come and leave
+    Then 10000 marks are kept
--- a/tests/backends/placement.feature
+++ b/tests/backends/placement.feature
@@ -46,3 +46,15 @@
   Scenario: work goes to suspect servers rather than to none
     When every server is lost
     Then a stream goes to one of a1 a2 b1 b2 c1
+
+  Scenario: a large service is ranked by a random part of it, near ones first
+    Given 300 more servers in far-1 and 100 more in near-1
+    Then a ranking has 128 servers, none of them twice
+    And a stream goes to servers of near-1
+
+  Scenario: what is known of servers that are gone is dropped
+    Given a1 has a stream under way and a2 has had one
+    When a1 and a2 are gone and everything is swept
+    Then something is known of a1 and nothing of a2
+    When the stream on a1 ends and everything is swept
+    Then nothing is known of a1
--- a/tests/backends/test_directory.py
+++ b/tests/backends/test_directory.py
@@ -54,6 +54,24 @@
     directory.vanished(name, now)
 
 
+@when(parsers.parse('the entry of {name} names another service'))
+def _moved(directory, name):
+    moved = make_server(name, service='other', sequence=2, born_ms=5)
+    directory.seen(moved, 0)
+
+
+@when(parsers.parse('{count:d} other servers come and leave'))
+def _come_and_leave(directory, count):
+    for number in range(count):
+        directory.seen(make_server(f'other-{number}', draining=True), 0)
+        directory.drop(f'other-{number}')
+
+
+@then(parsers.parse('{count:d} marks are kept'))
+def _marks(directory, count):
+    assert len(directory.left) == count
+
+
 @when('the store is lost')
 def _lost(directory):
     directory.outage()
--- a/tests/backends/test_placement.py
+++ b/tests/backends/test_placement.py
@@ -157,3 +157,64 @@
     for name in names.split():
         server = world.directory.servers[name]
         assert not world.condition.suspect(server, world.now_s)
+
+
+@given(
+    parsers.parse('{far:d} more servers in far-1 and {near:d} more in near-1'),
+)
+def _many(world, far, near):
+    world.add(' '.join(f'f{number}' for number in range(far)), 'far-1')
+    world.add(' '.join(f'n{number}' for number in range(near)), 'near-1')
+
+
+@then(parsers.parse('a ranking has {count:d} servers, none of them twice'))
+def _ranking(world, count):
+    ranked = world.placement.ranked(STREAM, world.now_s)
+    assert len(ranked) == count
+    assert len({server.name for server in ranked}) == count
+
+
+@then('a stream goes to servers of near-1')
+def _near(world):
+    for name in world.places(STREAM):
+        server = world.directory.servers[name]
+        assert server.availability_zone == 'near-1'
+
+
+@given('a1 has a stream under way and a2 has had one')
+def _under_way(world):
+    for name in ('a1', 'a2'):
+        server = world.directory.servers[name]
+        world.loads.started(name, STREAM.tokens, world.now_s)
+        world.condition.started(server)
+    _ends(world, 'a2')
+
+
+@when('a1 and a2 are gone and everything is swept')
+def _gone(world):
+    for name in ('a1', 'a2'):
+        world.directory.drop(name)
+    world.condition.sweep()
+
+
+@when('the stream on a1 ends and everything is swept')
+def _ended(world):
+    _ends(world, 'a1')
+    world.condition.sweep()
+
+
+def _ends(world, name):
+    world.loads.ended(name, STREAM.tokens)
+    world.condition.ended(make_server(name))
+
+
+@then('something is known of a1 and nothing of a2')
+def _known(world):
+    assert set(world.loads.loads) & {'a1', 'a2'} == {'a1'}
+    assert set(world.condition.outliers.records) & {'a1', 'a2'} == {'a1'}
+
+
+@then('nothing is known of a1')
+def _unknown(world):
+    assert 'a1' not in world.loads.loads
+    assert 'a1' not in world.condition.outliers.records
