Ask two engines for a report, more only if none of them lives

Cause: a placement asked in up to three rounds, and each answer moved engines that were not asked yet to the front of the ranking, so six engines were asked for a stream and three for its copy.

Ruled out: asking nobody for the copy's place; engines that have just died hold entries for seconds, and a probe is what finds them.

Change: the best of the two that were asked is taken; a further round follows only when none of them answered.

--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -44,17 +44,26 @@
         rank: Callable[[], list[BackendServer]],
         candidates: int,
     ) -> BackendServer | None:
-        """Return the first of a ranking whose report is fresh.
+        """Return the best of a few servers whose load is known.
+
+        Two that are asked come close to asking all, at a fixed number of
+        probes; more are asked only when none of them lives.
 
         Args:
             rank: ranks by what is known when it is called.
             candidates: how many of the first are asked at a time.
         """
+        silent: set[str] = set()
         for _ in range(MOST_ROUNDS):
-            stale = [one for one in rank()[:candidates] if self._stale(one)]
-            if not stale:
-                break
+            first = [one for one in rank() if one.name not in silent]
+            first = first[:candidates]
+            stale = [server for server in first if self._stale(server)]
             await asyncio.gather(*(self.ask(server) for server in stale))
+            names = {one.name for one in first if not self._stale(one)}
+            known = [server for server in rank() if server.name in names]
+            if known:
+                return known[0]
+            silent.update(server.name for server in first)
         return next(iter(rank()), None)
 
     async def ask(self, server: BackendServer) -> EngineReport | None:
