Try a server that cannot be connected once a call

Failed connections were bounded by nothing: they count neither as attempts nor as refusals, and when all servers had been tried any of them was chosen again.

Ruled out: a pause between tries. It would hold a request whose service is known to be away until its deadline.

Change: a call chooses a new server first, then one that it could reach before; where there is none it ends at once with 503, Retry-After and the promise that it has not run.

--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from celerywharf.backends import Demand
+from celerywharf.backends import BackendServer, Demand
 from celerywharf.forwarding._context import Services
+from celerywharf.forwarding._outcomes import Refused
 from celerywharf.forwarding._plans import Fail, Step
 from celerywharf.forwarding._repeating import Forwarding
 from celerywharf.forwarding._requests import IncomingRequest
@@ -17,7 +18,12 @@
 
 
 class CallForwarding(Forwarding):
-    """Sends one call until it is answered or given up."""
+    """Sends one call until it is answered or given up.
+
+    Attributes:
+        tried: names of the servers that it was sent to.
+        unreached: those of them that could not be connected.
+    """
 
     def __init__(
         self,
@@ -28,6 +34,7 @@
     ) -> None:
         super().__init__(services, request, service, story)
         self.tried: set[str] = set()
+        self.unreached: set[str] = set()
 
     async def send(self) -> Step:
         """Send the call to a server that has not had it."""
@@ -46,6 +53,8 @@
             remaining_s,
             self._patience_s(remaining_s),
         )
+        if isinstance(outcome, Refused) and not outcome.reached:
+            self.unreached.add(server.name)
         remaining_s = self.request.ends_s() - self.services.timers.now()
         step = self.plan.after(outcome, remaining_s)
         if remaining_s <= 0 and isinstance(step, Fail):
@@ -53,13 +62,12 @@
         self.story.sent(server, outcome, step)
         return step
 
-    def _choose(self, now_s: float):
+    def _choose(self, now_s: float) -> BackendServer | None:
+        """Choose a new server, then one that could be reached before."""
+        placement = self.services.placement
         demand = Demand(self.service, excluded=self.tried)
-        server = self.services.placement.choose(demand, now_s)
-        if server is None and self.tried:
-            again = Demand(self.service)
-            server = self.services.placement.choose(again, now_s)
-        return server
+        again = Demand(self.service, excluded=self.unreached)
+        return placement.choose(demand, now_s) or placement.choose(again, now_s)
 
     def _patience_s(self, remaining_s: float) -> float:
         if isinstance(self.request.route.policy, Idempotent) and (
--- a/tests/fronts/fronts.feature
+++ b/tests/fronts/fronts.feature
@@ -59,6 +59,18 @@
     When a caller buys
     Then the answer says when to come back
 
+  Scenario Outline: a service whose servers are all dead is told of at once
+    Given desks d1, d2 and a front
+    And each of the desks is dead
+    When a caller <asks>
+    Then the caller is told within 0.5 s that it did not run and when to come back
+    And each desk was tried once
+
+    Examples:
+      | asks           |
+      | buys           |
+      | looks up once  |
+
   Scenario: an address that another server took is not believed
     Given desks d1, d2 and a front
     And the entry of a dead desk d0 names the address of d1
--- a/tests/fronts/test_fronts.py
+++ b/tests/fronts/test_fronts.py
@@ -156,6 +156,37 @@
         fleet.control(name, **FAULTS[fault])
 
 
+@given('each of the desks is dead')
+def _dead(rig, fleet):
+    for name in ('d1', 'd2'):
+        fleet.kill(name)
+        del rig.servers[name]
+
+
+@when('a caller looks up once')
+def _looks_up_once(rig, called):
+    _looks_up(rig, called, 1)
+
+
+@then(
+    parsers.parse(
+        'the caller is told within {span:g} s that it did not run and when to '
+        'come back',
+    ),
+)
+def _told_soon(called, span):
+    assert called.last.status == 503
+    assert called.last.took_s < span
+    assert float(called.last.headers['retry-after']) > 0
+
+
+@then('each desk was tried once')
+def _tried_once(fleet):
+    output = (fleet.folder / 'front.out').read_text()
+    for name in ('d1', 'd2'):
+        assert output.count(f'"backend_server": "{name}", "send"') == 1
+
+
 @given('desk d1 cuts its connections')
 def _one_cuts(fleet):
     fleet.control('d1', cut=True)
