--- a/celerywharf/backends/_placement.py
+++ b/celerywharf/backends/_placement.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass, field
 from random import Random
 
-import xxhash
-
 from celerywharf.backends._condition import Condition
 from celerywharf.backends._directory import Directory
 from celerywharf.backends._loads import Loads
@@ -21,10 +19,6 @@
 STREAM_REGION_COST = 0.8
 # A stream that runs slows a prompt down by about a quarter of a prompt.
 RUNNING_COST = 0.25
-# A stream whose host loses power comes back at another, which knows nothing of
-# it.  Where its prompt has been read it need not be read again, so it goes
-# there unless that costs more than waiting behind half a prompt.
-AWAY_COST = 0.5
 # A server that may have failed with its zone is worse than a loaded one.
 SUSPECT_COST = 4.0
 SUSPECT_BACKUP_COST = 4.0
@@ -42,14 +36,12 @@
         service: what it is for.
         tokens: token memory it needs, 0 for plain calls.
         capacity_tokens: token memory of each backend server.
-        prompt: id of its prompt, empty for none.
         excluded: names of backend servers that must not get it.
     """
 
     service: str
     tokens: int = 0
     capacity_tokens: int = 0
-    prompt: str = ''
     excluded: Collection[str] = field(default=())
 
 
@@ -58,8 +50,7 @@
 
     Answers two loads: plain calls, short and many, go by the share of slots
     taken; streams go by the prompts still to be read, which is what their
-    first event waits for, by the token memory left and by where their prompt
-    may have been read before.
+    first event waits for, and by the token memory left.
     """
 
     def __init__(
@@ -93,14 +84,9 @@
         healthy = [
             server for server in usable if self.condition.usable(server, now_s)
         ]
-        fit = healthy or usable
-        home = self._home(fit, demand)
         return sorted(
-            fit,
-            key=lambda server: (
-                self._cost(server, demand, now_s)
-                + (server.name != home) * AWAY_COST
-            ),
+            healthy or usable,
+            key=lambda server: self._cost(server, demand, now_s),
         )
 
     def backups(
@@ -157,26 +143,6 @@
             return servers
         return self.random.sample(servers, count)
 
-    def _home(
-        self,
-        servers: list[BackendServer],
-        demand: Demand,
-    ) -> str | None:
-        """Return the name of the server where a prompt belongs.
-
-        All hosts agree on it as long as they know the same servers.
-        """
-        if not servers or not demand.prompt:
-            return None
-        best = min(
-            servers,
-            key=lambda server: (
-                self._distance(server, STREAM_ZONE_COST, STREAM_REGION_COST),
-                _rank(demand.prompt, server),
-            ),
-        )
-        return best.name
-
     def _fits(
         self,
         server: BackendServer,
@@ -223,7 +189,3 @@
             return 0
         own = self.regions.get(self.availability_zone)
         return zone_cost if self.regions.get(zone) == own else region_cost
-
-
-def _rank(prompt: str, server: BackendServer) -> int:
-    return xxhash.xxh64_intdigest(f'{prompt} {server.name}'.encode())
--- a/celerywharf/forwarding/_placing.py
+++ b/celerywharf/forwarding/_placing.py
@@ -43,7 +43,6 @@
             service,
             headers.prompt_tokens + headers.output_tokens,
             self.memory.capacity_tokens if self.memory else 0,
-            prompt=headers.prompt,
         )
         self.failed: set[str] = set()
         self.copy_at: BackendServer | None = None
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -22,7 +22,6 @@
 SIGNATURE = 'server-stamp'
 NOT_RUN = 'not-run'
 LOAD = 'engine-load'
-PROMPT_PARTS = 'prompt-prefix'  # all parts, not only a shared first one
 BACKUP = 'kv-backup'
 RESUME_FROM = 'kv-from'
 
@@ -69,8 +68,6 @@
         request_id: of this attempt of the caller.
         deadline_s: how long the caller waits; None if it does not say.
         key: the bearer key, None if there is none.
-        prompt: id of the last part of the prompt, which only this request
-            or its session has; empty if the caller does not say.
         prompt_tokens: length of the prompt.
         output_tokens: longest output.
         last_event: id of the last event that the caller has.
@@ -80,7 +77,6 @@
     request_id: str
     deadline_s: float | None
     key: str | None
-    prompt: str
     prompt_tokens: int
     output_tokens: int
     last_event: int | None
@@ -138,7 +134,6 @@
         request_id=given.get(REQUEST_ID, ''),
         deadline_s=float(deadline) / MILLISECONDS if deadline else None,
         key=_bearer(given.get(AUTHORIZATION, '')),
-        prompt=_last_part(given.get(PROMPT_PARTS, '')),
         prompt_tokens=prompt,
         output_tokens=output,
         last_event=int(last_event) if last_event else None,
@@ -231,10 +226,6 @@
     return int(prompt), int(output or 0)
 
 
-def _last_part(parts: str) -> str:
-    return parts.rpartition(',')[2].partition(':')[0].strip()
-
-
 def _load(text: str | None) -> float | None:
     try:
         running, waiting, slots = map(int, (text or '').split(','))
