--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -12,7 +12,7 @@
                   [--detach-grace-s S] [--record FILE]
   standins application [--listen ADDRESS] [--name NAME] [--seed N]
   standins store [--listen ADDRESS]
-  standins model-server [--listen ADDRESS] [--name NAME]
+  standins model-server [--listen ADDRESS] [--name NAME] [--record FILE]
   standins link --to ADDRESS [--listen ADDRESS] [--control ADDRESS]
 
 Options:
@@ -135,9 +135,10 @@
 
 async def run_model_server(options: dict[str, Any]) -> None:
     """Serve a backend server of the platform."""
-    server = model_servers.ModelServer(options['--name'])
-    application = model_servers.make_model_application(server)
-    await serving.serve(application, options['--listen'])
+    with Path(options['--record'] or os.devnull).open('a') as log:
+        server = model_servers.ModelServer(options['--name'], log)
+        application = model_servers.make_model_application(server)
+        await serving.serve(application, options['--listen'])
 
 
 async def run_link(options: dict[str, Any]) -> None:
--- a/standins/fronts.py
+++ b/standins/fronts.py
@@ -106,7 +106,8 @@
         **switches: Any,
     ) -> None:
         """Start a backend server and let it register."""
-        started = self.fleet.start_model_server(name)
+        record = self.fleet.folder / f'{name}.runs'
+        started = self.fleet.start_model_server(name, record=record)
         self.servers[name] = started.address
         if switches:
             self.fleet.control(name, **switches)
@@ -137,6 +138,7 @@
         name: str,
         store: str | None = None,
         *,
+        zone: str = 'north-1',
         shares: bool = False,
         **bounds: Any,
     ) -> str:
@@ -145,6 +147,7 @@
         Args:
             name: of the front.
             store: where it reaches the store, if not directly.
+            zone: where it stands.
             shares: one front of its zone reads the store for the others.
             bounds: changes of the section ``[bounds]``.
         """
@@ -153,7 +156,7 @@
         settings = {
             'front': {
                 'name': name,
-                'availability_zone': 'north-1',
+                'availability_zone': zone,
                 'listen': listen,
                 'health': health,
             },
--- a/standins/launching.py
+++ b/standins/launching.py
@@ -83,6 +83,12 @@
         )
         return started
 
+    def restart_front(self, name: str) -> None:
+        """Start a front that has ended again, with the settings it had."""
+        address = self.members[name].address
+        settings = (self.folder / f'{name}.ini').read_text()
+        self._spawn_host(name, settings, address, 'front')
+
     def start_host(
         self,
         name: str,
--- a/standins/links.py
+++ b/standins/links.py
@@ -23,12 +23,13 @@
 
     `cut` holds all bytes back without closing, as a lost route does, and they
     arrive once it is mended; `cut_sources` does so for those who connect from
-    the given IPs. `refuse` resets new connections; `close` all open ones,
-    once. `delay_ms` is one way.
+    the given IPs, and `cut_back` for what the target sends only. `refuse`
+    resets new connections; `close` all open ones, once. `delay_ms` is one way.
     """
 
     cut: bool = False
     cut_sources: list[str] = field(default_factory=list)
+    cut_back: bool = False
     close: bool = False
     delay_ms: float = 0
     bytes_per_s: float = 0
@@ -118,7 +119,7 @@
             arrived_at, chunk = await chunks.get()
             due = arrived_at + self.switches.delay_ms / control.MS_PER_S
             await asyncio.sleep(max(0, due - time.monotonic()))
-            await self._uncut(source)
+            await self._uncut(source, back=counter is self.received)
             if not chunk or writer.closed():
                 writer.close()
                 return
@@ -126,10 +127,16 @@
             counter[source] += len(chunk)
             writer.write(chunk)
 
-    async def _uncut(self, source: str) -> None:
-        while self.switches.cut or source in self.switches.cut_sources:
+    async def _uncut(self, source: str, *, back: bool = False) -> None:
+        while self._is_cut(source, back=back):
             await self.changed.wait()
 
+    def _is_cut(self, source: str, *, back: bool) -> bool:
+        switches = self.switches
+        if switches.cut or source in switches.cut_sources:
+            return True
+        return back and switches.cut_back
+
     async def _take_room(self, size: int) -> None:
         if self.switches.bytes_per_s <= 0:
             return
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -1,12 +1,13 @@
 """A backend server of the platform: streams with copies, and plain calls."""
 
 import asyncio
+import contextlib
 import json
 import time
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TextIO
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 from tornado.iostream import StreamClosedError
 from tornado.web import Application
 
@@ -18,6 +19,16 @@
 UNAVAILABLE = 503
 TOKENS_PER_EVENT = 7
 OTHER_ID = 'ffffffffffffffff'
+LOGGED = (
+    'request_id',
+    'method',
+    'target',
+    'account',
+    'body',
+    'first',
+    'events',
+    'state',
+)
 
 
 @dataclass(slots=True)
@@ -75,9 +86,10 @@
 class ModelServer(control.Standin):
     """One incarnation of a backend server."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, log: TextIO | None = None) -> None:
         super().__init__(ModelSwitches())
         self.name = name
+        self.log = log
         self.born_ms = int(time.time() * control.MS_PER_S)
         self.runs: list[ServedRun] = []
         self.copies: dict[str, int] = {}
@@ -94,6 +106,18 @@
             ],
         }
 
+    def write_log(self, event: str, run: ServedRun) -> None:
+        """Append a line that outlives the process."""
+        if self.log is None:
+            return
+        line = {
+            'event': event,
+            'number': self.runs.index(run),
+            'at_s': time.monotonic(),
+            **{name: getattr(run, name) for name in LOGGED},
+        }
+        print(json.dumps(line), file=self.log, flush=True)
+
     def report(self) -> dict[str, Any]:
         """Return the load as the platform's engines tell it."""
         running = [run for run in self.runs if run.state == 'running']
@@ -113,10 +137,10 @@
     async def copy(self, address: str, run: ServedRun) -> None:
         """Send the state of a run to another server."""
         body = json.dumps({'id': run.request_id, 'events': run.events})
-        await self.http.fetch(
-            HTTPRequest(f'http://{address}/copy', 'POST', body=body),
-            raise_error=False,
-        )
+        request = HTTPRequest(f'http://{address}/copy', 'POST', body=body)
+        # A run goes on without its copy when the other server is gone.
+        with contextlib.suppress(OSError, HTTPError):
+            await self.http.fetch(request, raise_error=False)
 
 
 class _ReportHandler(control.OuterHandler):
@@ -160,12 +184,14 @@
             self.on_connection_close()
         if self.served.state != 'abandoned':
             self.served.ended_s = time.monotonic()
+            self.standin.write_log('end', self.served)
 
     def on_connection_close(self) -> None:
         """Note that the caller of a run has gone."""
         if self.served is not None and self.served.state == 'running':
             self.served.state = 'abandoned'
             self.served.ended_s = time.monotonic()
+            self.standin.write_log('end', self.served)
 
     def refusal(self) -> int | None:
         """Return the status if the request does not run."""
@@ -195,6 +221,7 @@
             headers={name.lower(): text for name, text in headers.items()},
         )
         self.standin.runs.append(run)
+        self.standin.write_log('begin', run)
         return run
 
     async def run(self, run: ServedRun) -> None:
