--- a/celerywharf/cli/_front.py
+++ b/celerywharf/cli/_front.py
@@ -19,9 +19,9 @@
 
 from docopt import docopt
 
-from celerywharf import api
 from celerywharf.cli._exits import ExitCode
 from celerywharf.exceptions import SettingsError
+from celerywharf.fronts import serve_front
 
 SETTINGS_VARIABLE = 'CELERYWHARF_BOOT'
 
@@ -32,5 +32,5 @@
     path = options['--config'] or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         raise SettingsError(f'neither --config nor {SETTINGS_VARIABLE} is set')
-    api.serve_front(path)
+    serve_front(path)
     return ExitCode.done
--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -30,6 +30,7 @@
 
 import importlib
 import json
+import signal
 import sys
 from collections.abc import Sequence
 
@@ -55,6 +56,8 @@
     'version': 'celerywharf.cli._version',
 }
 
+READS_SETTINGS_AGAIN = frozenset(('front',))  # at SIGHUP
+
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run a command and return the exit code."""
@@ -86,6 +89,9 @@
         known = ', '.join(COMMANDS)
         _complain(f'unknown command {command!r}; known: {known}')
         return ExitCode.usage
+    if command in READS_SETTINGS_AGAIN:
+        # One that comes before the handler is there would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return importlib.import_module(COMMANDS[command]).run(words)
 
 
