Poll often as soon as the reader is lost; stop the watchers before their source

And a front that stopped closed the link to its reader while its watchers still asked, and logged that the reader was lost.

Change: losing a reader counts like being asked, so polls are short from then on; parts are stopped in the reverse order of their start.

--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -109,7 +109,7 @@
         """Stop at once."""
         for server in self.servers:
             server.stop()
-        for part in self._parts():
+        for part in reversed(self._parts()):
             await part.stop()
         self.transport.close()
         logger.info('stopped', extra={'cut_off': self.edge.busy()})
--- a/celerywharf/sharing/_choice.py
+++ b/celerywharf/sharing/_choice.py
@@ -87,6 +87,8 @@
             return False
         self.distrusted = reader.version
         self.reader = None
+        # It may be the next one, and then has to have heard the store lately.
+        self.asked_at_s = now_s
         self.look_at_s = now_s + self.random.random() * LOOK_SPREAD_S
         return True
 
--- a/tests/fronts/sharing.feature
+++ b/tests/fronts/sharing.feature
@@ -23,6 +23,10 @@
       | loses the store        |
       | is refused by the store |
 
+  Scenario: a front that stops does not take its reader for lost
+    When another front is stopped by a signal
+    Then its log does not say that its reader is lost
+
   Scenario: fronts that cannot reach the store know how old their tables are
     When the store is cut off from all fronts
     And the key is taken away
--- a/tests/fronts/test_sharing.py
+++ b/tests/fronts/test_sharing.py
@@ -120,6 +120,20 @@
     zone.fleet.control(_link(zone.reader), refuse=True, close=True)
 
 
+@when('another front is stopped by a signal')
+def _stopped_front(zone):
+    process = zone.fleet.members[zone.others()[0]].process
+    process.terminate()
+    assert process.wait(SOON_S) == 0
+
+
+@then('its log does not say that its reader is lost')
+def _not_lost(zone):
+    output = (zone.fleet.folder / f'{zone.others()[0]}.out').read_text()
+    assert '"stopped"' in output
+    assert 'reader lost' not in output
+
+
 @when('the store is cut off from all fronts')
 def _cut_all(zone):
     for name in FRONTS:
--- a/tests/sharing/choice.feature
+++ b/tests/sharing/choice.feature
@@ -20,6 +20,13 @@
     When it finds the row of f2 with version 5 at 2.4 s
     Then it takes over
 
+  Scenario: a front that has lost its reader polls as one that others may ask
+    Given a front f1
+    When it finds the row of f2 with version 5 at 1 s
+    Then it does not poll for others at 10 s
+    When f2 does not answer at 10 s
+    Then it polls for others at 10.1 s
+
   Scenario: another front was faster to replace a reader
     Given a front f1
     When it finds the row of f2 with version 5 at 1 s
