--- a/tests/soak/test_soaks.py
+++ b/tests/soak/test_soaks.py
@@ -1,4 +1,4 @@
-"""A short seeded soak with real processes, and seeds that failed before."""
+"""A short seeded soak with real processes; longer ones are run by hand."""
 
 import pytest
 
