--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -46,6 +46,15 @@
 
     Whatever becomes of the reader, this front then reads the store itself:
     the reader saves calls and is never needed.
+
+    Attributes:
+        choice: whom to ask.
+        tables: what this front has read of each table.
+        looked: set once the zone's row has been read.
+        hears: the last call of its own to the store was answered.
+        store_s: the newest time of the store's clock that a reader told.
+        server: answers other fronts, under this front's key.
+        client: asks the reader, under the reader's key.
     """
 
     def __init__(
