--- a/soak/soaks.py
+++ b/soak/soaks.py
@@ -51,20 +51,26 @@
         keep: where to put the logs of a soak that found something.
     """
     with Fleet() as fleet:
-        rig = SoakRig(fleet)
+        try:
+            rig = SoakRig(fleet)
+        except TimeoutError:
+            _keep(fleet, seed, keep)
+            raise
         schedule = draw_schedule(seed, span_s, rig.targets())
         _play(rig, seed, schedule)
         evidence = rig.close_evidence()
         found = findings(evidence)
-        if found and keep is not None:
-            shutil.copytree(
-                fleet.folder,
-                keep / str(seed),
-                dirs_exist_ok=True,
-            )
+        if found:
+            _keep(fleet, seed, keep)
     return _outcome(seed, schedule, evidence, found)
 
 
+def _keep(fleet: Fleet, seed: int, keep: Path | None) -> None:
+    if keep is not None:
+        folder = keep / str(seed)
+        shutil.copytree(fleet.folder, folder, dirs_exist_ok=True)
+
+
 def _play(rig: SoakRig, seed: int, schedule: list[Event]) -> None:
     callers = [
         Caller(seed * CALLERS + number, rig.callers_at, rig.keys)
--- a/standins/launching.py
+++ b/standins/launching.py
@@ -211,6 +211,7 @@
         with (self.folder / f'{name}.out').open('a') as output:
             process = self.spawn(name, arguments, output)
         started = Started(name, process, address, '')
+        started.killed_at_close = command == 'front'
         self.members[name] = started
         return started
 
