Mend two checks of the soak; read answers by one function

Change: where the server of the later run was harmed shortly before, its begin does not say when it was sent, and the overlap is what both runs really shared; elsewhere the check is as before. Beside it, callers of the soak and of the scenarios read answers by the same function, and an attempt is an answer with what was asked.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,7 @@
     CALL_PATH,
     LOOKUP_PATH,
     STREAM_PATH,
+    read_answer,
     request_headers,
 )
 from standins.model_servers import TOKENS_PER_EVENT
@@ -24,7 +25,6 @@
 PATHS = {'buy': CALL_PATH, 'look': LOOKUP_PATH, 'narrate': STREAM_PATH}
 LONGEST_STREAM = 80  # events; 20 ms each
 PATIENCE_S = 1.0  # beyond the deadline
-READ_BYTES = 65536
 MILLISECONDS = 1000
 KEYS_USED = 3  # the newest ones, of which only one is valid
 NEWEST_KEY_SHARE = 0.7
@@ -78,7 +78,7 @@
         except (OSError, client.HTTPException):
             return False
         finally:
-            attempt.ended_s = time.monotonic()
+            attempt.took_s = time.monotonic() - attempt.sent_s
         return connection.sock is not None
 
     def draw(self, front: str) -> Attempt:
@@ -86,13 +86,13 @@
         kind = self.random.choice(('buy', 'buy', 'look', 'narrate'))
         events = self.random.randint(1, LONGEST_STREAM)
         return Attempt(
-            secrets.token_hex(8),
-            kind,
-            front,
-            self.draw_key(),
-            time.monotonic(),
-            DEADLINE_S[kind],
-            events if kind == 'narrate' else 0,
+            request_id=secrets.token_hex(8),
+            kind=kind,
+            front=front,
+            key=self.draw_key(),
+            sent_s=time.monotonic(),
+            deadline_s=DEADLINE_S[kind],
+            events_wanted=events if kind == 'narrate' else 0,
         )
 
     def draw_key(self) -> str:
@@ -114,14 +114,7 @@
             None if reads else b'{}',
             _headers(attempt),
         )
-        response = connection.getresponse()
-        attempt.status = response.status
-        attempt.retry_after = response.getheader('Retry-After')
-        while chunk := response.read1(READ_BYTES):
-            attempt.body += chunk
-        # An answer with a length does not close itself when read in parts.
-        response.close()
-        attempt.whole = True
+        read_answer(connection, attempt)
 
 
 def _headers(attempt: Attempt) -> dict[str, str]:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -84,11 +84,10 @@
 
 
 def _late(attempt: Attempt, evidence: Evidence) -> Iterable[str]:
-    took_s = attempt.ended_s - attempt.sent_s
-    if took_s <= attempt.deadline_s + ANSWER_S:
+    if attempt.took_s <= attempt.deadline_s + ANSWER_S:
         return
     if not _front_harmed(evidence, attempt):
-        yield f'answered after {took_s:.1f} s: {attempt}'
+        yield f'answered after {attempt.took_s:.1f} s: {attempt}'
 
 
 def _cut_off(evidence: Evidence) -> Iterable[str]:
@@ -122,7 +121,12 @@
 ) -> Iterable[str]:
     if earlier.ended_s is None:
         return
-    overlap_s = earlier.ended_s - later.began_s
+    ended_s = earlier.ended_s
+    if _harmed(evidence, later.began_s, later.began_s, {later.server}):
+        # One that was stopped may begin what was sent to it long before; it
+        # sees at once that the connection has closed.
+        ended_s = min(ended_s, later.ended_s or ended_s)
+    overlap_s = ended_s - later.began_s
     if overlap_s <= OVERLAP_S + SLOWEST_CLOCK_S:
         return
     names = {earlier.server} | {
--- a/soak/records.py
+++ b/soak/records.py
@@ -7,10 +7,12 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from standins.fronts import Answer
 
-@dataclass(slots=True)
-class Attempt:
-    """One request of a caller.
+
+@dataclass(slots=True, kw_only=True)
+class Attempt(Answer):
+    """One request of a caller, and its answer.
 
     Attributes:
         request_id: id of this attempt.
@@ -18,13 +20,8 @@
         front: where it was sent.
         key: with which key.
         sent_s: when, monotonic seconds of this machine.
-        ended_s: when its answer or connection ended.
         deadline_s: how long the caller waits.
         events_wanted: length of a stream.
-        status: None without an answer.
-        body: what came of it.
-        whole: the answer was complete.
-        retry_after: the header, if there was one.
     """
 
     request_id: str
@@ -34,11 +31,11 @@
     sent_s: float
     deadline_s: float
     events_wanted: int = 0
-    ended_s: float = 0
-    status: int | None = None
-    body: bytes = b''
-    whole: bool = False
-    retry_after: str | None = None
+
+    @property
+    def ended_s(self) -> float:
+        """Return when its answer or connection ended."""
+        return self.sent_s + self.took_s
 
 
 @dataclass(slots=True)
--- a/soak/rigs.py
+++ b/soak/rigs.py
@@ -91,9 +91,8 @@
         """Start a server for a place and let it register."""
         self.began += 1
         name = f'{place}-{self.began}'
-        record = self.fleet.folder / f'{name}.runs'
-        server = self.fleet.start_model_server(name, record=record)
-        link = self.fleet.start_link(f'server-{name}', server.address)
+        server = self.start_server(name)
+        link = self.fleet.start_link(f'server-{name}', server)
         self.servers[name] = link.address
         self.current[place] = name
         self.register(name, *SERVERS[place])
--- a/standins/fronts.py
+++ b/standins/fronts.py
@@ -106,13 +106,16 @@
         **switches: Any,
     ) -> None:
         """Start a backend server and let it register."""
-        record = self.fleet.folder / f'{name}.runs'
-        started = self.fleet.start_model_server(name, record=record)
-        self.servers[name] = started.address
+        self.servers[name] = self.start_server(name)
         if switches:
             self.fleet.control(name, **switches)
         self.register(name, service, zone)
 
+    def start_server(self, name: str) -> str:
+        """Start a backend server whose log outlives it; return its address."""
+        record = self.fleet.folder / f'{name}.runs'
+        return self.fleet.start_model_server(name, record=record).address
+
     def register(
         self,
         name: str,
@@ -224,7 +227,7 @@
     started_s = time.monotonic()
     try:
         connection.request(method, path, body, dict(headers or {}))
-        _read(connection, answer)
+        read_answer(connection, answer)
     except (OSError, client.HTTPException):
         answer.whole = False
     finally:
@@ -233,7 +236,13 @@
     return answer
 
 
-def _read(connection: client.HTTPConnection, answer: Answer) -> None:
+def read_answer(connection: client.HTTPConnection, answer: Answer) -> None:
+    """Read an answer into what stands for it, as far as it comes.
+
+    Raises:
+        OSError: the connection broke.
+        http.client.HTTPException: the answer is not whole.
+    """
     response = connection.getresponse()
     answer.status = response.status
     answer.headers = {
@@ -241,4 +250,6 @@
     }
     while chunk := response.read1(READ_BYTES):
         answer.body += chunk
+    # One with a length does not close itself when it is read in parts.
+    response.close()
     answer.whole = True
--- a/tests/soak/checks.feature
+++ b/tests/soak/checks.feature
@@ -18,6 +18,8 @@
       | an answer comes 1 s after the deadline          | answered after          |
       | a run nobody asked for                          | nobody asked for        |
       | a stream goes on while its first run works      | two runs for            |
+      | a run that a woken server goes on with          | two runs for            |
+      | a run inside another one lasts 0.6 s            | two runs for            |
       | a purchase runs 6 s after its key is taken away | key taken away          |
       | four purchases are cut off though they ran      | cut off without         |
       | a quarter fails after the last fault            | served when calm        |
@@ -39,4 +41,5 @@
       | a purchase runs 4 s after its key is taken away       |
       | a stream goes on after its first run has ended        |
       | a stream goes on while a stopped server still works   |
+      | a run that a woken server begins in vain              |
       | an answer comes late from a front that was stopped    |
--- /dev/null
+++ b/tests/soak/test_records.py
@@ -0,0 +1,31 @@
+"""Logs of backend servers that outlive them."""
+
+import threading
+
+from soak.records import read_runs
+from standins.fronts import CALL_PATH, request_headers, send
+
+WORK_MS = 300
+SAME_ID = 'abcdef0123456789'
+
+
+def test_two_runs_of_one_request_at_one_server_are_two(fleet):
+    record = fleet.folder / 'd1.runs'
+    server = fleet.start_model_server('d1', record=record)
+    fleet.control('d1', work_ms=WORK_MS)
+    headers = request_headers(Attempt_Id=SAME_ID)
+    callers = [
+        threading.Thread(
+            target=send,
+            args=(server.address, CALL_PATH),
+            kwargs={'headers': headers},
+        )
+        for _ in range(2)
+    ]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    runs = read_runs([record])
+    assert [run.request_id for run in runs] == [SAME_ID, SAME_ID]
+    assert all(run.ended_s is not None for run in runs)
