Keep one copy of what stood twice: sections, headers, signals, end of a request

- settings: both files use one base of their sections;
- headers that concern one connection stand in adapters/transports;
- taking the two signals is a step of Signals, for hosts and fronts;
- the retry plan itself turns a failure after the time is over into a time-out, which calls and streams each did after it;
- a step knows its status, which log and counter each worked out;
- one property says whether a caller may still be written to;
- the test of reports builds servers as the tests beside it do.

--- a/celerywharf/adapters/applications.py
+++ b/celerywharf/adapters/applications.py
@@ -10,28 +10,16 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from celerywharf.adapters.transports import HttpRequest, Transport
+from celerywharf.adapters.transports import (
+    HOP_BY_HOP,
+    HttpRequest,
+    Transport,
+)
 from celerywharf.exceptions import NotRunError
 
 NOT_RUN_HEADER = 'celerywharf-not-run'
 NOT_RUN_VALUE = '1'
-HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'content-length',
-        'expect',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
-PRIVATE = frozenset(('authorization', NOT_RUN_HEADER))
+PRIVATE = frozenset(('authorization', 'host', NOT_RUN_HEADER))
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -12,6 +12,22 @@
 
 CONNECT_TIMEOUT_S = 1.0
 TIMEOUT_S = 5.0
+# Headers that concern one connection; whoever passes a message on leaves them.
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/api.py
+++ b/celerywharf/api.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from pathlib import Path
 
 from celerywharf import logs, settings
@@ -47,10 +46,7 @@
 
 async def _serve(loaded: HostSettings) -> None:
     host = Host(loaded)
-    signals = Signals(host)
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, signals.received)
+    Signals(host).subscribe()
     try:
         await host.start()
     except BaseException:
--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -5,7 +5,7 @@
 from celerywharf.backends import BackendServer, Demand
 from celerywharf.forwarding._context import Services
 from celerywharf.forwarding._outcomes import Refused
-from celerywharf.forwarding._plans import Fail, Step
+from celerywharf.forwarding._plans import Step
 from celerywharf.forwarding._repeating import Forwarding
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._sends import send_call
@@ -57,8 +57,6 @@
             self.unreached.add(server.name)
         remaining_s = self.request.ends_s() - self.services.timers.now()
         step = self.plan.after(outcome, remaining_s)
-        if remaining_s <= 0 and isinstance(step, Fail):
-            step = self.plan.timed_out()
         self.story.sent(server, outcome, step)
         return step
 
--- a/celerywharf/forwarding/_forwarder.py
+++ b/celerywharf/forwarding/_forwarder.py
@@ -64,17 +64,10 @@
         request: IncomingRequest,
         step: PassOn | Fail | Done,
     ) -> None:
-        match step:
-            case PassOn():
-                status = step.response.status
-            case Fail():
-                status = int(step.status)
-            case Done():
-                status = int(HTTPStatus.OK)
         self.services.metrics.count(
             'requests',
             policy=type(request.route.policy).__name__,
-            status=str(status),
+            status=str(int(step.status)),
         )
 
     def _answer(self, step: PassOn | Fail | Done, caller: Caller) -> None:
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -40,6 +40,11 @@
     response: HttpResponse
     headers: AnswerHeaders
 
+    @property
+    def status(self) -> int:
+        """Return the status that the caller gets."""
+        return self.response.status
+
 
 @dataclass(frozen=True, slots=True)
 class Fail:
@@ -58,6 +63,8 @@
 class Done:
     """The caller has everything."""
 
+    status = HTTPStatus.OK
+
 
 Step = SendAgain | PassOn | Fail | Done
 
@@ -87,21 +94,10 @@
             outcome: of the last send.
             remaining_s: what is left of the time for this request.
         """
-        match outcome:
-            case Finished():
-                return Done()
-            case Refused():
-                self.refusals += 1 if outcome.reached else 0
-                return self._after_refusal(outcome, remaining_s)
-            case Answered():
-                return self._after_answer(outcome, remaining_s)
-            case Lost():
-                self.sends += 1
-                self.maybe_ran = True
-                self.answer = None
-                if self.repeatable and self._may_send(remaining_s):
-                    return SendAgain()
-                return Fail(HTTPStatus.BAD_GATEWAY, outcome.reason)
+        step = self._after(outcome, remaining_s)
+        if remaining_s <= 0 and isinstance(step, Fail):
+            return self.timed_out()
+        return step
 
     @property
     def arrivals(self) -> int:
@@ -139,6 +135,23 @@
         """Return the error when the time for the request is over."""
         return Fail(HTTPStatus.GATEWAY_TIMEOUT, 'time is over')
 
+    def _after(self, outcome: Outcome, remaining_s: float) -> Step:
+        match outcome:
+            case Finished():
+                return Done()
+            case Refused():
+                self.refusals += 1 if outcome.reached else 0
+                return self._after_refusal(outcome, remaining_s)
+            case Answered():
+                return self._after_answer(outcome, remaining_s)
+            case Lost():
+                self.sends += 1
+                self.maybe_ran = True
+                self.answer = None
+                if self.repeatable and self._may_send(remaining_s):
+                    return SendAgain()
+                return Fail(HTTPStatus.BAD_GATEWAY, outcome.reason)
+
     def _after_refusal(self, outcome: Refused, remaining_s: float) -> Step:
         if self.refusals <= MOST_REFUSALS and self._may_send(remaining_s):
             return SendAgain()
--- a/celerywharf/forwarding/_stories.py
+++ b/celerywharf/forwarding/_stories.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from http import HTTPStatus
 from typing import Any
 
 from celerywharf.backends import BackendServer
@@ -14,7 +13,7 @@
     Outcome,
     Refused,
 )
-from celerywharf.forwarding._plans import Done, Fail, PassOn, Step
+from celerywharf.forwarding._plans import Fail, PassOn, Step
 from celerywharf.forwarding._requests import IncomingRequest
 
 logger = logging.getLogger(__name__)
@@ -68,17 +67,12 @@
                 1,
             ),
             **details,
+            'status': int(step.status),
         }
-        match step:
-            case PassOn():
-                fields['status'] = step.response.status
-            case Done():
-                fields['status'] = int(HTTPStatus.OK)
-            case Fail():
-                fields['status'] = int(step.status)
-                fields['reason'] = step.reason
-        served = not isinstance(step, Fail)
-        fields['routine'] = served and self.sends == 1
+        if isinstance(step, Fail):
+            fields['reason'] = step.reason
+        else:
+            fields['routine'] = self.sends == 1
         logger.info('request ended', extra=fields)
 
 
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -10,7 +10,7 @@
 from celerywharf.forwarding._context import Services
 from celerywharf.forwarding._outcomes import Answered, Lost, Outcome, Refused
 from celerywharf.forwarding._placing import StreamPlacing
-from celerywharf.forwarding._plans import Fail, Step
+from celerywharf.forwarding._plans import Step
 from celerywharf.forwarding._relays import Progress, StreamRelay
 from celerywharf.forwarding._repeating import Forwarding
 from celerywharf.forwarding._requests import IncomingRequest
@@ -93,10 +93,7 @@
         if isinstance(outcome, Answered) and self.caller.started:
             status = outcome.response.status
             outcome = Lost(f'answered {status} in the middle of a stream')
-        step = self.plan.after(outcome, remaining_s)
-        if remaining_s <= 0 and isinstance(step, Fail):
-            return self.plan.timed_out()
-        return step
+        return self.plan.after(outcome, remaining_s)
 
     async def _relay(
         self,
--- a/celerywharf/fronts/_callers.py
+++ b/celerywharf/fronts/_callers.py
@@ -29,6 +29,11 @@
         self.closing = False
         self.finished = False
 
+    @property
+    def over(self) -> bool:
+        """Tell whether nothing may be written any more."""
+        return self.gone or self.finished
+
     def answer(
         self,
         status: int,
@@ -36,7 +41,7 @@
         body: bytes,
     ) -> None:
         """Write a whole answer."""
-        if self.gone or self.finished:
+        if self.over:
             return
         self.started = True
         self.finished = True
@@ -48,7 +53,7 @@
 
     def begin(self, status: int, headers: Mapping[str, str]) -> None:
         """Write status and headers of an answer that is streamed."""
-        if self.gone or self.finished:
+        if self.over:
             return
         self.started = True
         self.connection.write_headers(
@@ -58,12 +63,12 @@
 
     def write(self, chunk: bytes) -> None:
         """Write a part of a streamed answer."""
-        if not self.gone and not self.finished:
+        if not self.over:
             self.connection.write(chunk)
 
     def end(self) -> None:
         """Complete a streamed answer."""
-        if self.gone or self.finished:
+        if self.over:
             return
         self.finished = True
         self.connection.finish()
--- a/celerywharf/fronts/_edge.py
+++ b/celerywharf/fronts/_edge.py
@@ -117,7 +117,7 @@
 
     def finish(self) -> None:
         """Serve the request."""
-        if self.caller.finished or self.caller.gone:
+        if self.caller.over:
             return
         self.connection.set_close_callback(self.on_connection_close)
         self.caller.closing = self.edge.admittance.leaving
--- a/celerywharf/fronts/_serving.py
+++ b/celerywharf/fronts/_serving.py
@@ -34,10 +34,8 @@
 
 async def _serve_front(loaded: FrontSettings, path: str | Path) -> None:
     front = Front(loaded, Path(path))
+    Signals(front).subscribe()
     loop = asyncio.get_running_loop()
-    signals = Signals(front)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, signals.received)
     loop.add_signal_handler(signal.SIGHUP, front.reload)
     await front.start()
     await front.stopped.wait()
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from celerywharf.adapters.transports import HOP_BY_HOP
 from celerywharf.structures import Address
 
 READY_PATH = '/api/ready'
@@ -25,21 +26,6 @@
 BACKUP = 'kv-backup'
 RESUME_FROM = 'kv-from'
 
-HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'content-length',
-        'expect',
-    )
-)
 # A caller must not choose what only this system may set.
 SET_HERE = frozenset(
     (
--- a/celerywharf/settings/_front.py
+++ b/celerywharf/settings/_front.py
@@ -5,13 +5,14 @@
 import re
 from typing import Annotated
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
+from pydantic import BeforeValidator, Field
 
 from celerywharf.settings._models import (
     AddressField,
     LogSection,
     Name,
     Seconds,
+    Section,
 )
 
 Milliseconds = Annotated[float, Field(gt=0, le=3_600_000)]
@@ -27,15 +28,7 @@
 ZoneMap = Annotated[dict[str, str], BeforeValidator(_pairs)]
 
 
-class _Section(BaseModel):
-    model_config = ConfigDict(
-        extra='forbid',
-        frozen=True,
-        arbitrary_types_allowed=True,
-    )
-
-
-class FrontSection(_Section):
+class FrontSection(Section):
     """``[front]``: who this front is and where it listens."""
 
     name: Name = Field(description='unique name of this front')
@@ -55,7 +48,7 @@
     )
 
 
-class ZoneSection(_Section):
+class ZoneSection(Section):
     """``[zones]``: where availability zones lie."""
 
     regions: ZoneMap = Field(
@@ -64,13 +57,13 @@
     )
 
 
-class StoreSection(_Section):
+class StoreSection(Section):
     """``[store]``: the platform's metadata store."""
 
     address: AddressField = Field(description='ip:port')
 
 
-class BoundSection(_Section):
+class BoundSection(Section):
     """``[bounds]``: what the users of the system allow."""
 
     revoke_ms: Milliseconds = Field(
@@ -97,7 +90,7 @@
     )
 
 
-class FrontSettings(_Section):
+class FrontSettings(Section):
     """All settings of a front."""
 
     front: FrontSection
--- a/celerywharf/settings/_models.py
+++ b/celerywharf/settings/_models.py
@@ -45,7 +45,7 @@
 Seconds = Annotated[float, Field(gt=0, le=3600)]
 
 
-class _Section(BaseModel):
+class Section(BaseModel):
     model_config = ConfigDict(
         extra='forbid',
         frozen=True,
@@ -53,7 +53,7 @@
     )
 
 
-class HostSection(_Section):
+class HostSection(Section):
     """``[host]``: who this host is and where it listens."""
 
     name: Name = Field(description='unique name of this host')
@@ -72,7 +72,7 @@
         return self.inner_listen or self.inner
 
 
-class PeerSection(_Section):
+class PeerSection(Section):
     """``[peers]``: where to find the first other hosts."""
 
     seeds: AddressesField = Field(
@@ -81,14 +81,14 @@
     )
 
 
-class KeySection(_Section):
+class KeySection(Section):
     """``[keys]``: shared secrets."""
 
     inner: Key = Field(description='proved by each host on inner links')
     operator: Key = Field(description='bearer key of operators')
 
 
-class PlatformSection(_Section):
+class PlatformSection(Section):
     """``[platform]``: the table service and object store."""
 
     url: str = Field(
@@ -105,7 +105,7 @@
     )
 
 
-class LimitSection(_Section):
+class LimitSection(Section):
     """``[limits]``: what a caller may send and a host may hold."""
 
     body_bytes: int = Field(
@@ -134,7 +134,7 @@
     )
 
 
-class GenerationSettings(_Section):
+class GenerationSettings(Section):
     """``[generations]``: journals and resumes."""
 
     replicate_bound_s: Seconds = Field(
@@ -159,7 +159,7 @@
     )
 
 
-class MembershipSettings(_Section):
+class MembershipSettings(Section):
     """``[membership]``: failure detection between hosts."""
 
     probe_s: Seconds = Field(
@@ -176,7 +176,7 @@
     )
 
 
-class OrderSettings(_Section):
+class OrderSettings(Section):
     """``[orders]``: leases under which engines are ordered about."""
 
     lease_s: Seconds = Field(
@@ -197,7 +197,7 @@
     )
 
 
-class LogSection(_Section):
+class LogSection(Section):
     """``[log]``: what is written to standard error."""
 
     level: Literal['debug', 'info', 'warning', 'error'] = Field(
@@ -206,7 +206,7 @@
     )
 
 
-class HostSettings(_Section):
+class HostSettings(Section):
     """All settings of one host."""
 
     host: HostSection
--- a/celerywharf/signals.py
+++ b/celerywharf/signals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from typing import Any, Protocol
 
 
@@ -17,12 +18,18 @@
 
 
 class Signals:
-    """First signal drains, second stops."""
+    """Lets the first signal drain a process and the second stop it."""
 
     def __init__(self, process: Stoppable) -> None:
         self.process = process
         self.task: asyncio.Task | None = None
 
+    def subscribe(self) -> None:
+        """Take the signals from now on, on the running loop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.received)
+
     def received(self) -> None:
         """Take a signal."""
         stop = (
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -7,11 +7,12 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from celerywharf.adapters.transports import HttpResponse
-from celerywharf.backends import BackendServer, Condition, Directory, Loads
+from celerywharf.backends import Condition, Directory, Loads
 from celerywharf.exceptions import TransportError
 from celerywharf.forwarding import Reports
 from celerywharf.structures import Address
 from celerywharf.timers import TimerService
+from tests.backends.test_directory import SERVICE, make_server
 
 scenarios('reports.feature')
 
@@ -47,7 +48,7 @@
     def rank(self):
         """Rank by prompts waiting; nothing is known to wait at first."""
         now_s = self.timers.now()
-        servers = self.directory.usable('narrator')
+        servers = self.directory.usable(SERVICE)
         living = [one for one in servers if self.condition.usable(one, now_s)]
         return sorted(
             living or servers,
@@ -71,17 +72,7 @@
 def _engines(engines, names, waits):
     for name, waiting in zip(names.split(), waits.split(), strict=True):
         engines.waiting[name] = waiting
-        server = BackendServer(
-            name,
-            'narrator',
-            Address(name, 1),
-            'north-1',
-            slots=12,
-            draining=False,
-            born_ms=1,
-            sequence=1,
-            warm_up_left_s=0,
-        )
+        server = make_server(name, address=Address(name, 1))
         engines.directory.seen(server, 0)
 
 
