Keep tokens that arrive before a following caller's connection

Cause: Follower.write_batch wrote the owner's first batch to a reader whose connection was not attached yet. The write raised after the offset had moved, the owner dropped the follower, and its watch saw an owner that still owned the generation. The caller then lost its first tokens after the owner's death (the known red of a killed entry host), or waited for ever at a live owner, which fits the known red of the zones cut in mid stream: a caller that had not ended 25 s after it moved. Ruled out: the copy at the replica, which had all tokens. Change: a batch waits until the reader is ready before it is written, within the same time limit, and a caller that accepts nothing is disconnected, so that it reconnects, instead of waiting at an owner that has given it up.

--- a/celerywharf/generations/_followers.py
+++ b/celerywharf/generations/_followers.py
@@ -142,16 +142,32 @@
         """Let the owner's batch be acknowledged."""
         self.ready_event.set()
 
-    async def until_ready(self) -> None:
-        """Wait until the caller's connection has accepted everything.
+    async def deliver(self, message: FollowTokens) -> None:
+        """Write a batch and wait until the caller has accepted it.
+
+        A batch may arrive before the caller's connection is attached to the
+        reader, so it waits for that too.  A caller that accepts nothing for
+        ``READY_TIMEOUT_S`` is disconnected: its owner stops sending, so it has
+        to reconnect.
 
         Raises:
-            TimeoutError: no progress for ``READY_TIMEOUT_S`` seconds.
+            NotFoundError: the caller disconnected, was too slow, or the batch
+                does not continue its tokens.
         """
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                await self._until_ready()
+                self.write_batch(message)
+                await self._until_ready()
+        except TimeoutError:
+            error = NotFoundError('the caller did not accept a batch in time')
+            self.reader.drop(error)
+            raise error from None
+
+    async def _until_ready(self) -> None:
         while self.reader.busy and not self.reader.closed:
             self.ready_event.clear()
-            async with asyncio.timeout(READY_TIMEOUT_S):
-                await self.ready_event.wait()
+            await self.ready_event.wait()
 
 
 class Followers:
@@ -266,13 +282,7 @@
         follower = self.by_id.get(message.follower)
         if follower is None:
             raise NotFoundError('the follower has disconnected')
-        follower.write_batch(message)
-        try:
-            await follower.until_ready()
-        except TimeoutError:
-            raise NotFoundError(
-                'the follower did not accept the batch in time'
-            ) from None
+        await follower.deliver(message)
 
     def _on_stop(self, sender: Sender, message: FollowStop) -> None:
         owned = self.generations.owned.get(message.generation)
