Keep the logs of a fleet whose test failed

Cause: two tests failed once each and could not be traced, since a fleet's logs are deleted at the end of its test.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -8,13 +8,15 @@
 import sys
 import tempfile
 import time
+import weakref
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Self, TextIO
+from typing import ClassVar, Self, TextIO
 
 STOP_TIMEOUT_S = 3
 PR_SET_PDEATHSIG = 1
 ROOT = Path(__file__).resolve().parent.parent
+KEPT_LOGS = ROOT / 'run' / 'failed'
 
 
 @dataclass(slots=True)
@@ -57,17 +59,23 @@
     Attributes:
         folder: temporary files of the processes, removed on close.
         members: the latest process of each name.
+        open_groups: all groups that have not been closed.
     """
 
+    open_groups: ClassVar[weakref.WeakSet['ProcessGroup']] = weakref.WeakSet()
+
     def __init__(self) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix='fleet-'))
         self.members: dict[str, ManagedProcess] = {}
         atexit.register(self.close)
+        self.open_groups.add(self)
 
     def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *exception: object) -> None:
+        if any(exception):
+            self.keep_logs(KEPT_LOGS / self.folder.name)
         self.close()
 
     def kill(self, name: str) -> None:
@@ -101,9 +109,14 @@
         paths = sorted(self.folder.glob(f'{name}.[eo]*'))
         return ''.join(path.read_text() for path in paths)
 
+    def keep_logs(self, target: Path) -> None:
+        """Copy the output of all processes and their settings to a folder."""
+        shutil.copytree(self.folder, target, dirs_exist_ok=True)
+
     def close(self) -> None:
         """Stop all processes and remove their files."""
         atexit.unregister(self.close)
+        self.open_groups.discard(self)
         running = [
             member for member in self.members.values() if member.is_running
         ]
