Bound what is received from other processes

Cause: CurlTransport.fetch collected a body without a bound, headers were bounded by curl at 300 KB a response and not over interim responses, trailers could replace headers that had been checked, an unfinished event was searched again with each piece, error bodies and events could take 1 MiB each. What exceeds its bound is a failure of that server, not a sign that it is dead. Events are searched once. A time-out that fires late because this host did not run is marked, a probe is repeated then and a connect that failed so is no mark against the server.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -9,23 +9,29 @@
 import asyncio
 import functools
 import io
-from collections.abc import Mapping
+import math
 
 import pycurl
 
+from celerywharf.adapters._responses import ResponseCollector, ResponsePool
 from celerywharf.adapters.transports import (
+    MAX_HEAD_BYTES,
     HttpRequest,
     HttpResponse,
     StreamSink,
     Transfer,
     Transport,
 )
-from celerywharf.exceptions import TransportError
+from celerywharf.exceptions import ResponseTooLargeError, TransportError
 from celerywharf.structures import Verdict
 
 MS_PER_S = 1000
 MAX_CONNECTIONS = 4096
 FIRST_FINAL_STATUS = 200  # 1xx responses are interim
+# A time-out that fires this much late shows that this process did not run.
+LATE_S = 0.1
+STATUS_DIGITS = 3
+ABORT = -1  # returned to curl to end a transfer
 NEVER_SENT_CODES = frozenset(
     (
         pycurl.E_COULDNT_CONNECT,
@@ -49,14 +55,18 @@
         self.released: set[pycurl.Curl] = set()
         self.handle_count = 0
         self.watched_descriptors: set[int] = set()
+        self.response_pool = ResponsePool()
 
     async def fetch(self, request: HttpRequest) -> HttpResponse:
         """Send a request and return the complete response."""
-        sink = _ResponseCollector(self.loop.create_future())
+        sink = ResponseCollector(
+            self.loop.create_future(), request, self.response_pool
+        )
         transfer = self.stream(request, sink)
         try:
             return await sink.done
         finally:
+            sink.release()
             transfer.cancel()
 
     def stream(self, request: HttpRequest, sink: StreamSink) -> CurlTransfer:
@@ -174,6 +184,9 @@
 
     Attributes:
         closed: cancelled or ended; the sink receives nothing more.
+        head_bytes: size of all status lines, headers and trailers received.
+        head_complete: the final headers have arrived; what curl passes as
+            headers after that are trailers, which are ignored.
     """
 
     def __init__(
@@ -188,6 +201,8 @@
         self.headers: dict[str, str] = {}
         self.status = 0
         self.closed = False
+        self.head_bytes = 0
+        self.head_complete = False
         self.curl = pycurl.Curl()
         self._configure(self.curl)
 
@@ -218,11 +233,23 @@
 
     def error(self, code: int, message: str) -> TransportError:
         """Convert a failure of curl to an exception with its verdict."""
+        if self.head_bytes > MAX_HEAD_BYTES:
+            return ResponseTooLargeError('response headers exceed the limit')
         sent = self.curl.getinfo(pycurl.REQUEST_SIZE)
         verdict = Verdict.may_have_run
         if code in NEVER_SENT_CODES or not sent:
             verdict = Verdict.not_run
-        return TransportError(message or f'curl error {code}', verdict=verdict)
+        error = TransportError(message or f'curl error {code}', verdict=verdict)
+        error.late = code == pycurl.E_OPERATION_TIMEDOUT and self._is_late()
+        return error
+
+    def _is_late(self) -> bool:
+        """Return whether a time-out has fired much later than it was due."""
+        request = self.request
+        limit_s = request.timeout_s or 0
+        if not self.curl.getinfo(pycurl.CONNECT_TIME):
+            limit_s = min(request.connect_timeout_s, limit_s or math.inf)
+        return self.curl.getinfo(pycurl.TOTAL_TIME) > limit_s + LATE_S
 
     def _configure(self, curl: pycurl.Curl) -> None:
         request = self.request
@@ -266,17 +293,21 @@
         curl.setopt(pycurl.READFUNCTION, _BodyReader(self.request).read)
         curl.setopt(pycurl.CUSTOMREQUEST, self.request.method)
 
-    def _on_header(self, line: bytes) -> None:
+    def _on_header(self, line: bytes) -> int | None:
+        self.head_bytes += len(line)
+        if self.head_bytes > MAX_HEAD_BYTES:
+            return ABORT
+        if self.head_complete:
+            return None
         text = line.decode('latin-1').strip()
         if text.startswith('HTTP/'):
-            self.status = int(text.split(maxsplit=2)[1])
+            self.status = _status(text)
             self.headers = {}
-            return
-        if text:
+        elif text:
             name, _, value = text.partition(':')
             self.headers[name.strip().lower()] = value.strip()
-            return
-        if self.status >= FIRST_FINAL_STATUS:
+        elif self.status >= FIRST_FINAL_STATUS:
+            self.head_complete = True
             self._notify(
                 functools.partial(
                     self.sink.on_headers,
@@ -284,6 +315,7 @@
                     self.headers,
                 ),
             )
+        return None
 
     def _on_write(self, chunk: bytes) -> None:
         if not self.closed:
@@ -294,6 +326,12 @@
             call()
 
 
+def _status(line: str) -> int:
+    """Return the status of a status line, 0 if it has none."""
+    status = line.partition(' ')[2][:STATUS_DIGITS]
+    return int(status) if status.isdecimal() else 0
+
+
 class _BodyReader:
     """Supplies a request body to curl, unless the guard forbids it."""
 
@@ -306,32 +344,3 @@
         if self.guard is None or self.guard():
             return self.content.read(size)
         return pycurl.READFUNC_ABORT
-
-
-class _ResponseCollector:
-    """Collects a complete response for ``fetch``."""
-
-    def __init__(self, done: asyncio.Future) -> None:
-        self.done = done
-        self.status = 0
-        self.headers: Mapping[str, str] = {}
-        self.chunks: list[bytes] = []
-
-    def on_headers(self, status: int, headers: Mapping[str, str]) -> None:
-        """Store status and headers."""
-        self.status = status
-        self.headers = headers
-
-    def on_chunk(self, chunk: bytes) -> None:
-        """Store a part of the body."""
-        self.chunks.append(chunk)
-
-    def on_end(self, error: TransportError | None) -> None:
-        """Complete the future with the response or the error."""
-        if self.done.done():
-            return
-        if error is not None:
-            self.done.set_exception(error)
-            return
-        body = b''.join(self.chunks)
-        self.done.set_result(HttpResponse(self.status, self.headers, body))
--- a/celerywharf/adapters/engines.py
+++ b/celerywharf/adapters/engines.py
@@ -13,16 +13,18 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
+from celerywharf.adapters.event_buffers import EventBuffer
 from celerywharf.adapters.transports import HttpRequest, Transfer, Transport
 from celerywharf.exceptions import CelerywharfError, TransportError
 from celerywharf.structures import Verdict
+from celerywharf.units import SMALL_MESSAGE_BYTES
 
 CANCEL_TIMEOUT_S = 1.0
-# Bounds the memory used when an engine never ends an event.
-MAX_EVENT_BYTES = 1024 * 1024
+# Error bodies hold a code and a sentence.
+MAX_ERROR_BODY_BYTES = SMALL_MESSAGE_BYTES
+
 DATA = b'data: '
 DATA_LENGTH = len(DATA)
-EVENT_END = b'\n\n'
 # Bytes after the offset and after the token of an event, as engines usually
 # serialize it; see ``EngineStream._read_single``.
 TOKEN_SEPARATOR = b',"t":"'
@@ -110,7 +112,8 @@
         self.attempt = attempt
         self.listener = listener
         self.status = 0
-        self.buffered = b''
+        self.events = EventBuffer()
+        self.error_body = b''
         self.ended = False
         self.received_bytes = 0
         self.event_head = _event_head(attempt)
@@ -129,14 +132,12 @@
         if self.ended:
             return
         self.received_bytes += len(chunk)
-        if self.buffered:
-            chunk = self.buffered + chunk
-            self.buffered = b''
         if self.status != HTTPStatus.OK:
-            self.buffered = chunk[:MAX_EVENT_BYTES]
+            self._read_error(chunk)
             return
         try:
-            self._read_single(chunk) or self._read_events(chunk)
+            if self.events.incomplete or not self._read_single(chunk):
+                self._read_events(self.events.feed(chunk))
         except PARSE_ERRORS as error:
             self._fail('malformed', f'malformed event: {error!r}')
 
@@ -148,6 +149,14 @@
         failure = self._end_failure(error)
         self.listener.on_failure(self.attempt.attempt, failure)
 
+    def _read_error(self, chunk: bytes) -> None:
+        self.error_body += chunk
+        if len(self.error_body) > MAX_ERROR_BODY_BYTES:
+            # A refusal needs no body; its status alone is the answer.
+            self.transfer.cancel()
+            self.error_body = b''
+            self.on_end(None)
+
     def _read_single(self, chunk: bytes) -> bool:
         """Parse a chunk that is a single token event; False if it is not.
 
@@ -172,9 +181,7 @@
         )
         return True
 
-    def _read_events(self, chunk: bytes) -> None:
-        events = chunk.split(EVENT_END)
-        self.buffered = events.pop()
+    def _read_events(self, events: list[bytes]) -> None:
         expected = self.attempt
         tokens: list[str] = []
         first_offset = -1
@@ -204,8 +211,6 @@
             tokens.append(token)
             next_offset = offset + 1
         self._deliver(first_offset, tokens)
-        if len(self.buffered) > MAX_EVENT_BYTES:
-            self._fail('malformed', 'event exceeds the size limit')
 
     def _deliver(self, offset: int, tokens: list[str]) -> None:
         if tokens and not self.ended:
@@ -225,10 +230,10 @@
     def _end_failure(self, error: TransportError | None) -> StreamFailure:
         match self.status:
             case HTTPStatus.OK:
-                kind = 'truncated' if self.buffered else 'reset'
+                kind = 'truncated' if self.events.incomplete else 'reset'
                 return StreamFailure(kind, Verdict.may_have_run, str(error))
             case HTTPStatus.CONFLICT:
-                kind = _error_code(self.buffered)
+                kind = _error_code(self.error_body)
                 return StreamFailure(kind, Verdict.not_run, 'conflict')
             case HTTPStatus.SERVICE_UNAVAILABLE:
                 return StreamFailure('refused', Verdict.not_run, 'refused')
--- a/celerywharf/adapters/platforms.py
+++ b/celerywharf/adapters/platforms.py
@@ -26,10 +26,12 @@
     TransportError,
 )
 from celerywharf.structures import Address, Verdict
+from celerywharf.units import DOCUMENT_BYTES
 
 SCAN_LIMIT_ROWS = 500
 WEIGHT_TIMEOUT_S = 120.0  # the response comes after the transfer
 RETRY_AFTER_S = 1.0
+MAX_ANSWER_BYTES = DOCUMENT_BYTES  # a page of rows, or a stored object
 
 Json = Mapping[str, Any]
 
@@ -268,6 +270,8 @@
         **options: Any,
     ) -> HttpRequest:
         options.setdefault('timeout_s', self.timeout_s)
+        options.setdefault('max_body_bytes', MAX_ANSWER_BYTES)
+        options.setdefault('pooled', False)
         url = self.url + path
         if content is None:
             return HttpRequest(method, url, **options)
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -9,9 +9,15 @@
 from typing import Any, Protocol
 
 from celerywharf.exceptions import TransportError
+from celerywharf.units import MEBIBYTE, SMALL_MESSAGE_BYTES
 
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 DEFAULT_TIMEOUT_S = 5.0
+# Answers of services are a few KiB.
+DEFAULT_MAX_BODY_BYTES = 4 * MEBIBYTE
+# Status lines, headers and trailers of one exchange, interim responses
+# included.
+MAX_HEAD_BYTES = SMALL_MESSAGE_BYTES
 # Headers that apply to a single connection and must not be forwarded.
 HOP_BY_HOP = frozenset(
     (
@@ -48,6 +54,10 @@
         guard: called right before the body is sent; if it returns False, the
             exchange is aborted and the server never receives the whole
             request.
+        max_body_bytes: size of a response body above which ``fetch`` closes
+            the connection and fails.
+        pooled: count the body against the limit for all unfinished responses
+            of the transport; for servers that are not trusted to be sound.
     """
 
     method: str
@@ -59,6 +69,8 @@
     fresh_connection: bool = False
     target: str | None = None
     guard: Callable[[], bool] | None = None
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    pooled: bool = True
 
     @classmethod
     def with_json(
@@ -131,6 +143,7 @@
         Raises:
             TransportError: no complete response; the verdict is ``not_run``
                 only if no byte of the request can have been sent.
+            ResponseTooLargeError: the response exceeded a size limit.
         """
 
     @abc.abstractmethod
--- a/celerywharf/applications/_minting.py
+++ b/celerywharf/applications/_minting.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from celerywharf.applications._rows import ClaimRow, ClaimState
+from celerywharf.units import KIBIBYTE
 
 KEY_PATTERN = re.compile(
     r'cw\.(?P<host>[a-z0-9_-]{1,63})\.(?P<incarnation>\d{1,20})'
@@ -17,7 +18,6 @@
 KEY_LIFETIME_S = 3600
 MAC_CHARACTERS = 32
 CLAIM_LIMIT_KEYS = 100_000
-KIBIBYTE = 1024
 ANSWER_LIMIT_BYTES = 8 * KIBIBYTE
 STORED_ANSWERS_LIMIT_BYTES = KIBIBYTE * KIBIBYTE * 10
 
--- a/celerywharf/cli/_client.py
+++ b/celerywharf/cli/_client.py
@@ -19,10 +19,12 @@
     TransportError,
 )
 from celerywharf.structures import Address
+from celerywharf.units import DOCUMENT_BYTES
 from celerywharf.wire import Failure
 
 HOST_VARIABLE = 'CELERYWHARF_HOST'
 KEY_VARIABLE = 'CELERYWHARF_OPERATOR_KEY'
+MAX_ANSWER_BYTES = 4 * DOCUMENT_BYTES  # timelines and tables of all hosts
 TIMEOUT_S = 15.0
 
 
@@ -85,6 +87,8 @@
             self._headers({'Content-Type': content_type}),
             text.encode(),
             timeout_s=TIMEOUT_S,
+            max_body_bytes=MAX_ANSWER_BYTES,
+            pooled=False,
         )
         return self._send(request).json()
 
@@ -98,7 +102,14 @@
         url = self._url(path)
         all_headers = self._headers(headers)
         if content is None:
-            request = HttpRequest(method, url, all_headers, timeout_s=TIMEOUT_S)
+            request = HttpRequest(
+                method,
+                url,
+                all_headers,
+                timeout_s=TIMEOUT_S,
+                max_body_bytes=MAX_ANSWER_BYTES,
+                pooled=False,
+            )
         else:
             request = HttpRequest.with_json(
                 method,
@@ -106,6 +117,8 @@
                 content,
                 headers=all_headers,
                 timeout_s=TIMEOUT_S,
+                max_body_bytes=MAX_ANSWER_BYTES,
+                pooled=False,
             )
         return self._send(request)
 
--- a/celerywharf/exceptions.py
+++ b/celerywharf/exceptions.py
@@ -216,10 +216,19 @@
 
     Attributes:
         verdict: ``not_run`` only if no byte of the request can have been sent.
+        late: a time-out fired late because this process had not run for a
+            while, so it says nothing about the server.
     """
 
     code = 'transport_error'
     http_status = HTTPStatus.BAD_GATEWAY
+    late: bool = False
+
+
+class ResponseTooLargeError(TransportError):
+    """A server's response exceeded a size limit and was cut off."""
+
+    code = 'response_too_large'
 
 
 class ProtocolError(CelerywharfError):
--- a/celerywharf/forwarding/_outcomes.py
+++ b/celerywharf/forwarding/_outcomes.py
@@ -25,11 +25,14 @@
         reached: whether a backend server refused it; otherwise none was
             reached.
         replaced: whether another backend server now uses the address.
+        late: none was reached in time only because this host did not run for
+            a while.
     """
 
     reason: str
     reached: bool
     replaced: bool = False
+    late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,10 +43,13 @@
         reason: for the log.
         broken: whether the connection broke or the server stopped responding,
             so that the server may be dead.
+        resumable: whether the request may be sent again; False if what the
+            caller already has cannot be part of a correct answer.
     """
 
     reason: str
     broken: bool = False
+    resumable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -16,6 +16,7 @@
 from celerywharf.exceptions import ProtocolError, TransportError
 from celerywharf.platform import PROBE_PATH, decode_report
 from celerywharf.timers import TimerService
+from celerywharf.units import SMALL_MESSAGE_BYTES
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +24,9 @@
 # Engines report their load as of some 100 ms ago, so probing more often yields
 # no newer information.
 REPORT_MAX_AGE_S = 0.2
+# An entry for each of an engine's runs takes about 50 bytes.
+MAX_REPORT_BYTES = SMALL_MESSAGE_BYTES
+MAX_PROBES = 2  # probes of one engine, if this host itself was late
 MAX_ROUNDS = 4  # probing eight engines of a service suffices at any load
 
 
@@ -97,15 +101,8 @@
         None if the engine does not answer with a valid report or another one
         uses its address; either is recorded in its health.
         """
-        request = HttpRequest(
-            'GET',
-            f'http://{server.address}{PROBE_PATH}',
-            timeout_s=REPORT_TIMEOUT_S,
-            connect_timeout_s=REPORT_TIMEOUT_S,
-        )
         try:
-            response = await self.transport.fetch(request)
-            report = decode_report(response.body)
+            report = await self._fetch_report(server)
         except (TransportError, ProtocolError) as error:
             logger.info(
                 'no report',
@@ -120,6 +117,22 @@
         self.loads.report(server.name, report, now_s)
         return report
 
+    async def _fetch_report(self, server: BackendServer) -> EngineReport:
+        request = HttpRequest(
+            'GET',
+            f'http://{server.address}{PROBE_PATH}',
+            timeout_s=REPORT_TIMEOUT_S,
+            connect_timeout_s=REPORT_TIMEOUT_S,
+            max_body_bytes=MAX_REPORT_BYTES,
+        )
+        for _ in range(MAX_PROBES - 1):
+            try:
+                return decode_report((await self.transport.fetch(request)).body)
+            except TransportError as error:
+                if not error.late:
+                    raise
+        return decode_report((await self.transport.fetch(request)).body)
+
     def _is_stale(self, server: BackendServer) -> bool:
         age_s = self.timers.now() - self.loads.report_at_s(server.name)
         return age_s > REPORT_MAX_AGE_S
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -7,7 +7,7 @@
 
 from celerywharf.adapters.transports import HttpRequest, HttpResponse
 from celerywharf.backends import BackendServer
-from celerywharf.exceptions import TransportError
+from celerywharf.exceptions import ResponseTooLargeError, TransportError
 from celerywharf.forwarding._context import ForwardingContext
 from celerywharf.forwarding._outcomes import (
     Answered,
@@ -152,6 +152,8 @@
     match outcome:
         case Refused(replaced=True):
             context.health.replaced(server, now_s)
+        case Refused(reached=False, late=True):
+            pass  # this host was late, which says nothing about the server
         case Refused(reached=False):
             context.health.unreachable(server, now_s)
         case Lost(broken=True):
@@ -165,8 +167,9 @@
 def failed_send(error: TransportError) -> Refused | Lost:
     """Return the outcome of a send that failed in the transport."""
     if error.verdict is Verdict.not_run:
-        return Refused(error.message, reached=False)
-    return Lost(error.message, broken=True)
+        return Refused(error.message, reached=False, late=error.late)
+    broken = not isinstance(error, ResponseTooLargeError)
+    return Lost(error.message, broken=broken)
 
 
 async def _fetch(
--- a/celerywharf/platform/_events.py
+++ b/celerywharf/platform/_events.py
@@ -1,13 +1,14 @@
-"""Splits an engine's server-sent event stream into complete events."""
+"""Splits an engine's server-sent event stream into numbered events."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from celerywharf.adapters.event_buffers import EVENT_END, EventBuffer
+
 ID_FIELD = b'id:'
-EVENT_END = b'\n\n'
-# Bounds the memory used when an engine never ends an event.
-MAX_EVENT_BYTES = 1024 * 1024
+# An id with more digits is no number of an event.
+MAX_ID_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,27 +25,25 @@
 
 
 class EventSplitter:
-    """Buffers the bytes of an event until the event is complete.
-
-    Attributes:
-        incomplete: bytes received after the last complete event.
-    """
+    """Buffers the bytes of an event until the event is complete."""
 
     def __init__(self) -> None:
-        self.incomplete = b''
+        self.buffer = EventBuffer()
+
+    @property
+    def incomplete(self) -> bool:
+        """Return whether the last event received is not complete."""
+        return bool(self.buffer.incomplete)
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Add received bytes and return the events that they complete.
 
         Raises:
-            ValueError: an incomplete event exceeds ``MAX_EVENT_BYTES``.
+            ValueError: an event exceeds the size limit.
         """
-        complete = (self.incomplete + chunk).split(EVENT_END)
-        self.incomplete = complete.pop()
-        if len(self.incomplete) > MAX_EVENT_BYTES:
-            raise ValueError('event exceeds the size limit')
         return [
-            Event(_event_number(text), text + EVENT_END) for text in complete
+            Event(_event_number(text), text + EVENT_END)
+            for text in self.buffer.feed(chunk)
         ]
 
 
@@ -52,5 +51,6 @@
     for line in text.split(b'\n'):
         if line.startswith(ID_FIELD):
             digits = line.removeprefix(ID_FIELD).strip()
-            return int(digits) if digits.isdigit() else None
+            valid = digits.isdigit() and len(digits) <= MAX_ID_DIGITS
+            return int(digits) if valid else None
     return None
--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -19,6 +19,7 @@
 from celerywharf.exceptions import PlatformUnavailableError
 from celerywharf.routing import AnswerTiming
 from celerywharf.structures import Address
+from celerywharf.units import DOCUMENT_BYTES
 
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
@@ -29,6 +30,9 @@
 CALL_TIMEOUT_S = 1.0  # a healthy store answers in a few milliseconds
 # A long poll not answered this long after its wait time is given up.
 POLL_SLACK_S = 0.8
+# A page has at most 1 MB of rows; a configuration of thousands of routes is a
+# few MB.
+MAX_ANSWER_BYTES = DOCUMENT_BYTES
 
 
 class HistoryGoneError(PlatformUnavailableError):
@@ -139,6 +143,8 @@
             rows.extend(row.row() for row in answer.rows)
             if not answer.has_more or not answer.rows:
                 return ReadResult(tuple(rows), answer.api_version, timing)
+            if answer.rows[-1].key < first_key:
+                raise PlatformUnavailableError('rows-get: a page was repeated')
             first_key = f'{answer.rows[-1].key}\0'
 
     async def watch(
@@ -197,6 +203,8 @@
             f'http://{self.address}/api/rows-tx',
             transaction,
             timeout_s=CALL_TIMEOUT_S,
+            max_body_bytes=MAX_ANSWER_BYTES,
+            pooled=False,
         )
         response, answer, _ = await self._call('rows-tx', request)
         if response.status == HTTPStatus.OK:
@@ -215,6 +223,8 @@
             'GET',
             f'http://{self.address}/api/{call}?{urlencode(query)}',
             timeout_s=timeout_s,
+            max_body_bytes=MAX_ANSWER_BYTES,
+            pooled=False,
         )
         _, answer, timing = await self._call(call, request)
         return answer, timing
--- a/celerywharf/settings/_loading.py
+++ b/celerywharf/settings/_loading.py
@@ -11,8 +11,10 @@
 
 from celerywharf.exceptions import SettingsError
 from celerywharf.settings._models import HostSettings
+from celerywharf.units import MEBIBYTE
 
 SECRET_SECTION = 'keys'
+MAX_FILE_BYTES = MEBIBYTE  # settings of the largest zone maps are a few KiB
 
 Settings = TypeVar('Settings', bound=BaseModel)
 
@@ -32,9 +34,13 @@
             one line for each invalid key.
     """
     try:
-        text = Path(path).read_text(encoding='utf-8')
+        with Path(path).open('rb') as settings_file:
+            encoded = settings_file.read(MAX_FILE_BYTES + 1)
+        text = encoded.decode()
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f'{path}: cannot be read: {error}') from None
+    if len(encoded) > MAX_FILE_BYTES:
+        raise SettingsError(f'{path}: larger than {MAX_FILE_BYTES} bytes')
     return loads(text, str(path), model)
 
 
--- a/celerywharf/settings/_models.py
+++ b/celerywharf/settings/_models.py
@@ -15,10 +15,9 @@
 )
 
 from celerywharf.structures import Address
+from celerywharf.units import KIBIBYTE, MEBIBYTE
 
 PORT_LIMIT = 65535
-KIBIBYTE = 1024
-MEBIBYTE = 1024 * KIBIBYTE
 NAME_PATTERN = r'^[a-z0-9][a-z0-9_-]{0,62}$'
 
 
--- /dev/null
+++ b/celerywharf/units.py
@@ -0,0 +1,7 @@
+"""Sizes in bytes."""
+
+KIBIBYTE = 1024
+MEBIBYTE = 1024 * KIBIBYTE
+# Limits on what is received from other processes.
+SMALL_MESSAGE_BYTES = 65_536  # 64 KiB
+DOCUMENT_BYTES = 16_777_216  # 16 MiB
