Judge streams by the caller's progress and excuse this host's own lateness

Cause: an event that the caller already had, a comment or a byte counted as a sign of life, so an engine that repeats itself was never given up; an engine that answers others was never asked about a stream whose connection was lost before its first event; a front that did not run for a while took silence that it had caused for an engine's death and moved its streams. Change: only events new to the caller count; a stream without events on an engine that answers others is asked for after 2.5 s; a wait that ends more than 0.1 s late excuses 0.25 s of silence; more events than requested tokens end the stream; a stream is held while its caller is congested (256 KiB), which was bounded only by tornado's 100 MB. Also: Deadline-Ms of nan, inf or less than zero, and negative counts, are 400; a 200 of an engine without a field of its state is a BackendServerError. Before: relays.feature, silence.feature and the paused front of fronts.feature fail on (two runs instead of one after a pause of 1.5 s). After: they pass.

--- a/celerywharf/adapters/orders.py
+++ b/celerywharf/adapters/orders.py
@@ -147,10 +147,15 @@
         content = response.json()
     except ValueError:
         raise BackendServerError('the engine did not answer JSON') from None
-    return EngineState(
-        models=frozenset(content['models']),
-        role=content['role'],
-        version=content['version'],
-        busy=bool(content['running'] or content['waiting']),
-        age_s=content['report_age_s'],
-    )
+    try:
+        return EngineState(
+            models=frozenset(content['models']),
+            role=content['role'],
+            version=content['version'],
+            busy=bool(content['running'] or content['waiting']),
+            age_s=float(content['report_age_s']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise BackendServerError(
+            f'the engine reported no valid state: {error!r}'
+        ) from None
--- a/celerywharf/forwarding/_caller.py
+++ b/celerywharf/forwarding/_caller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
 
@@ -13,10 +13,16 @@
     Attributes:
         disconnected: whether the caller has closed its connection.
         started: whether status and headers have been written.
+        congested: whether so much is buffered for the caller that the answer
+            must be held until ``on_drained`` is called.
+        on_drained: called when everything buffered has been sent; None if
+            nobody waits for it.
     """
 
     disconnected: bool = False
     started: bool = False
+    congested: bool = False
+    on_drained: Callable[[], None] | None = None
 
     @abc.abstractmethod
     def answer(
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -152,7 +152,8 @@
                 self.sends += 1
                 self.may_have_run = True
                 self.answer = None
-                if self.repeatable and self._may_send(remaining_s):
+                may_repeat = self.repeatable and outcome.resumable
+                if may_repeat and self._may_send(remaining_s):
                     return SendAgain()
                 return Fail(HTTPStatus.BAD_GATEWAY, outcome.reason)
 
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Mapping
 from http import HTTPStatus
 
-from celerywharf.adapters.transports import HttpResponse
+from celerywharf.adapters.transports import HttpResponse, Transfer
 from celerywharf.backends import BackendServer
 from celerywharf.exceptions import TransportError
 from celerywharf.forwarding._caller import Caller
@@ -26,8 +27,11 @@
     EventSplitter,
     read_answer_headers,
 )
+from celerywharf.units import SMALL_MESSAGE_BYTES
 
-MAX_ERROR_BODY_BYTES = 1024 * 1024
+MAX_ERROR_BODY_BYTES = SMALL_MESSAGE_BYTES
+# Events without tokens that an engine may send beyond one for each token.
+EXTRA_EVENTS = 16
 
 
 class Progress:
@@ -69,6 +73,10 @@
     Attributes:
         events: number of events relayed by this send.
         body: body of an answer that is not a stream.
+        max_event: highest event id that the requested number of tokens can
+            have; None if the caller did not limit them.
+        transfer: the exchange with the server, held while the caller is
+            congested; None until it is known.
         done: future of the outcome of the send.
     """
 
@@ -90,8 +98,11 @@
         self.splitter = EventSplitter()
         self.status = 0
         self.headers: AnswerHeaders | None = None
-        self.body = b''
+        self.body = bytearray()
         self.events = 0
+        output_tokens = request.headers.output_tokens
+        self.max_event = output_tokens and output_tokens + EXTRA_EVENTS
+        self.transfer: Transfer | None = None
         self.done: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
@@ -119,6 +130,7 @@
         if self.status != HTTPStatus.OK:
             self.body += chunk
             if len(self.body) > MAX_ERROR_BODY_BYTES:
+                self.body.clear()
                 self.settle(Lost('error body too large'))
             return
         try:
@@ -147,24 +159,28 @@
             return Lost('stream ended inside an event')
         if self.status == HTTPStatus.OK:
             return Finished()
-        response = HttpResponse(self.status, {}, self.body)
+        response = HttpResponse(self.status, {}, bytes(self.body))
         return Answered(response, self.headers)
 
     def _on_event(self, event: Event) -> None:
         if self.done.done():
             return
-        now_s = self.context.timers.now()
-        self.context.loads.mark_alive(self.server.name, now_s)
-        if not self.detector.has_events:
-            self.context.loads.prefilled(self.server.name)
-        self.detector.record_event(now_s)
         last = self.progress.last_event or 0
         if event.number is None or event.number > last + 1:
             self.settle(Lost(f'event {event.number} received after {last}'))
+        elif self.max_event and event.number > self.max_event:
+            reason = 'more events than requested tokens'
+            self.settle(Lost(reason, resumable=False))
         elif event.number == last + 1:
-            self._forward_event(event, now_s)
+            self._forward_event(event, self.context.timers.now())
 
     def _forward_event(self, event: Event, now_s: float) -> None:
+        # Only events that are new to the caller show that the server works: a
+        # faulty one may repeat an event without end.
+        self.context.loads.mark_alive(self.server.name, now_s)
+        if not self.detector.has_events:
+            self.context.loads.prefilled(self.server.name)
+        self.detector.record_event(now_s)
         if not self.caller.started:
             self.caller.begin(self.status, self.headers.forwarded)
         self._observe_latency(now_s)
@@ -172,6 +188,21 @@
         self.progress.last_event = event.number
         self.events += 1
         self.caller.write(event.text)
+        if self.caller.congested and self.transfer is not None:
+            self._hold(self.transfer)
+
+    def _hold(self, transfer: Transfer) -> None:
+        """Stop reading from the server until the caller has caught up."""
+        transfer.pause()
+        self.detector.held = True
+        self.caller.on_drained = functools.partial(self._continue, transfer)
+
+    def _continue(self, transfer: Transfer) -> None:
+        self.caller.on_drained = None
+        self.detector.held = False
+        self.detector.excuse(self.context.timers.now())
+        if not self.done.done():
+            transfer.resume()
 
     def _observe_latency(self, now_s: float) -> None:
         metrics = self.context.metrics
--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import deque
 
 from celerywharf.backends import EngineReport
@@ -21,6 +22,9 @@
 # Before the first event, silence usually means that the request is queued or
 # that its prompt is being read.
 FIRST_EVENT_SILENCE_S = 1.0
+# The same if the engine still answers other requests.  A connection can be
+# lost without a trace, so the engine is asked about this stream.
+OWN_FIRST_EVENT_SILENCE_S = 2.5
 
 
 class Liveness(enum.Enum):
@@ -52,6 +56,9 @@
         last_s: when the last event arrived, or the start before the first.
         gaps: recent pauses between events, seconds.
         has_events: whether any event has arrived.
+        held: this host reads no events because the caller is too slow.
+        asked_s: when the engine last reported on a stream without events.
+        excused_until_s: silence before this time is not the engine's.
     """
 
     def __init__(self, gap_target_s: float, started_s: float) -> None:
@@ -59,6 +66,20 @@
         self.last_s = started_s
         self.gaps: deque[float] = deque(maxlen=MAX_GAPS)
         self.has_events = False
+        self.held = False
+        self.asked_s = started_s
+        self.excused_until_s = float('-inf')
+
+    def excuse(self, now_s: float) -> None:
+        """Record that this host has read no events until now.
+
+        Events that the engine sent meanwhile are still to be read.
+        """
+        self.excused_until_s = now_s + MIN_SILENCE_S
+
+    def record_report(self, now_s: float) -> None:
+        """Record that the engine reported that it works on the stream."""
+        self.asked_s = now_s
 
     def record_event(self, now_s: float) -> None:
         """Record the arrival of an event."""
@@ -87,9 +108,17 @@
 
     def expires_at_s(self, alive_at_s: float) -> float:
         """Return when the silence exceeds its limit unless it ends first."""
+        if self.held:
+            return math.inf
+        return max(self._silent_until_s(alive_at_s), self.excused_until_s)
+
+    def _silent_until_s(self, alive_at_s: float) -> float:
         last_alive_s = max(self.last_s, alive_at_s)
         if not self.has_events:
-            return last_alive_s + FIRST_EVENT_SILENCE_S
+            return min(
+                last_alive_s + FIRST_EVENT_SILENCE_S,
+                self.asked_s + OWN_FIRST_EVENT_SILENCE_S,
+            )
         own_limit_s = max(
             self.gap_target_s * OWN_SILENCE_FRACTION, self.limit_s()
         )
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -26,6 +26,8 @@
 
 MILLISECONDS = 1000
 MIN_WAIT_S = 0.005  # prevents a busy loop when a timer fires late
+# A wait that ends this much late shows that this host did not run for a while.
+LATE_S = 0.1
 DEFAULT_GAP_TARGET_S = 2.0  # for streams that cannot be resumed
 
 
@@ -136,6 +138,7 @@
             ),
             relay,
         )
+        relay.transfer = transfer
         try:
             outcome = await self._await_outcome(relay, server)
         finally:
@@ -160,6 +163,8 @@
                 )
             wait_s = max(min(expires_at_s, deadline_at_s) - now_s, MIN_WAIT_S)
             await asyncio.wait({relay.done}, timeout=wait_s)
+            if self.context.timers.now() > now_s + wait_s + LATE_S:
+                relay.detector.excuse(self.context.timers.now())
             if not relay.done.done():
                 await self._check_liveness(relay, server)
             if relay.done.done():
@@ -185,6 +190,7 @@
             liveness = (
                 assess_report(report, request_id) if report else Liveness.dead
             )
+            relay.detector.record_report(self.context.timers.now())
         if liveness is Liveness.dead:
             relay.settle(Lost('silence', broken=True))
 
--- a/celerywharf/fronts/_callers.py
+++ b/celerywharf/fronts/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -13,7 +14,9 @@
 )
 
 from celerywharf.forwarding import Caller
+from celerywharf.units import SMALL_MESSAGE_BYTES
 
+MAX_BACKLOG_BYTES = 4 * SMALL_MESSAGE_BYTES
 BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -24,12 +27,14 @@
         close_after_answer: send ``Connection: close`` with the answer, so that
             the caller's next request uses another connection.
         finished: the answer is complete or was aborted.
+        backlog_bytes: written since the connection last had nothing to send.
     """
 
     def __init__(self, connection: HTTPConnection) -> None:
         self.connection = connection
         self.close_after_answer = False
         self.finished = False
+        self.backlog_bytes = 0
 
     @property
     def closed(self) -> bool:
@@ -65,8 +70,15 @@
 
     def write(self, chunk: bytes) -> None:
         """Write a chunk of a streamed answer."""
-        if not self.closed:
-            self.connection.write(chunk)
+        if self.closed:
+            return
+        written = self.connection.write(chunk)
+        if written.done():
+            return
+        self.backlog_bytes += len(chunk)
+        self.congested = self.backlog_bytes > MAX_BACKLOG_BYTES
+        # A later write replaces this future, so only the last one completes.
+        written.add_done_callback(self._sent)
 
     def end(self) -> None:
         """Complete a streamed answer."""
@@ -94,6 +106,14 @@
         body = json.dumps({'error': content}).encode()
         self.answer(status, headers, body)
 
+    def _sent(self, written: asyncio.Future[None]) -> None:
+        if not written.cancelled():
+            written.exception()
+        self.backlog_bytes = 0
+        self.congested = False
+        if self.on_drained is not None:
+            self.on_drained()
+
     def _headers(self, headers: Mapping[str, str]) -> HTTPHeaders:
         http_headers = HTTPHeaders(headers)
         if self.close_after_answer:
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -115,20 +116,19 @@
 
     Raises:
         ValueError: a number in ``Deadline-Ms``, ``Token-Count`` or
-            ``Last-Event-Id`` is malformed.
+            ``Last-Event-Id`` is malformed, negative or not finite.
     """
     joined = _joined(headers)
     connection_options = _connection_options(joined)
     prompt, output = _token_counts(joined.get(TOKENS))
-    deadline = joined.get(DEADLINE)
     last_event = joined.get(LAST_EVENT)
     return RequestHeaders(
         request_id=joined.get(REQUEST_ID, ''),
-        deadline_s=float(deadline) / MS_PER_S if deadline else None,
+        deadline_s=_deadline_s(joined.get(DEADLINE)),
         key=_bearer_key(joined.get(AUTHORIZATION, '')),
         prompt_tokens=prompt,
         output_tokens=output,
-        last_event=int(last_event) if last_event else None,
+        last_event=_count(last_event) if last_event else None,
         forwarded={
             name: text
             for name, text in joined.items()
@@ -216,7 +216,23 @@
     if not text:
         return 0, 0
     prompt, _, output = text.partition(',')
-    return int(prompt), int(output or 0)
+    return _count(prompt), _count(output or '0')
+
+
+def _deadline_s(text: str | None) -> float | None:
+    if not text:
+        return None
+    deadline_ms = float(text)
+    if not math.isfinite(deadline_ms) or deadline_ms < 0:
+        raise ValueError(f'{text!r} is not a duration')
+    return deadline_ms / MS_PER_S
+
+
+def _count(text: str) -> int:
+    count = int(text)
+    if count < 0:
+        raise ValueError(f'{text!r} is negative')
+    return count
 
 
 def _load(text: str | None) -> float | None:
--- a/tests/forwarding/relays.feature
+++ b/tests/forwarding/relays.feature
@@ -18,6 +18,34 @@
       | 0    | 1 unnumbered 2 end            | 1       | lost     |
       | 0    | 1 2 reset                     | 1 2     | lost     |
 
+  Scenario: an event in small pieces is searched once
+    When 16 events of 60000 bytes arrive in pieces of 16 bytes
+    Then all of them are split within 1 s
+
+  Scenario: an event that never ends is given up at the limit
+    When an event of 70000 bytes arrives in pieces of 1000 bytes
+    Then the send is lost
+
+  Scenario Outline: only progress of the caller counts as a sign of life
+    Given a caller that has events up to 3
+    When an engine's stream consists of <pieces>
+    Then the silence of the engine <counts>
+
+    Examples:
+      | pieces      | counts           |
+      | 4           | starts anew      |
+      | 3           | goes on          |
+      | 1 2 3 3 3   | goes on          |
+      | comment     | goes on          |
+      | half-4      | goes on          |
+
+  Scenario: a stream is held while its caller is congested
+    Given a caller that has events up to 0
+    When an engine sends 3 events and the caller is congested after 1
+    Then the transfer is paused and the silence is not the engine's
+    When the caller has received everything
+    Then the transfer goes on and silence counts from then
+
   Scenario Outline: an answer that does not belong to the request is not relayed
     Given a caller that has events up to 0
     When the stream's headers are those <fault>
--- a/tests/forwarding/silence.feature
+++ b/tests/forwarding/silence.feature
@@ -18,6 +18,42 @@
       | none                | 1.2  | 1.0   | alive    |
       | none                | 0.95 | 0     | alive    |
 
+  Scenario Outline: a stream without events on an engine that answers others
+    Given a stream with a gap target of 0.7 s and events at none
+    When the engine reports at <report> that it works on the stream
+    And it is checked at <now> s and its server last responded at <now> s
+    Then it is <liveness>
+
+    Examples:
+      | report | now | liveness |
+      | 0      | 2.4 | alive    |
+      | 0      | 2.6 | suspect  |
+      | 2.6    | 5.0 | alive    |
+      | 2.6    | 5.2 | suspect  |
+
+  Scenario Outline: silence that this host caused is excused
+    Given a stream with a gap target of 0.7 s and events at 1.0 1.03 1.06
+    When this host wakes at 3.0 after it did not run
+    And it is checked at <now> s and its server last responded at 1.06 s
+    Then it is <liveness>
+
+    Examples:
+      | now  | liveness |
+      | 3.0  | alive    |
+      | 3.24 | alive    |
+      | 3.26 | dead     |
+
+  Scenario Outline: an engine that turns four times slower is not cut off
+    Given a stream with a gap target of 0.7 s and events at <events>
+    When it is checked at <now> s and its server last responded at 0 s
+    Then it is alive
+
+    Examples:
+      | events                        | now  |
+      | 1.0 1.06 1.12 1.18            | 1.42 |
+      | 1.0 1.03 1.06 1.18 1.30       | 1.54 |
+      | 1.0 1.06 1.12 1.36 1.60       | 1.84 |
+
   Scenario: the silence limit counts from the last event
     Given a stream with a gap target of 0.7 s and events at 1.0 1.03 1.06
     Then the silence limit expires at 1.31 s
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -1,6 +1,8 @@
 """Relaying of the events of a send, with given pieces of its answer."""
 
 import asyncio
+import math
+import time
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -89,18 +91,22 @@
     return IncomingRequest('POST', '/', b'', headers, route, None, 0)
 
 
-async def _run_relay(last, act):
-    caller = RecordingCaller()
-    relay = StreamRelay(
+def _make_relay(last):
+    return StreamRelay(
         _make_context(),
         _make_request(),
         make_server('e1'),
-        caller,
+        RecordingCaller(),
         Progress(last or None),
         SilenceDetector(0.7, 0),
     )
+
+
+async def _run_relay(last, act):
+    relay = _make_relay(last)
     act(relay)
-    return caller, relay.done.result()
+    outcome = relay.done.result() if relay.done.done() else None
+    return relay.caller, outcome, relay
 
 
 def _feed(relay, pieces):
@@ -113,6 +119,8 @@
                 relay.on_end(TransportError('reset'))
             case ('half', _, number):
                 relay.on_chunk(f'id: {number}\ndata: wo'.encode())
+            case ('comment', _, _):
+                relay.on_chunk(b': alive')
             case ('unnumbered', _, _):
                 relay.on_chunk(b'data: word\n\n')
             case (number, _, _):
@@ -164,3 +172,105 @@
     if outcome not in OUTCOMES:
         pytest.fail(outcome)
     assert isinstance(relayed[1], OUTCOMES[outcome])
+
+
+class RecordingTransfer:
+    """Records whether it is paused."""
+
+    def __init__(self):
+        self.paused = False
+
+    def pause(self):
+        """Record a pause."""
+        self.paused = True
+
+    def resume(self):
+        """Record the end of a pause."""
+        self.paused = False
+
+
+def _feed_in_pieces(count, size, piece):
+    async def feed():
+        relay = _make_relay(0)
+        relay.on_headers(200, VALID_HEADERS)
+        started_s = time.perf_counter()
+        for number in range(1, count + 1):
+            event = f'id: {number}\ndata: {"x" * size}\n\n'.encode()
+            for start in range(0, len(event), piece):
+                relay.on_chunk(event[start : start + piece])
+        return relay, time.perf_counter() - started_s
+
+    return asyncio.run(feed())
+
+
+@when(
+    parsers.parse(
+        '{count:d} events of {size:d} bytes arrive in pieces of {piece:d} bytes'
+    ),
+    target_fixture='split',
+)
+def _many_pieces(count, size, piece):
+    return (count, *_feed_in_pieces(count, size, piece))
+
+
+@then(parsers.parse('all of them are split within {span:g} s'))
+def _split_in_time(split, span):
+    count, relay, took_s = split
+    assert relay.progress.events == count
+    assert took_s < span
+
+
+@when(
+    parsers.parse(
+        'an event of {size:d} bytes arrives in pieces of {piece:d} bytes'
+    ),
+    target_fixture='relayed',
+)
+def _too_large(size, piece):
+    relay, _ = _feed_in_pieces(1, size, piece)
+    return relay.caller, relay.done.result(), relay
+
+
+@then(parsers.parse('the silence of the engine {counts}'))
+def _silence(relayed, counts):
+    detector = relayed[2].detector
+    assert detector.has_events == (counts == 'starts anew')
+
+
+@when(
+    parsers.parse(
+        'an engine sends {count:d} events and the caller is congested after '
+        '{limit:d}'
+    ),
+    target_fixture='held',
+)
+def _congested(last, count, limit):
+    async def act():
+        relay = _make_relay(last)
+        relay.transfer = RecordingTransfer()
+        relay.on_headers(200, VALID_HEADERS)
+        for number in range(1, count + 1):
+            relay.caller.congested = number > limit
+            relay.on_chunk(f'id: {number}\ndata: word\n\n'.encode())
+        return relay
+
+    return asyncio.run(act())
+
+
+@then("the transfer is paused and the silence is not the engine's")
+def _held(held):
+    assert held.transfer.paused
+    assert held.detector.expires_at_s(0) == math.inf
+
+
+@when('the caller has received everything')
+def _drained(held):
+    held.caller.on_drained()
+
+
+@then('the transfer goes on and silence counts from then')
+def _goes_on(held):
+    assert not held.transfer.paused
+    now_s = held.context.timers.now()
+    assert now_s < held.detector.expires_at_s(0) < now_s + 1
+    assert held.progress.events == 3
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -27,6 +27,16 @@
     return detector
 
 
+@when(parsers.parse('the engine reports at {at:g} that it works on the stream'))
+def _reports(detector, at):
+    detector.record_report(at)
+
+
+@when(parsers.parse('this host wakes at {at:g} after it did not run'))
+def _wakes(detector, at):
+    detector.excuse(at)
+
+
 @when(
     parsers.parse(
         'it is checked at {now:g} s and its server last responded at '
--- a/tests/fronts/fronts.feature
+++ b/tests/fronts/fronts.feature
@@ -28,6 +28,21 @@
     When a caller requests a stream of 10 events and e1 is killed after 0.5 s
     Then the caller has received events 1 to 10 and a complete answer
 
+  Scenario: a front that did not run for a while keeps its streams
+    Given engines e1 in north-1, e2 in north-2, and a front
+    And e1 is reached through a link
+    When a caller has begun to read a stream of 120 events
+    And the front and the link are paused for 1.5 s, the link 0.15 s longer
+    Then the caller has received events 1 to 120 and a complete answer
+    And exactly 1 run began, for account lakeshore, without the key
+
+  Scenario: an engine that turns slower in the middle of a stream keeps it
+    Given engines e1 in north-1, e2 in north-2, and a front
+    When a caller has begun to read a stream of 40 events
+    And e1 takes 80 ms instead of 20 ms for an event
+    Then the caller has received events 1 to 40 and a complete answer
+    And exactly 1 run began, for account lakeshore, without the key
+
   Scenario Outline: a purchase runs at most once, whatever the fault
     Given desks d1, d2 and a front
     And both desks <fault>
@@ -163,3 +178,8 @@
       | an unknown path                 | 404    |
       | a body that is too large        | 413    |
       | a deadline that is not a number | 400    |
+      | a deadline of nan               | 400    |
+      | a deadline of inf               | 400    |
+      | a negative deadline             | 400    |
+      | a negative number of tokens     | 400    |
+      | a negative event number         | 400    |
--- a/tests/fronts/test_fronts.py
+++ b/tests/fronts/test_fronts.py
@@ -209,6 +209,47 @@
     time.sleep(0.3)
 
 
+@given('e1 is reached through a link')
+def _behind_link(rig, fleet):
+    link = fleet.start_link('link', rig.servers['e1'])
+    rig.servers['e1'] = link.address
+    rig.register('e1', 'narrator', 'north-1')
+    time.sleep(0.3)  # until the front has the new address
+
+
+@when(
+    parsers.parse(
+        'the front and the link are paused for {span:g} s, '
+        'the link {longer:g} s longer'
+    )
+)
+def _pause(rig, fleet, calls, span, longer):
+    fleet.pause('link')
+    fleet.pause('front')
+    time.sleep(span)
+    fleet.resume('front')
+    time.sleep(longer)
+    fleet.resume('link')
+    calls.thread.join()
+
+
+@when(
+    parsers.parse('e1 takes {slow:d} ms instead of {_usual:d} ms for an event')
+)
+def _turns_slow(rig, fleet, calls, slow):
+    fleet.control('e1', event_ms=slow)
+    calls.thread.join()
+
+
+@when(parsers.parse('a caller has begun to read a stream of {events:d} events'))
+def _begins_stream(rig, calls, events):
+    calls.start_stream(rig.fronts['front'], events)
+    deadline_s = time.monotonic() + CHANGE_TIMEOUT_S
+    while not any(run['events'] >= 8 for run in rig.all_runs()):
+        assert time.monotonic() < deadline_s
+        time.sleep(0.01)
+
+
 @when(parsers.parse('a caller requests a stream of {events:d} events'))
 def _stream(rig, calls, events):
     calls.stream(rig.fronts['front'], events)
@@ -496,6 +537,9 @@
     assert not rig.all_runs()
 
 
+EMPTY_BODY = 'Content-Length: 0'
+
+
 def _raw(path, *lines, body='', **changes):
     headers = [
         f'{name}: {text}' for name, text in request_headers(**changes).items()
@@ -528,6 +572,15 @@
     'a deadline that is not a number': _raw(
         CALL_PATH, 'Content-Length: 0', Deadline_Ms='soon'
     ),
+    'a deadline of nan': _raw(CALL_PATH, EMPTY_BODY, Deadline_Ms='nan'),
+    'a deadline of inf': _raw(CALL_PATH, EMPTY_BODY, Deadline_Ms='inf'),
+    'a negative deadline': _raw(CALL_PATH, EMPTY_BODY, Deadline_Ms='-5'),
+    'a negative number of tokens': _raw(
+        STREAM_PATH, EMPTY_BODY, Token_Count='-1,7'
+    ),
+    'a negative event number': _raw(
+        STREAM_PATH, EMPTY_BODY, Token_Count='1,7', Last_Event_Id='-3'
+    ),
 }
 
 
