Document that chunk extensions are refused as not run

Cause: tornado 6.6 refuses a chunk whose size is followed by an extension, as such extensions have been used to smuggle requests; no declared server takes them. Conclusion: a documented limit.

--- a/soak/inputs.py
+++ b/soak/inputs.py
@@ -140,7 +140,8 @@
     'a header name in capitals': lambda parts: parts.build('X-UPPER: 1'),
 }
 
-# RFC 9112, 7.1.1: a recipient must ignore unrecognized chunk extensions.
+# RFC 9112, 7.1.1, has recipients ignore chunk extensions.  Tornado refuses
+# them, because they have been used to smuggle requests.
 EXTENDED: dict[str, Builder] = {
     'a chunk with an extension': lambda parts: parts.chunked(
         'chunked',
