--- a/standins/endless.py
+++ b/standins/endless.py
@@ -123,12 +123,7 @@
         self.loop.run_until_complete(self._listen())
         self.ready.set()
         self.loop.run_forever()
-        tasks = asyncio.all_tasks(self.loop)
-        for task in tasks:
-            task.cancel()
-        self.loop.run_until_complete(
-            asyncio.gather(*tasks, return_exceptions=True)
-        )
+        self.loop.run_until_complete(_cancel_tasks())
         self.loop.close()
 
     async def _listen(self) -> None:
@@ -173,3 +168,10 @@
             f'id: {number}\ndata: word\n\n'.encode()
             for number in itertools.count(1)
         )
+
+
+async def _cancel_tasks() -> None:
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
