Share the retry budget through the reader of each zone

Cause: each host took a fifteenth of retrySlack, and twice that for streams in progress, without knowing how many hosts there are; 195 hosts could spend 13 to 26 times of it, and a part of a retry was rounded up on each host. Weighed: counts of hosts by gossip or in rows of the store (calls and bytes are priced, and a count is late), equal parts (starve a host that has all the failures; 150 retries are less than one for each of 195 hosts), a pool for each zone at its reader, which every host of the zone asks anyway. Chosen: the pool. Change: a host uses the ratio of its own requests, then hands its counts, by age, to the reader, which lends from them and from the zone's part of the slack, streams in progress first. A reader that follows another lends only the ratio for one window. Without a reader, streams in progress have equal parts of a quarter of the slack, by chance where a part is below one. Before: test_a_world_finds_hosts_that_take_too_much plays today's rule at 195 hosts and finds windows over the budget. After: 8 random histories of each of 10 loads at 7 to 500 hosts (one busy zone or host, lenders that die and freeze, hosts that restart, a calm time before) have no window over it; a lone host of 195 with all failures makes over 30 retries for 40 requests.

--- a/celerywharf/forwarding/__init__.py
+++ b/celerywharf/forwarding/__init__.py
@@ -1,6 +1,5 @@
 """Forwards callers' requests to backend servers and returns the answers."""
 
-from celerywharf.forwarding._budget import RetryBudget
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import ForwardingContext
 from celerywharf.forwarding._forwarder import Forwarder
@@ -13,5 +12,4 @@
     'ForwardingContext',
     'IncomingRequest',
     'Reports',
-    'RetryBudget',
 )
--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -43,14 +43,12 @@
 
     async def run(self) -> PassOn | Fail | Done:
         """Send and retry the request; return the final step."""
-        self.context.budget.record_request(
-            self.service, self.context.timers.now()
-        )
+        self.context.retries.record_request(self.service)
         while True:
             step = await self.send()
             if not isinstance(step, SendAgain):
                 return step
-            if not self._may_repeat():
+            if not await self._may_repeat():
                 return self.plan.give_up('retry budget exhausted')
 
     @abc.abstractmethod
@@ -61,11 +59,9 @@
         """Return whether the caller already has a part of the answer."""
         return False
 
-    def _may_repeat(self) -> bool:
+    async def _may_repeat(self) -> bool:
         if not self.plan.delivered:
             return True
-        return self.context.budget.take(
-            self.service,
-            self.context.timers.now(),
-            in_progress=self.in_progress(),
+        return await self.context.retries.take(
+            self.service, in_progress=self.in_progress()
         )
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -7,9 +7,9 @@
 
 from celerywharf.adapters.transports import Transport
 from celerywharf.backends import Loads, Placement, ServerHealth
-from celerywharf.forwarding._budget import RetryBudget
 from celerywharf.forwarding._reports import Reports
 from celerywharf.metrics import Metrics
+from celerywharf.retries import RetryLimiter
 from celerywharf.routing import ConfigurationCache
 from celerywharf.timers import TimerService
 
@@ -25,6 +25,6 @@
     health: ServerHealth
     placement: Placement
     reports: Reports
-    budget: RetryBudget
+    retries: RetryLimiter
     metrics: Metrics
     random: Random
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import secrets
 from pathlib import Path
 from random import Random
 
@@ -16,35 +15,29 @@
     Forwarder,
     ForwardingContext,
     Reports,
-    RetryBudget,
 )
 from celerywharf.fronts._admission import AdmissionController
 from celerywharf.fronts._gateway import Gateway
 from celerywharf.fronts._graceful_stop import GracefulStop
 from celerywharf.fronts._reload import Reload, SettingsWatcher
+from celerywharf.fronts._retries import apply_retry_ratio, build_retry_limiter
+from celerywharf.fronts._sharing import build_shared_store
 from celerywharf.fronts._status import StatusPage, build_status_server
 from celerywharf.fronts._watchers import ConfigurationWatcher, ServerWatcher
 from celerywharf.metrics import Metrics
 from celerywharf.platform import StoreClient, boot_time_s
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
-from celerywharf.sharing import Reader, ReaderElection, SharedStore
 from celerywharf.sockets import bind
-from celerywharf.structures import HostIdentity
 from celerywharf.tasks import Part
 from celerywharf.timers import TimerService
 
 logger = logging.getLogger(__name__)
 
 MILLISECONDS = 1000
-# All hosts share the retry slack, but a host does not know how many there are.
-# Each takes a fixed part, so that up to this many hosts stay within the slack.
-RETRY_SLACK_SHARES = 15
-RETRY_RATIO_SHARE = 0.9  # keeps the total of all hosts below the ratio
 # Longer than callers may keep idle connections.
 IDLE_CONNECTION_TIMEOUT_S = 20.0
 BODY_TIMEOUT_S = 30.0  # longest time that a caller may take to send a body
-PEER_KEY_BYTES = 16  # same length as the nonces of the handshake
 MAX_HEADER_BYTES = 65536  # above any limit that can be configured
 
 
@@ -81,7 +74,9 @@
             AdmissionController(self.configuration_cache, boot_time_s),
             Forwarder(self.context),
         )
-        self.shared_store = self._build_shared_store()
+        self.shared_store = build_shared_store(
+            settings, self.store, self.context, self.timers, self.random
+        )
         source = self.shared_store or self.store
         self.watchers = (
             ConfigurationWatcher(source, self.random, self.configuration_cache),
@@ -136,7 +131,7 @@
         bounds = settings.bounds
         self.configuration_cache.lease_s = bounds.revoke_ms / MILLISECONDS
         self.graceful_stop.grace_s = bounds.grace_s
-        self.context.budget.ratio = bounds.retry_ratio * RETRY_RATIO_SHARE
+        apply_retry_ratio(self.context.retries, bounds.retry_ratio)
         logging.getLogger().setLevel(settings.log.level.upper())
 
     def ready(self) -> bool:
@@ -153,26 +148,6 @@
             parts if self.shared_store is None else (self.shared_store, *parts)
         )
 
-    def _build_shared_store(self) -> SharedStore | None:
-        front = self.settings.front
-        if front.peers is None:
-            return None
-        own_entry = Reader(front.peers, secrets.token_bytes(PEER_KEY_BYTES), 0)
-        regions = self.settings.zones.regions
-        return SharedStore(
-            self.store,
-            ReaderElection(own_entry, self.random),
-            HostIdentity(
-                front.name,
-                regions.get(front.availability_zone, ''),
-                front.availability_zone,
-                front.peers,
-                int(self.timers.wall() * MILLISECONDS),
-            ),
-            self.configuration_cache.synchronize,
-            self.metrics,
-        )
-
     def _listen(self) -> None:
         front = self.settings.front
         callers = HTTPServer(
@@ -193,7 +168,6 @@
             )
 
     def _build_context(self) -> ForwardingContext:
-        bounds = self.settings.bounds
         loads = Loads()
         health = ServerHealth(self.directory, loads)
         return ForwardingContext(
@@ -216,10 +190,8 @@
                 loads,
                 health,
             ),
-            budget=RetryBudget(
-                bounds.retry_ratio * RETRY_RATIO_SHARE,
-                int(bounds.retry_slack / RETRY_SLACK_SHARES),
-                bounds.retry_window_s,
+            retries=build_retry_limiter(
+                self.settings, self.timers.now, self.random
             ),
             metrics=self.metrics,
             random=self.random,
--- /dev/null
+++ b/celerywharf/fronts/_retries.py
@@ -0,0 +1,51 @@
+"""Builds the limits on retries from the settings."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from celerywharf.retries import EmergencyShare, RetryBudget, RetryLimiter
+from celerywharf.settings import FrontSettings
+from celerywharf.sharing import Lending
+
+# Part of the retry slack for each host of a deployment whose hosts share
+# nothing; up to this many of them stay within the slack.
+SLACK_SHARES = 15
+RATIO_SHARE = 0.9  # keeps the total of all hosts below the ratio
+# Parts of the retry slack for lenders and for hosts without one.  Two lenders
+# of a zone may lend at the same time after a partition.
+LENT_FRACTION = 0.3
+EMERGENCY_FRACTION = 0.25
+
+
+def build_retry_limiter(
+    settings: FrontSettings,
+    now: Callable[[], float],
+    random: Random,
+) -> RetryLimiter:
+    """Return the limiter; its lender is None if nothing is shared."""
+    bounds = settings.bounds
+    ratio = bounds.retry_ratio * RATIO_SHARE
+    window_s = bounds.retry_window_s
+    if settings.front.peers is None:
+        fixed = int(bounds.retry_slack / SLACK_SHARES)
+        return RetryLimiter(RetryBudget(ratio, fixed, window_s), now)
+    zones = max(len(settings.zones.regions), 1)
+    emergency = EmergencyShare(
+        bounds.retry_slack * EMERGENCY_FRACTION, zones, window_s, random
+    )
+    fixed = bounds.retry_slack * LENT_FRACTION / zones
+    lending = Lending(ratio, fixed, window_s, emergency)
+    return RetryLimiter(
+        RetryBudget(ratio, 0, window_s), now, lending, emergency
+    )
+
+
+def apply_retry_ratio(limiter: RetryLimiter, retry_ratio: float) -> None:
+    """Apply a changed ratio of retries to requests."""
+    ratio = retry_ratio * RATIO_SHARE
+    limiter.budget.ratio = ratio
+    lender = limiter.lender
+    if isinstance(lender, Lending):
+        lender.apply_ratio(ratio)
--- /dev/null
+++ b/celerywharf/retries/_lender.py
@@ -0,0 +1,23 @@
+"""Interface to the lender of retries of a zone."""
+
+from __future__ import annotations
+
+import abc
+
+from celerywharf.retries._budget import RetryClaim
+
+
+class RetryLender(abc.ABC):
+    """Lends retries beyond the ratio of a host's own requests."""
+
+    @abc.abstractmethod
+    async def borrow(self, claim: RetryClaim) -> bool | None:
+        """Ask for one retry.
+
+        Args:
+            claim: what the host has counted; the lender counts it from now
+                on, unless it did not answer.
+
+        Returns:
+            Whether the retry is lent; None if the lender did not answer.
+        """
--- a/celerywharf/sharing/__init__.py
+++ b/celerywharf/sharing/__init__.py
@@ -9,11 +9,13 @@
 
 from celerywharf.sharing._answers import SharedTable, answer
 from celerywharf.sharing._election import ElectionStep, Reader, ReaderElection
+from celerywharf.sharing._lending import Lending
 from celerywharf.sharing._mirror import Mirror
 from celerywharf.sharing._store import SharedStore
 
 __all__ = (
     'ElectionStep',
+    'Lending',
     'Mirror',
     'Reader',
     'ReaderElection',
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -23,10 +23,16 @@
     decode_reader,
     encode_reader,
 )
+from celerywharf.sharing._lending import Lending
 from celerywharf.structures import HostIdentity
 from celerywharf.tasks import Part
 from celerywharf.wire import LinkService, Sender, default_codec
-from celerywharf.wire.sharing import WHOLE_TABLE, TableAnswer, TableQuestion
+from celerywharf.wire.sharing import (
+    WHOLE_TABLE,
+    RetryQuestion,
+    TableAnswer,
+    TableQuestion,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -56,6 +62,7 @@
         store_reachable: the store answered this front's last read of a table.
         newest_store_s: the latest time of the store's clock in an answer of a
             reader, seconds.
+        lending: lends retries to the fronts of the zone.
         server: serves the other fronts, with this front's key.
         client: link to the reader, with the reader's key; None without one.
     """
@@ -66,6 +73,7 @@
         election: ReaderElection,
         identity: HostIdentity,
         synchronize: Callable[[AnswerTiming], None],
+        lending: Lending,
         metrics: Metrics,
     ) -> None:
         super().__init__()
@@ -73,6 +81,7 @@
         self.election = election
         self.identity = identity
         self.synchronize = synchronize
+        self.lending = lending
         self.metrics = metrics
         self.tables: dict[str, SharedTable] = defaultdict(SharedTable)
         self.row_checked = asyncio.Event()
@@ -80,6 +89,7 @@
         self.newest_store_s = float('-inf')
         self.server = self._create_link_service(election.candidate.key)
         self.server.subscribe(TableQuestion, self._answer_front)
+        self.server.subscribe(RetryQuestion, lending.answer)
         self.client: LinkService | None = None
 
     def start(self) -> None:
@@ -204,6 +214,7 @@
         error: CelerywharfError,
     ) -> None:
         if self.election.report_failure(reader, boot_time_s()):
+            self.lending.reader_lost()
             logger.warning(
                 'reader lost',
                 extra={
@@ -215,9 +226,10 @@
 
     async def _answer_front(
         self,
-        _sender: Sender,
+        sender: Sender,
         question: TableQuestion,
     ) -> TableAnswer:
+        self.lending.record_host(sender.host)
         self.election.record_request(boot_time_s())
         return await answer(self.tables[question.table], question, boot_time_s)
 
@@ -250,10 +262,10 @@
             if written.version is None:
                 found = decode_reader(written.current)
                 step = self.election.apply_row(found, boot_time_s())
-        self._apply_step(step)
+        self._apply_step(step, replaced=row is not None)
         self.row_checked.set()
 
-    def _apply_step(self, step: ElectionStep) -> None:
+    def _apply_step(self, step: ElectionStep, *, replaced: bool) -> None:
         logger.info(
             'reader of the zone',
             extra={
@@ -266,8 +278,12 @@
         if self.client is not None:
             self.spawn(self.client.close())
             self.client = None
-        if self.election.reader is not None:
-            self.client = self._create_link_service(self.election.reader.key)
+        reader = self.election.reader
+        if reader is None:
+            self.lending.begin(after_another=replaced)
+            return
+        self.client = self._create_link_service(reader.key)
+        self.lending.follow(reader.address, self.client)
 
     def _create_link_service(self, key: bytes) -> LinkService:
         return LinkService(self.identity, key, default_codec())
--- a/celerywharf/wire/schemas/sharing.capnp
+++ b/celerywharf/wire/schemas/sharing.capnp
@@ -14,6 +14,18 @@
   version @4 :Int64;
 }
 
+struct RetryQuestion {
+  service @0 :Text;
+  requests @1 :List(Int64);
+  retries @2 :Int64;
+  inProgress @3 :Bool;
+}
+
+struct RetryAnswer {
+  lent @0 :Bool;
+  zoneHosts @1 :Int64;
+}
+
 struct TableAnswer {
   rows @0 :List(SharedRow);
   version @1 :Int64;
--- a/celerywharf/wire/sharing.py
+++ b/celerywharf/wire/sharing.py
@@ -1,4 +1,4 @@
-"""Messages by which a front shares rows that it has read from the store."""
+"""Messages among the fronts of a zone: rows of the store, and retries."""
 
 from __future__ import annotations
 
@@ -54,3 +54,35 @@
     rows: list[SharedRow]
     version: int
     store_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RetryQuestion:
+    """Asks the zone's reader for a retry; the reply is a ``RetryAnswer``.
+
+    Attributes:
+        service: name of the service.
+        requests: requests of callers that the host has not reported before,
+            by age in twentieths of the window, youngest first.
+        retries: retries of its own that it has not reported before.
+        in_progress: whether a caller already has a part of the answer.
+    """
+
+    service: str
+    requests: list[int]
+    retries: int
+    in_progress: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAnswer:
+    """The reader's decision.
+
+    Attributes:
+        lent: whether the host may retry.
+        zone_hosts: number of hosts that read from this reader, itself
+            included.
+    """
+
+    lent: bool
+    zone_hosts: int
