Let each host use its own part of the retry slack when its lender lends nothing

The reader tells with each table how many hosts the zone has, so that the part is known before it is needed; the sum of the parts is a quarter of the slack at any sizes of zones.

--- a/celerywharf/fronts/_retries.py
+++ b/celerywharf/fronts/_retries.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from random import Random
 
-from celerywharf.retries import EmergencyShare, RetryBudget, RetryLimiter
+from celerywharf.retries import HostShare, RetryBudget, RetryLimiter
 from celerywharf.settings import FrontSettings
 from celerywharf.sharing import Lending
 
@@ -13,10 +13,10 @@
 # nothing; up to this many of them stay within the slack.
 SLACK_SHARES = 15
 RATIO_SHARE = 0.9  # keeps the total of all hosts below the ratio
-# Parts of the retry slack for lenders and for hosts without one.  Two lenders
+# Parts of the retry slack for lenders and for the shares of hosts.  Two lenders
 # of a zone may lend at the same time after a partition.
 LENT_FRACTION = 0.3
-EMERGENCY_FRACTION = 0.25
+HOST_SHARE_FRACTION = 0.25
 
 
 def build_retry_limiter(
@@ -32,14 +32,12 @@
         fixed = int(bounds.retry_slack / SLACK_SHARES)
         return RetryLimiter(RetryBudget(ratio, fixed, window_s), now)
     zones = max(len(settings.zones.regions), 1)
-    emergency = EmergencyShare(
-        bounds.retry_slack * EMERGENCY_FRACTION, zones, window_s, random
+    share = HostShare(
+        bounds.retry_slack * HOST_SHARE_FRACTION, zones, window_s, random
     )
     fixed = bounds.retry_slack * LENT_FRACTION / zones
-    lending = Lending(ratio, fixed, window_s, emergency)
-    return RetryLimiter(
-        RetryBudget(ratio, 0, window_s), now, lending, emergency
-    )
+    lending = Lending(ratio, fixed, window_s, share)
+    return RetryLimiter(RetryBudget(ratio, 0, window_s), now, lending, share)
 
 
 def apply_retry_ratio(limiter: RetryLimiter, retry_ratio: float) -> None:
--- a/celerywharf/retries/__init__.py
+++ b/celerywharf/retries/__init__.py
@@ -7,13 +7,13 @@
 """
 
 from celerywharf.retries._budget import RetryBudget, RetryClaim
-from celerywharf.retries._emergency import EmergencyShare
+from celerywharf.retries._host_share import HostShare
 from celerywharf.retries._lender import RetryLender
 from celerywharf.retries._limiter import RetryLimiter
 from celerywharf.retries._pool import RetryPool
 
 __all__ = (
-    'EmergencyShare',
+    'HostShare',
     'RetryBudget',
     'RetryClaim',
     'RetryLender',
--- a/celerywharf/retries/_limiter.py
+++ b/celerywharf/retries/_limiter.py
@@ -5,18 +5,18 @@
 from collections.abc import Callable
 
 from celerywharf.retries._budget import RetryBudget
-from celerywharf.retries._emergency import EmergencyShare
+from celerywharf.retries._host_share import HostShare
 from celerywharf.retries._lender import RetryLender
 
 
 class RetryLimiter:
-    """Allows retries from this host's budget, then from its zone's lender.
+    """Allows retries from this host's budget, its zone's lender, its share.
 
     Attributes:
         budget: retries that this host may make by itself.
         lender: lends more; None if this host shares nothing with others.
-        emergency: streams in progress that may be sent once more while the
-            lender does not answer; None for none.
+        share: this host's part of retries that no lender lends; None for
+            none.
         now: returns monotonic seconds.
     """
 
@@ -25,12 +25,12 @@
         budget: RetryBudget,
         now: Callable[[], float],
         lender: RetryLender | None = None,
-        emergency: EmergencyShare | None = None,
+        share: HostShare | None = None,
     ) -> None:
         self.budget = budget
         self.now = now
         self.lender = lender
-        self.emergency = emergency
+        self.share = share
 
     def record_request(self, service: str) -> None:
         """Count a caller's request."""
@@ -49,9 +49,10 @@
             return False
         claim = self.budget.claim(service, self.now(), in_progress=in_progress)
         lent = await self.lender.borrow(claim)
-        if lent is not None:
-            return lent
-        self.budget.restore(claim, self.now())
-        if self.emergency is None or not in_progress:
-            return False
-        return self.emergency.take(self.now())
+        if lent:
+            return True
+        if lent is None:
+            self.budget.restore(claim, self.now())
+        return self.share is not None and self.share.take(
+            self.now(), in_progress=in_progress
+        )
--- a/celerywharf/sharing/_lending.py
+++ b/celerywharf/sharing/_lending.py
@@ -5,7 +5,7 @@
 from celerywharf.exceptions import CelerywharfError, PeerUnreachableError
 from celerywharf.platform import boot_time_s
 from celerywharf.retries import (
-    EmergencyShare,
+    HostShare,
     RetryClaim,
     RetryLender,
     RetryPool,
@@ -26,7 +26,7 @@
     Attributes:
         ratio: retries allowed per reported request.
         fixed: retries that a reader lends in addition within a window.
-        emergency: learns how many hosts the zone has.
+        share: learns how many hosts the zone has.
         window_s: length of the window in which retries are limited.
         pool: what this front may lend; None unless it is the reader.
         reader: address and link of the reader; None without one.
@@ -38,11 +38,11 @@
         ratio: float,
         fixed: float,
         window_s: float,
-        emergency: EmergencyShare,
+        share: HostShare,
     ) -> None:
         self.ratio = ratio
         self.fixed = fixed
-        self.emergency = emergency
+        self.share = share
         self.window_s = window_s
         self.pool: RetryPool | None = None
         self.reader: tuple[Address, LinkService] | None = None
@@ -97,9 +97,14 @@
             reply = await client.request(address, question, BORROW_TIMEOUT_S)
         except CelerywharfError:
             return None
-        self.emergency.zone_hosts = reply.zone_hosts
+        self.learn_hosts(reply.zone_hosts)
         return reply.lent
 
+    def learn_hosts(self, zone_hosts: int) -> None:
+        """Record how many hosts the zone has; zero if that is not known."""
+        if zone_hosts > 0:
+            self.share.zone_hosts = zone_hosts
+
     async def answer(
         self, sender: Sender, question: RetryQuestion
     ) -> RetryAnswer:
@@ -128,4 +133,5 @@
             for name, seen_s in self.seen_s.items()
             if seen_s > oldest_s
         }
+        self.learn_hosts(len(self.seen_s) + 1)
         return len(self.seen_s) + 1
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -6,6 +6,7 @@
 import logging
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from celerywharf.exceptions import CelerywharfError, PeerUnreachableError
 from celerywharf.metrics import Metrics
@@ -191,6 +192,7 @@
                 READER_WAIT_S + READER_ANSWER_SLACK_S,
             )
             self._check_clock(reply)
+            self.lending.learn_hosts(reply.zone_hosts)
         except HistoryGoneError:
             raise
         except CelerywharfError as error:
@@ -231,7 +233,8 @@
     ) -> TableAnswer:
         self.lending.record_host(sender.host)
         self.election.record_request(boot_time_s())
-        return await answer(self.tables[question.table], question, boot_time_s)
+        reply = await answer(self.tables[question.table], question, boot_time_s)
+        return replace(reply, zone_hosts=self.lending.count_hosts())
 
     async def _check_periodically(self) -> None:
         while True:
--- a/celerywharf/wire/schemas/sharing.capnp
+++ b/celerywharf/wire/schemas/sharing.capnp
@@ -30,4 +30,5 @@
   rows @0 :List(SharedRow);
   version @1 :Int64;
   storeS @2 :Float64;
+  zoneHosts @3 :Int64;
 }
--- a/celerywharf/wire/sharing.py
+++ b/celerywharf/wire/sharing.py
@@ -49,11 +49,14 @@
         rows: all rows, or those that changed.
         version: version to use as ``after`` in the next request.
         store_s: the store's clock at the last successful read, seconds.
+        zone_hosts: number of hosts that read from this reader, itself
+            included; 0 if unknown.
     """
 
     rows: list[SharedRow]
     version: int
     store_s: float
+    zone_hosts: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/retries/simulation.py
+++ b/tests/retries/simulation.py
@@ -5,12 +5,12 @@
 from random import Random
 
 from celerywharf.fronts._retries import (
-    EMERGENCY_FRACTION,
+    HOST_SHARE_FRACTION,
     LENT_FRACTION,
     RATIO_SHARE,
 )
 from celerywharf.retries import (
-    EmergencyShare,
+    HostShare,
     RetryBudget,
     RetryLender,
     RetryLimiter,
@@ -89,15 +89,15 @@
         self.retries = []
 
     def create_limiter(self, zone):
-        emergency = EmergencyShare(
-            SLACK * EMERGENCY_FRACTION,
+        share = HostShare(
+            SLACK * HOST_SHARE_FRACTION,
             len(self.zone_sizes),
             WINDOW_S,
             self.random,
         )
-        emergency.zone_hosts = zone.hosts
+        share.zone_hosts = zone.hosts
         budget = RetryBudget(RATIO * RATIO_SHARE, 0, WINDOW_S)
-        return RetryLimiter(budget, lambda: self.now_s, zone, emergency)
+        return RetryLimiter(budget, lambda: self.now_s, zone, share)
 
     def chance(self, probability):
         return self.random.random() < probability
--- a/tests/retries/test_budgets.py
+++ b/tests/retries/test_budgets.py
@@ -7,7 +7,7 @@
 from simulation import MAX_SENDS, Load, World
 
 from celerywharf.retries import (
-    EmergencyShare,
+    HostShare,
     RetryBudget,
     RetryClaim,
     RetryPool,
@@ -148,7 +148,7 @@
     shares = []
     for size in zone_sizes:
         for _ in range(size):
-            share = EmergencyShare(total, zones, WINDOW_S, random)
+            share = HostShare(total, zones, WINDOW_S, random)
             share.zone_hosts = size
             shares.append(share)
     return shares
@@ -159,7 +159,11 @@
     target_fixture='continued',
 )
 def _continue(shares, streams):
-    return sum(share.take(1) for share in shares for _ in range(streams))
+    return sum(
+        share.take(1, in_progress=True)
+        for share in shares
+        for _ in range(streams)
+    )
 
 
 @then(parsers.parse('between {least:d} and {most:d} of them go on'))
