Release the claim of a minted key when its answer is lost

Cause: a host that got no answer from the host that minted a key refused the call as may_have_run and left the claim there, held by an attempt that was never sent; every repeat was refused for the key's lifetime.

--- a/celerywharf/applications/_claim_logic.py
+++ b/celerywharf/applications/_claim_logic.py
@@ -159,7 +159,8 @@
             case NotWritten(in_doubt):
                 released = [Record(self.row.released(), 0)]
                 return [*(released if in_doubt else ()), self._refuse()]
-        return [RefuseAmbiguous()]
+        # The claim may be held by this attempt, which will not send the call.
+        return [Record(self.row.released(), 0), RefuseAmbiguous()]
 
     def _refuse(self) -> Action:
         return RefuseAmbiguous() if self.sent_before else RefuseNotRun()
