Load no part of an entry host into a front

Cause: the metrics package imported the entry host's handler of GET /metrics, and with it edge, tables and the parts that those use.

--- a/celerywharf/fronts/_status.py
+++ b/celerywharf/fronts/_status.py
@@ -6,12 +6,10 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from celerywharf.metrics import Collector, Metrics
+from celerywharf.metrics import EXPOSITION_CONTENT_TYPE, Metrics, expose
 from celerywharf.platform import READY_PATH
 
 
@@ -50,10 +48,8 @@
 
     def get(self) -> None:
         """Answer a Prometheus scrape."""
-        registry = CollectorRegistry(auto_describe=False)
-        registry.register(Collector(self.page.metrics))
-        self.set_header('Content-Type', CONTENT_TYPE_LATEST)
-        self.write(generate_latest(registry))
+        self.set_header('Content-Type', EXPOSITION_CONTENT_TYPE)
+        self.write(expose(self.page.metrics))
 
 
 def build_status_server(page: StatusPage) -> HTTPServer:
--- a/celerywharf/metrics/__init__.py
+++ b/celerywharf/metrics/__init__.py
@@ -1,6 +1,6 @@
 """Histograms and counters of a host."""
 
-from celerywharf.metrics._exposition import METRIC_ROUTES, Collector
+from celerywharf.metrics._exposition import EXPOSITION_CONTENT_TYPE, expose
 from celerywharf.metrics._registry import (
     HISTOGRAMS,
     Metrics,
@@ -9,10 +9,10 @@
 )
 
 __all__ = (
-    'Collector',
+    'EXPOSITION_CONTENT_TYPE',
     'HISTOGRAMS',
-    'METRIC_ROUTES',
     'Metrics',
     'Snapshot',
+    'expose',
     'merge',
 )
--- a/celerywharf/metrics/_exposition.py
+++ b/celerywharf/metrics/_exposition.py
@@ -1,4 +1,4 @@
-"""``GET /metrics`` in the Prometheus text format."""
+"""Metrics in the Prometheus text format."""
 
 from __future__ import annotations
 
@@ -6,10 +6,11 @@
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
+from prometheus_client.exposition import (
+    CONTENT_TYPE_LATEST as EXPOSITION_CONTENT_TYPE,
+)
 from prometheus_client.metrics_core import Metric
 
-from celerywharf.edge import EdgeHandler
 from celerywharf.metrics._registry import (
     HISTOGRAMS,
     MICROSECONDS_PER_SECOND,
@@ -19,6 +20,8 @@
 PERCENTILES = (50, 90, 95, 99, 99.9)
 PERCENT = 100
 
+__all__ = ('EXPOSITION_CONTENT_TYPE', 'expose')
+
 
 class Collector:
     """Provides a host's metrics to ``prometheus_client``."""
@@ -67,15 +70,8 @@
             yield family
 
 
-class MetricsHandler(EdgeHandler):
-    """``GET /metrics``: needs no key, for scrapers."""
-
-    def get(self) -> None:
-        """Respond with all metrics as text."""
-        registry = CollectorRegistry(auto_describe=False)
-        registry.register(Collector(self.host.metrics))
-        self.set_header('Content-Type', CONTENT_TYPE_LATEST)
-        self.write(generate_latest(registry))
-
-
-METRIC_ROUTES = (('/metrics', MetricsHandler),)
+def expose(metrics: Metrics) -> bytes:
+    """Return all metrics as text; its type is ``EXPOSITION_CONTENT_TYPE``."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(Collector(metrics))
+    return generate_latest(registry)
