Call the store seldom while it does not answer a zone

Change: a reader that answers but hears no store is kept, unless the asking front hears the store; it answers as soon as the store does.

--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -8,7 +8,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
-from celerywharf.exceptions import CelerywharfError, PeerUnreachableError
+from celerywharf.exceptions import (
+    CelerywharfError,
+    PeerUnreachableError,
+    PlatformUnavailableError,
+)
 from celerywharf.metrics import Metrics
 from celerywharf.platform import (
     HistoryGoneError,
@@ -25,6 +29,7 @@
     encode_reader,
 )
 from celerywharf.sharing._lending import Lending
+from celerywharf.sharing._store_backoff import StoreBackoff
 from celerywharf.structures import HostIdentity
 from celerywharf.tasks import Part
 from celerywharf.wire import LinkService, Sender, default_codec
@@ -61,6 +66,9 @@
         tables: the tables that this front has read, by name.
         row_checked: set once the zone's row has been read and applied.
         store_reachable: the store answered this front's last read of a table.
+        backoff: spaces calls to a store that does not answer.
+        reader_answers: the reader answered the last request, if only that it
+            does not hear the store.
         newest_store_s: the latest time of the store's clock in an answer of a
             reader, seconds.
         lending: lends retries to the fronts of the zone.
@@ -87,6 +95,8 @@
         self.tables: dict[str, SharedTable] = defaultdict(SharedTable)
         self.row_checked = asyncio.Event()
         self.store_reachable = True
+        self.backoff = StoreBackoff(election.random)
+        self.reader_answers = False
         self.newest_store_s = float('-inf')
         self.server = self._create_link_service(election.candidate.key)
         self.server.subscribe(TableQuestion, self._answer_front)
@@ -112,9 +122,13 @@
             PlatformUnavailableError: neither the reader nor the store answered.
         """
         await self._wait_for_first_check()
+        reader = self.election.reader
         reading = await self._read_from_reader(table, WHOLE_TABLE)
         if reading is None:
-            reading = await self._read_from_store(table, self.store.read(table))
+            self._check_call_due()
+            reading = await self._read_from_store(
+                table, self.store.read(table), reader
+            )
         self.tables[table].mirror.replace(reading)
         self.tables[table].notify()
         return reading
@@ -127,11 +141,14 @@
                 more; the whole table must be read.
             PlatformUnavailableError: neither the reader nor the store answered.
         """
+        reader = self.election.reader
         reading = await self._read_from_reader(table, after)
         if reading is None:
+            self._check_call_due()
             reading = await self._read_from_store(
                 table,
                 self._watch_store(table, after, wait_s),
+                reader,
             )
         self.tables[table].mirror.update(reading)
         self.tables[table].notify()
@@ -160,19 +177,49 @@
             STORE_ANSWER_SLACK_S,
         )
 
+    @property
+    def _is_reader(self) -> bool:
+        """Return whether this front reads the store for the others."""
+        return self.lending.pool is not None
+
+    def _check_call_due(self) -> None:
+        """Raise if the store failed and must not be called again yet."""
+        if not self.backoff.due(boot_time_s()):
+            raise PlatformUnavailableError('the store is not called again yet')
+
     async def _read_from_store(
         self,
         table: str,
         call: Awaitable[ReadResult],
+        reader: Reader | None,
     ) -> ReadResult:
+        """Return the store's answer.
+
+        Args:
+            table: name of the table.
+            call: the call of the store.
+            reader: the reader that was asked before and hears no store; None
+                without one.
+        """
         try:
             reading = await call
         except HistoryGoneError:
             raise
         except CelerywharfError:
             self.store_reachable = False
+            if not self._is_reader:
+                self.backoff.failed(
+                    boot_time_s(),
+                    self.lending.share.zone_hosts,
+                    has_reader=self.reader_answers,
+                )
             raise
         self.store_reachable = True
+        self.backoff.answered()
+        if reader is not None:
+            self._report_reader_failure(
+                reader, 'it hears no store, but this front does'
+            )
         self.tables[table].store_answer_s = boot_time_s()
         self.metrics.count('table_readings', source='store')
         return reading
@@ -196,8 +243,13 @@
         except HistoryGoneError:
             raise
         except CelerywharfError as error:
-            self._report_reader_failure(reader, error)
+            # A reader that only hears no store is kept, unless this front
+            # hears it: its next answer comes as soon as the store's.
+            self.reader_answers = not isinstance(error, PeerUnreachableError)
+            if not self.reader_answers:
+                self._report_reader_failure(reader, error.message)
             return None
+        self.reader_answers = True
         self.metrics.count('table_readings', source='reader')
         timing = AnswerTiming(
             sent_s, boot_time_s(), reply.store_s, relayed=True
@@ -213,7 +265,7 @@
     def _report_reader_failure(
         self,
         reader: Reader,
-        error: CelerywharfError,
+        reason: str,
     ) -> None:
         if self.election.report_failure(reader, boot_time_s()):
             self.lending.reader_lost()
@@ -222,7 +274,7 @@
                 extra={
                     'reader': str(reader.address),
                     'row_version': reader.version,
-                    'reason': error.message,
+                    'reason': reason,
                 },
             )
 
