--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,7 +1,8 @@
 """Write docs/CAPACITY.md from the figures of other benchmarks.
 
 ARGUMENTs are files that each hold the JSON line of a benchmark: slopes, relay,
-claims.  Without arguments the files in docs/measurements are read.
+claims, and the figures of a sweep of fronts.  Without arguments the files in
+docs/measurements are read.
 """
 
 import json
@@ -9,9 +10,11 @@
 from pathlib import Path
 from typing import Any
 
+from bench.front_capacity import front_section
+
 MEASUREMENTS_FOLDER = Path('docs/measurements')
 PAGE = Path('docs/CAPACITY.md')
-INPUTS = ('slopes', 'relay', 'claims')
+INPUTS = ('slopes', 'relay', 'claims', 'sweep')
 
 HOSTS = 500
 BACKENDS = 12_000
@@ -308,6 +311,8 @@
         '',
         *NOTES,
         '',
+        *front_section(figures['sweep']),
+        '',
     ]
 
 
