Let the soak play servers that answer without end

Cause: no seed had a server that never stops, repeats itself or trickles. Change: each seed gets one such fault, drawn apart from the others, so that the faults of the seeds in regressions.ini stay what they were.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from standins.endless import ANSWERS
+
 
 @dataclass(frozen=True, slots=True)
 class KillFront:
@@ -66,7 +68,7 @@
 
     server: str
     switch: str
-    setting: bool | int
+    setting: bool | int | str
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +131,7 @@
     ('silent', True),
     ('break_after', 5),
 )
+ENDLESS_KINDS = tuple(kind for kind in ANSWERS if kind != 'reports')
 LINK_SWITCHES: tuple[tuple[str, bool | float], ...] = (
     ('cut', True),
     ('cut_back', True),
--- a/soak/schedules.py
+++ b/soak/schedules.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from soak.faults import (
+    ENDLESS_KINDS,
     LINK_SWITCHES,
     SERVER_SWITCHES,
     STORE_SWITCHES,
@@ -67,7 +68,21 @@
         span = random.uniform(MIN_FAULT_S, MAX_FAULT_S)
         events.append(Event(at_s, span, _draw_fault(random, targets)))
         at_s += random.expovariate(1 / MEAN_INTERVAL_S)
-    return events
+    events.append(_draw_endless(seed, span_s, targets))
+    return sorted(events, key=lambda event: event.at_s)
+
+
+def _draw_endless(seed: int, span_s: float, targets: Targets) -> Event:
+    """Return a fault in which a server answers without end.
+
+    It is drawn apart, so that the other faults of a seed stay what they were
+    when a regression was found.
+    """
+    random = Random(f'endless {seed}')
+    server = random.choice(targets.servers)
+    fault = SpoilServer(server, 'endless', random.choice(ENDLESS_KINDS))
+    span = random.uniform(MIN_FAULT_S, MAX_FAULT_S)
+    return Event(random.uniform(0, span_s), span, fault)
 
 
 def _draw_fault(random: Random, targets: Targets) -> Fault:
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -54,7 +54,7 @@
     return _signed(f'Content-Type: text/event-stream\r\n\r\n{start}')
 
 
-EVENT = 'id: 1\ndata: word\n\n'
+EVENT = 'id: 1\ndata: word-1\n\n'
 ANSWERS = {
     'header lines': EndlessAnswer(_signed(''), 'X-Header: value\r\n' * 1000),
     'one header line': EndlessAnswer(_signed('X-Header: '), BLOCK),
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -16,6 +16,7 @@
 from tornado.web import Application
 
 from standins import control
+from standins.endless import ANSWERS, EndlessAnswer
 
 OK = 200
 BAD_REQUEST = 400
@@ -54,6 +55,7 @@
         twice: send a second complete answer after each answer to a call.
         shorten: declare one byte more than the answer to a call has.
         status: HTTP status of the answers to plain calls.
+        endless: answer without end; a key of `standins.endless.ANSWERS`.
     """
 
     full: bool = False
@@ -69,6 +71,7 @@
     twice: bool = False
     shorten: bool = False
     status: int = OK
+    endless: str = ''
 
 
 @dataclass(slots=True)
@@ -247,6 +250,9 @@
     async def run(self, run: ServedRun) -> None:
         """Set the headers and serve a stream or a plain call."""
         switches = self.standin.switches
+        if switches.endless:
+            await self.run_endless(run, ANSWERS[switches.endless])
+            return
         echoed = OTHER_ID if switches.other_id else run.request_id
         self.set_header('Attempt-Id', echoed)
         if not switches.unsigned:
@@ -258,6 +264,19 @@
         else:
             await self.run_call(run)
 
+    async def run_endless(self, run: ServedRun, answer: EndlessAnswer) -> None:
+        """Send an answer until the caller closes the connection.
+
+        Raises:
+            StreamClosedError: the caller has disconnected.
+        """
+        stream = self.detach()
+        await stream.write(answer.start.replace('ID', run.request_id).encode())
+        repeated = answer.repeated.encode()
+        while True:
+            await stream.write(repeated)
+            await asyncio.sleep(answer.period_s)
+
     async def run_call(self, run: ServedRun) -> None:
         """Answer a plain call with its id and this server's name."""
         switches = self.standin.switches
