Count the requests of a lost loan once

Cause: a host whose reader did not answer took its counts back, though the reader may have counted them and lent the retry; both then used the same requests. With each third answer lost 40 requests allowed more than half of them as retries at a ratio of a half. Change: a question without an answer is a refusal and its counts stay with the reader; without a reader to ask the host keeps them. Before: two of three tests of test_lending.py fail. After: they pass, with the property test.

--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -74,7 +74,7 @@
         events: number of events relayed by this send.
         body: body of an answer that is not a stream.
         max_event: highest event id that the requested number of tokens can
-            have; None if the caller did not limit them.
+            have; 0 if the caller did not limit them.
         transfer: the exchange with the server, held while the caller is
             congested; None until it is known.
         done: future of the outcome of the send.
--- a/celerywharf/fronts/_admission.py
+++ b/celerywharf/fronts/_admission.py
@@ -16,8 +16,8 @@
     Route,
 )
 
-# Leaves time for the load balancer's next health check, so that the retry goes
-# to another host.
+# A caller's retry reaches another host, which is likely to have a newer
+# configuration.
 STALE_CONFIGURATION_RETRY_AFTER_S = 0.2
 # Several hosts may stop together; by then the load balancer has noticed some.
 DRAINING_RETRY_AFTER_S = 1.0
--- a/celerywharf/retries/_lender.py
+++ b/celerywharf/retries/_lender.py
@@ -15,9 +15,9 @@
         """Ask for one retry.
 
         Args:
-            claim: what the host has counted; the lender counts it from now
-                on, unless it did not answer.
+            claim: what the host has counted; a lender that was asked counts
+                it from now on.
 
         Returns:
-            Whether the retry is lent; None if the lender did not answer.
+            Whether the retry is lent; None if there is no lender to ask.
         """
--- a/celerywharf/sharing/_lending.py
+++ b/celerywharf/sharing/_lending.py
@@ -81,7 +81,11 @@
         self.seen_s[name] = boot_time_s()
 
     async def borrow(self, claim: RetryClaim) -> bool | None:
-        """Ask for one retry; None without an answer of the reader."""
+        """Ask for one retry; None without a reader to ask.
+
+        A question without an answer is a refusal: the reader may have counted
+        what it reports, which must not be counted twice.
+        """
         if self.pool is not None:
             return self.pool.lend(claim, boot_time_s())
         if self.reader is None:
@@ -96,7 +100,7 @@
         try:
             reply = await client.request(address, question, BORROW_TIMEOUT_S)
         except CelerywharfError:
-            return None
+            return False
         self.learn_hosts(reply.zone_hosts)
         return reply.lent
 
