Choose ports of tests below those of outgoing connections

Change: ports of 15,000 to 32,000, below the range that the kernel gives to connections. After: tests/standins/test_ports.py.

--- a/standins/launching.py
+++ b/standins/launching.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import random
 import select
 import socket
 import subprocess
@@ -21,6 +22,9 @@
 
 START_TIMEOUT_S = 10
 POLL_S = 0.02
+FIRST_PORT = 15_000
+LAST_PORT = 32_000
+PORT_TRIES = 100
 
 SettingsMapping = Mapping[str, Mapping[str, Any]]
 
@@ -265,10 +269,24 @@
 
 
 def find_free_port(ip: str = '127.0.0.1') -> int:
-    """Return a port that is free now; another process may still take it."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free now; another process may still take it.
+
+    It lies below the ports that the kernel gives to outgoing connections.
+
+    Raises:
+        OSError: no port was found to be free.
+    """
+    for _ in range(PORT_TRIES):
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            # A port on which a server has just closed connections is free.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        return port
+    raise OSError('no free port found')
 
 
 def _read_announcement(
--- /dev/null
+++ b/tests/standins/test_ports.py
@@ -0,0 +1,26 @@
+"""Ports for the processes of tests."""
+
+import socket
+from pathlib import Path
+
+from standins.launching import find_free_port
+
+EPHEMERAL_RANGE = Path('/proc/sys/net/ipv4/ip_local_port_range')
+
+
+def test_a_free_port_is_none_that_outgoing_connections_use():
+    first_ephemeral = int(EPHEMERAL_RANGE.read_text().split()[0])
+    assert all(find_free_port() < first_ephemeral for _ in range(50))
+
+
+def test_a_port_in_use_is_not_returned():
+    ports = set()
+    held = []
+    for _ in range(50):
+        port = find_free_port()
+        server = socket.create_server(('127.0.0.1', port))
+        held.append(server)
+        assert port not in ports
+        ports.add(port)
+    for server in held:
+        server.close()
