Log the parts of a prompt and whether an answer had begun

Change: `send failed` has `prompt_parts`, and of a stream `begun` and `events_of_send`. Names of parts are bounded. No decision depends on them.

--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -72,6 +72,8 @@
 
     Attributes:
         events: number of events relayed by this send.
+        begun_at_s: when the headers of a stream arrived, monotonic seconds;
+            None before that, and for other answers.
         body: body of an answer that is not a stream.
         max_event: highest event id that the requested number of tokens can
             have; 0 if the caller did not limit them.
@@ -100,6 +102,7 @@
         self.headers: AnswerHeaders | None = None
         self.body = bytearray()
         self.events = 0
+        self.begun_at_s: float | None = None
         output_tokens = request.headers.output_tokens
         self.max_event = output_tokens and output_tokens + EXTRA_EVENTS
         self.transfer: Transfer | None = None
@@ -122,6 +125,8 @@
         )
         if outcome is not None:
             self.settle(outcome)
+        elif status == HTTPStatus.OK:
+            self.begun_at_s = now_s
 
     def on_chunk(self, chunk: bytes) -> None:
         """Relay the events that are complete."""
--- a/celerywharf/forwarding/_request_log.py
+++ b/celerywharf/forwarding/_request_log.py
@@ -19,6 +19,7 @@
 logger = logging.getLogger(__name__)
 
 MILLISECONDS = 1000
+MAX_LOGGED_PARTS = 8
 
 
 class RequestLog:
@@ -56,10 +57,15 @@
                 'send': self.sends,
                 'outcome': _describe(outcome),
                 'then': type(step).__name__,
+                **self._prompt_parts(),
                 **details,
             },
         )
 
+    def _prompt_parts(self) -> dict[str, Any]:
+        parts = self.request.headers.shared_parts[:MAX_LOGGED_PARTS]
+        return {'prompt_parts': parts} if parts else {}
+
     def log_end(self, step: Step, now_s: float, **details: Any) -> None:
         """Log how the request ended for the caller."""
         fields: dict[str, Any] = {
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -38,7 +38,7 @@
         caller: receives the events.
         progress: what the caller has received so far.
         placer: chooses engines for the sends.
-        detector: detects silence of the current send; None before its start.
+        relay: receives the answer to the current send; None before its start.
     """
 
     def __init__(
@@ -53,7 +53,7 @@
         self.caller = caller
         self.progress = Progress(request.headers.last_event)
         self.placer = StreamPlacer(context, request, service, self.progress)
-        self.detector: SilenceDetector | None = None
+        self.relay: StreamRelay | None = None
 
     def in_progress(self) -> bool:
         """Return whether the caller has received a part of the stream."""
@@ -82,14 +82,14 @@
             return self.plan.give_up('no backend server available')
         # Reserved before the backup is chosen, so that streams placed in the
         # meantime take this one into account.
-        self.detector = None
+        self.relay = None
         self.placer.reserve(server)
         try:
             backup = await self.placer.backup(server, resumption)
             outcome = await self._relay(server, resumption, remaining_s, backup)
         finally:
-            has_events = self.detector is not None and self.detector.has_events
-            self.placer.release(server, prefilled=has_events)
+            prefilled = self.relay is not None and self.relay.events > 0
+            self.placer.release(server, prefilled=prefilled)
         self.placer.send_ended(server, outcome, resumption, backup)
         remaining_s = self.request.deadline_at_s() - self.context.timers.now()
         step = self._next_step(outcome, remaining_s)
@@ -98,6 +98,8 @@
             outcome,
             step,
             last_event=self.progress.last_event,
+            begun=self.relay.begun_at_s is not None,
+            events_of_send=self.relay.events,
             resumed_from_copy=resumption.copy_at is not None,
             server_zone=server.availability_zone,
         )
@@ -117,17 +119,15 @@
         backup: BackendServer | None,
     ) -> Outcome:
         context = self.context
-        self.detector = SilenceDetector(
-            self._gap_target_s(), context.timers.now()
-        )
         relay = StreamRelay(
             context,
             self.request,
             server,
             self.caller,
             self.progress,
-            self.detector,
+            SilenceDetector(self._gap_target_s(), context.timers.now()),
         )
+        self.relay = relay
         transfer = context.transport.stream(
             build_request(
                 self.request,
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from celerywharf.adapters.transports import HOP_BY_HOP
+from celerywharf.platform._prompts import shared_parts
 from celerywharf.structures import Address
 
 READY_PATH = '/api/ready'
@@ -17,6 +18,7 @@
 REQUEST_ID = 'attempt-id'
 DEADLINE = 'deadline-ms'
 TOKENS = 'token-count'
+PROMPT_PARTS = 'prompt-prefix'
 LAST_EVENT = 'last-event-id'
 AUTHORIZATION = 'authorization'
 ACCOUNT = 'tenant'
@@ -57,6 +59,8 @@
         key: the bearer key; None if missing.
         prompt_tokens: length of the prompt; 0 if not given.
         output_tokens: maximum length of the output; 0 if not given.
+        shared_parts: names of the prompt's parts in order, without the last,
+            which no other request has.
         last_event: id of the last event that the caller received; None if
             the request does not resume a stream.
         forwarded: headers sent to the backend server unchanged.
@@ -67,6 +71,7 @@
     key: str | None
     prompt_tokens: int
     output_tokens: int
+    shared_parts: tuple[str, ...]
     last_event: int | None
     forwarded: dict[str, str]
 
@@ -128,6 +133,7 @@
         key=_bearer_key(joined.get(AUTHORIZATION, '')),
         prompt_tokens=prompt,
         output_tokens=output,
+        shared_parts=shared_parts(joined.get(PROMPT_PARTS)),
         last_event=_count(last_event) if last_event else None,
         forwarded={
             name: text
