--- /dev/null
+++ b/standins/crashing.py
@@ -0,0 +1,63 @@
+"""Engines that crash on a prompt part and come back as new instances."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+from standins.fronts import PlatformRig
+
+POLL_S = 0.02
+
+
+class CrashingEngines(threading.Thread):
+    """Runs engines that crash on a prompt part; replaces those that ended.
+
+    Attributes:
+        rig: the platform that the engines belong to.
+        service: service of the engines.
+        part: name of the prompt part that crashes an engine.
+        zones: availability zone of each running engine, by name.
+        crashes: when each engine was seen to have ended, by name, monotonic
+            seconds.
+        started: number of engines started so far.
+        stopped: event that ends the replacement of engines.
+    """
+
+    def __init__(self, rig: PlatformRig, service: str, part: str) -> None:
+        super().__init__(daemon=True)
+        self.rig = rig
+        self.service = service
+        self.part = part
+        self.zones: dict[str, str] = {}
+        self.crashes: dict[str, float] = {}
+        self.started = 0
+        self.stopped = threading.Event()
+
+    def add(self, zone: str) -> None:
+        """Start and register an engine."""
+        self.started += 1
+        name = f'engine-{self.started}'
+        self.rig.add_server(name, self.service, zone, crash_on=self.part)
+        self.zones[name] = zone
+
+    def run(self) -> None:
+        """Replace engines that have ended, until stopped."""
+        while not self.stopped.wait(POLL_S):
+            members = self.rig.fleet.members
+            ended = [
+                name for name in self.zones if not members[name].is_running
+            ]
+            for name in ended:
+                self._replace(name, self.zones.pop(name))
+
+    def stop(self) -> None:
+        """Stop the replacement; engines started by it end as well."""
+        self.stopped.set()
+        self.join()
+
+    def _replace(self, name: str, zone: str) -> None:
+        self.crashes[name] = time.monotonic()
+        self.rig.servers.pop(name)
+        self.rig.put('servers', name, None)
+        self.add(zone)
--- a/standins/fronts.py
+++ b/standins/fronts.py
@@ -18,6 +18,8 @@
 STREAM_PATH = '/narrate/a'
 CALL_PATH = '/buy/a'
 LOOKUP_PATH = '/look/a'
+ASK_PATH = '/ask/a'
+ORDER_PATH = '/order/a'
 HOST = 'shop.example'
 TIMEOUT_S = 10
 READ_BYTES = 65536
@@ -89,6 +91,8 @@
                 _route('/narrate/', 'narrator', 'streaming', streamResume=True),
                 _route('/buy/', 'desk', 'non_idempotent'),
                 _route('/look/', 'desk', 'idempotent', maxAttempts=2),
+                _route('/ask/', 'narrator', 'idempotent', maxAttempts=3),
+                _route('/order/', 'narrator', 'non_idempotent'),
             ],
             'services': [
                 {
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import time
 from dataclasses import dataclass, field
 from typing import Any, TextIO
@@ -23,6 +24,8 @@
 MISDIRECTED = 421
 UNAVAILABLE = 503
 TOKENS_PER_EVENT = 7
+CRASH_DELAY_S = 0.06  # from the first bytes of an answer
+CRASH_EXIT_CODE = 1
 OTHER_ID = 'ffffffffffffffff'
 LOGGED_FIELDS = (
     'number',
@@ -56,6 +59,8 @@
         shorten: declare one byte more than the answer to a call has.
         status: HTTP status of the answers to plain calls.
         endless: answer without end; a key of `standins.endless.ANSWERS`.
+        crash_on: name of a prompt part; the process ends as soon as it begins
+            to write an answer to a request that has it.
     """
 
     full: bool = False
@@ -72,6 +77,7 @@
     shorten: bool = False
     status: int = OK
     endless: str = ''
+    crash_on: str = ''
 
 
 @dataclass(slots=True)
@@ -264,6 +270,18 @@
         else:
             await self.run_call(run)
 
+    async def crash_if_due(self) -> None:
+        """End the process if a part of the prompt crashes it."""
+        crash_on = self.standin.switches.crash_on
+        entries = self.request.headers.get('Prompt-Prefix', '').split(',')
+        if not crash_on or crash_on not in {
+            entry.partition(':')[0] for entry in entries
+        }:
+            return
+        await self.flush()
+        await asyncio.sleep(CRASH_DELAY_S)
+        os._exit(CRASH_EXIT_CODE)
+
     async def run_endless(self, run: ServedRun, answer: EndlessAnswer) -> None:
         """Send an answer until the caller closes the connection.
 
@@ -281,6 +299,7 @@
         """Answer a plain call with its id and this server's name."""
         switches = self.standin.switches
         await asyncio.sleep(switches.work_ms / control.MS_PER_S)
+        await self.crash_if_due()
         run.state = 'ended'
         if switches.cut:
             self.drop_connection()
@@ -313,6 +332,7 @@
         if not run.from_copy:
             await asyncio.sleep(switches.prefill_ms / control.MS_PER_S)
         self.set_header('Content-Type', 'text/event-stream')
+        await self.crash_if_due()
         backup = self.request.headers.get('Kv-Backup')
         for number in range(run.first + 1, tokens // TOKENS_PER_EVENT + 1):
             await asyncio.sleep(switches.event_ms / control.MS_PER_S)
