Keep prompt parts that crash engines from reaching them

Cause: no host remembered what a request did to an engine. A stream was sent to up to five engines, each lost engine counted against the engine or its zone, and the next request with the part was placed like any other. Change: package quarantine. Each loss of a server is recorded for the parts of the request that no completed request has proven sound; three losses as an answer began, or five others, quarantine a part until a request with it completes, an operator releases it or a trial after hours succeeds. A request is not sent if one of its parts is quarantined, unless parts that it lacks explain the losses, so the part that all requests share is not blamed. Losses in a zone within half a second count once. Hosts exchange records with their zone's reader, readers with a table of the store; a zone that is cut off still shares. A stream that waits is taken back when its part is quarantined, and no stream is sent a third time after two servers were lost as it began. Records, proven parts and parts per loss are bounded. Stand-in: transactions had only their first row, and a range's end lost its NUL.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -240,6 +240,7 @@
         if code in NEVER_SENT_CODES or not sent:
             verdict = Verdict.not_run
         error = TransportError(message or f'curl error {code}', verdict=verdict)
+        error.answer_begun = self.head_complete
         error.late = code == pycurl.E_OPERATION_TIMEDOUT and self._is_late()
         return error
 
--- a/celerywharf/backends/_servers.py
+++ b/celerywharf/backends/_servers.py
@@ -33,6 +33,11 @@
     sequence: int
     warm_up_left_s: float
 
+    @property
+    def incarnation(self) -> str:
+        """Return a name that no other incarnation of any server has."""
+        return f'{self.name}/{self.born_ms}'
+
 
 @dataclass(frozen=True, slots=True)
 class EngineReport:
--- a/celerywharf/exceptions.py
+++ b/celerywharf/exceptions.py
@@ -218,11 +218,13 @@
         verdict: ``not_run`` only if no byte of the request can have been sent.
         late: a time-out fired late because this process had not run for a
             while, so it says nothing about the server.
+        answer_begun: status and headers of the answer had arrived.
     """
 
     code = 'transport_error'
     http_status = HTTPStatus.BAD_GATEWAY
     late: bool = False
+    answer_begun: bool = False
 
 
 class ResponseTooLargeError(TransportError):
--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -47,13 +47,15 @@
         if server is None:
             return self.plan.give_up('no backend server available')
         self.tried_names.add(server.name)
-        outcome = await send_call(
-            self.context,
-            self.request,
-            server,
-            remaining_s,
-            self._answer_timeout_s(remaining_s),
-        )
+        with self.context.quarantine.sending(self.prompt_parts):
+            outcome = await send_call(
+                self.context,
+                self.request,
+                server,
+                remaining_s,
+                self._answer_timeout_s(remaining_s),
+            )
+        self.record_end(server, outcome)
         if isinstance(outcome, Refused) and not outcome.reached:
             self.unreachable_names.add(server.name)
         remaining_s = self.request.deadline_at_s() - self.context.timers.now()
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -9,6 +9,7 @@
 from celerywharf.backends import Loads, Placement, ServerHealth
 from celerywharf.forwarding._reports import Reports
 from celerywharf.metrics import Metrics
+from celerywharf.quarantine import PartGate
 from celerywharf.retries import RetryLimiter
 from celerywharf.routing import ConfigurationCache
 from celerywharf.timers import TimerService
@@ -26,5 +27,6 @@
     placement: Placement
     reports: Reports
     retries: RetryLimiter
+    quarantine: PartGate
     metrics: Metrics
     random: Random
--- a/celerywharf/forwarding/_forwarder.py
+++ b/celerywharf/forwarding/_forwarder.py
@@ -85,7 +85,11 @@
             case Fail() if caller.started:
                 caller.abort()
             case Fail(status=HTTPStatus.SERVICE_UNAVAILABLE):
-                caller.fail(step.status, step.reason, RETRY_AFTER_S)
+                caller.fail(
+                    step.status,
+                    step.reason,
+                    step.retry_after_s or RETRY_AFTER_S,
+                )
             case Fail():
                 caller.fail(step.status, step.reason)
 
--- a/celerywharf/forwarding/_outcomes.py
+++ b/celerywharf/forwarding/_outcomes.py
@@ -43,6 +43,8 @@
         reason: for the log.
         broken: whether the connection broke or the server stopped responding,
             so that the server may be dead.
+        begun: whether the answer had just begun when the connection broke, so
+            that the request itself may have crashed the server.
         resumable: whether the request may be sent again; False if what the
             caller already has cannot be part of a correct answer.
     """
@@ -50,6 +52,18 @@
     reason: str
     broken: bool = False
     resumable: bool = True
+    begun: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """This host closed the connection before an answer had begun.
+
+    Attributes:
+        reason: for the log.
+    """
+
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,4 +71,4 @@
     """A stream ended normally and the caller has all of its events."""
 
 
-Outcome = Answered | Refused | Lost | Finished
+Outcome = Answered | Refused | Lost | Recalled | Finished
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 from celerywharf.adapters.transports import HttpResponse
@@ -11,6 +11,7 @@
     Finished,
     Lost,
     Outcome,
+    Recalled,
     Refused,
 )
 from celerywharf.platform import AnswerHeaders
@@ -25,6 +26,11 @@
 # A refusal costs no engine time, so it does not count as an attempt.  The limit
 # prevents endless retries at a service that is full.
 MAX_REFUSALS = 3
+# Losses as the answer had just begun: a request to which this happens twice is
+# likely to have crashed both servers.
+MAX_BEGUN_LOSSES = 2
+# A quarantined part stays so for hours.
+QUARANTINE_RETRY_AFTER_S = 60.0
 MIN_TIME_FOR_RETRY_S = 0.05  # about the duration of the shortest calls
 
 
@@ -53,10 +59,12 @@
     Attributes:
         status: HTTP status; 503 guarantees that the request did not run.
         reason: for the log and the caller.
+        retry_after_s: when the caller should retry; None for the default.
     """
 
     status: HTTPStatus
     reason: str
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +85,8 @@
         max_attempts: maximum number of sends that may have run.
         sends: number of sends that may have run.
         refusals: number of sends that a backend server refused.
+        begun_losses: number of sends that lost their server as it had just
+            begun to answer.
         may_have_run: whether any send may have run, in which case the caller
             must not receive 503.
         answer: the backend server's own answer to the last send, if any.
@@ -87,6 +97,7 @@
         self.max_attempts = max_attempts
         self.sends = 0
         self.refusals = 0
+        self.begun_losses = 0
         self.may_have_run = False
         self.answer: PassOn | None = None
 
@@ -135,6 +146,13 @@
             return Fail(HTTPStatus.BAD_GATEWAY, reason)
         return Fail(HTTPStatus.SERVICE_UNAVAILABLE, reason)
 
+    def quarantined(self, part: str) -> PassOn | Fail:
+        """Return the final step if a prompt part must reach no server."""
+        step = self.give_up(f'prompt part {part} is quarantined')
+        if isinstance(step, Fail):
+            return replace(step, retry_after_s=QUARANTINE_RETRY_AFTER_S)
+        return step
+
     def timed_out(self) -> Fail:
         """Return the error if the deadline of the request has passed."""
         return Fail(HTTPStatus.GATEWAY_TIMEOUT, 'deadline exceeded')
@@ -150,12 +168,15 @@
                 return self._after_answer(outcome, remaining_s)
             case Lost():
                 self.sends += 1
+                self.begun_losses += outcome.begun
                 self.may_have_run = True
                 self.answer = None
                 may_repeat = self.repeatable and outcome.resumable
                 if may_repeat and self._may_send(remaining_s):
                     return SendAgain()
                 return Fail(HTTPStatus.BAD_GATEWAY, outcome.reason)
+            case Recalled():
+                return Fail(HTTPStatus.BAD_GATEWAY, outcome.reason)
 
     def _after_refusal(self, outcome: Refused, remaining_s: float) -> Step:
         if self.refusals <= MAX_REFUSALS and self._may_send(remaining_s):
@@ -174,5 +195,6 @@
     def _may_send(self, remaining_s: float) -> bool:
         return (
             self.sends < self.max_attempts
+            and self.begun_losses < MAX_BEGUN_LOSSES
             and remaining_s > MIN_TIME_FOR_RETRY_S
         )
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 from collections.abc import Mapping
+from dataclasses import replace
 from http import HTTPStatus
 
 from celerywharf.adapters.transports import HttpResponse, Transfer
@@ -32,6 +33,10 @@
 MAX_ERROR_BODY_BYTES = SMALL_MESSAGE_BYTES
 # Events without tokens that an engine may send beyond one for each token.
 EXTRA_EVENTS = 16
+# A server that a request crashes ends within this time after the headers.
+BEGINNING_S = 0.5
+# A server that has answered a request for this long was not crashed by it.
+PROOF_S = 1.0
 
 
 class Progress:
@@ -75,6 +80,8 @@
         begun_at_s: when the headers of a stream arrived, monotonic seconds;
             None before that, and for other answers.
         body: body of an answer that is not a stream.
+        proven: the server has answered for so long that the prompt does not
+            crash it.
         max_event: highest event id that the requested number of tokens can
             have; 0 if the caller did not limit them.
         transfer: the exchange with the server, held while the caller is
@@ -103,6 +110,7 @@
         self.body = bytearray()
         self.events = 0
         self.begun_at_s: float | None = None
+        self.proven = False
         output_tokens = request.headers.output_tokens
         self.max_event = output_tokens and output_tokens + EXTRA_EVENTS
         self.transfer: Transfer | None = None
@@ -159,7 +167,11 @@
 
     def _final_outcome(self, error: TransportError | None) -> Outcome:
         if error:
-            return failed_send(error)
+            outcome = failed_send(error)
+            if isinstance(outcome, Lost) and outcome.broken:
+                begun = outcome.begun and self._has_just_begun()
+                return replace(outcome, begun=begun)
+            return outcome
         if self.splitter.incomplete:
             return Lost('stream ended inside an event')
         if self.status == HTTPStatus.OK:
@@ -167,6 +179,13 @@
         response = HttpResponse(self.status, {}, bytes(self.body))
         return Answered(response, self.headers)
 
+    def _has_just_begun(self) -> bool:
+        if self.begun_at_s is None:
+            return False
+        first_at_s = self.progress.first_at_s or self.begun_at_s
+        since_s = min(self.begun_at_s, first_at_s)
+        return self.context.timers.now() - since_s <= BEGINNING_S
+
     def _on_event(self, event: Event) -> None:
         if self.done.done():
             return
@@ -192,10 +211,17 @@
         self.progress.record_event(now_s)
         self.progress.last_event = event.number
         self.events += 1
+        self._record_progress(now_s)
         self.caller.write(event.text)
         if self.caller.congested and self.transfer is not None:
             self._hold(self.transfer)
 
+    def _record_progress(self, now_s: float) -> None:
+        if not self.proven and now_s - self.begun_at_s >= PROOF_S:
+            self.proven = True
+            parts = self.request.headers.shared_parts
+            self.context.quarantine.progressed(parts)
+
     def _hold(self, transfer: Transfer) -> None:
         """Stop reading from the server until the caller has caught up."""
         transfer.pause()
--- a/celerywharf/forwarding/_request_log.py
+++ b/celerywharf/forwarding/_request_log.py
@@ -11,6 +11,7 @@
     Finished,
     Lost,
     Outcome,
+    Recalled,
     Refused,
 )
 from celerywharf.forwarding._plans import Fail, PassOn, Step
@@ -96,5 +97,7 @@
             return f'not run: {outcome.reason}'
         case Lost():
             return f'lost: {outcome.reason}'
+        case Recalled():
+            return f'recalled: {outcome.reason}'
         case Finished():
             return 'finished'
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -169,7 +169,7 @@
     if error.verdict is Verdict.not_run:
         return Refused(error.message, reached=False, late=error.late)
     broken = not isinstance(error, ResponseTooLargeError)
-    return Lost(error.message, broken=broken)
+    return Lost(error.message, broken=broken, begun=error.answer_begun)
 
 
 async def _fetch(
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import Any
 
 from celerywharf.backends import BackendServer
 from celerywharf.forwarding._base import Forwarding
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import ForwardingContext
-from celerywharf.forwarding._outcomes import Answered, Lost, Outcome, Refused
+from celerywharf.forwarding._outcomes import (
+    Answered,
+    Lost,
+    Outcome,
+    Recalled,
+    Refused,
+)
 from celerywharf.forwarding._plans import Step
 from celerywharf.forwarding._relays import Progress, StreamRelay
 from celerywharf.forwarding._request_log import RequestLog
@@ -90,6 +97,7 @@
         finally:
             prefilled = self.relay is not None and self.relay.events > 0
             self.placer.release(server, prefilled=prefilled)
+        self.record_end(server, outcome)
         self.placer.send_ended(server, outcome, resumption, backup)
         remaining_s = self.request.deadline_at_s() - self.context.timers.now()
         step = self._next_step(outcome, remaining_s)
@@ -140,7 +148,10 @@
         )
         relay.transfer = transfer
         try:
-            outcome = await self._await_outcome(relay, server)
+            with context.quarantine.sending(
+                self.prompt_parts, functools.partial(_recall, relay)
+            ):
+                outcome = await self._await_outcome(relay, server)
         finally:
             transfer.cancel()
         match outcome:
@@ -203,3 +214,9 @@
                 return gap_target_s
             case _:
                 return DEFAULT_GAP_TARGET_S
+
+
+def _recall(relay: StreamRelay) -> None:
+    """Take a stream back whose answer has not begun."""
+    if relay.begun_at_s is None:
+        relay.settle(Recalled('a prompt part was quarantined meanwhile'))
--- /dev/null
+++ b/celerywharf/fronts/_context.py
@@ -0,0 +1,52 @@
+"""Builds the components that forwarding depends on."""
+
+from __future__ import annotations
+
+from random import Random
+
+from celerywharf.adapters.transports import Transport
+from celerywharf.backends import Directory, Loads, Placement, ServerHealth
+from celerywharf.forwarding import ForwardingContext, Reports
+from celerywharf.fronts._retries import build_retry_limiter
+from celerywharf.metrics import Metrics
+from celerywharf.platform import boot_time_s
+from celerywharf.quarantine import PartGate, PartRegister
+from celerywharf.routing import ConfigurationCache
+from celerywharf.settings import FrontSettings
+from celerywharf.timers import TimerService
+
+
+def build_context(
+    settings: FrontSettings,
+    transport: Transport,
+    timers: TimerService,
+    configuration_cache: ConfigurationCache,
+    random: Random,
+) -> ForwardingContext:
+    """Return the components of a front, with an empty directory."""
+    directory = Directory()
+    loads = Loads()
+    health = ServerHealth(directory, loads)
+    return ForwardingContext(
+        transport=transport,
+        timers=timers,
+        configuration_cache=configuration_cache,
+        loads=loads,
+        health=health,
+        placement=Placement(
+            directory,
+            loads,
+            health,
+            settings.front.availability_zone,
+            settings.zones.regions,
+            random,
+        ),
+        reports=Reports(transport, timers, loads, health),
+        retries=build_retry_limiter(settings, timers.now, random),
+        quarantine=PartGate(
+            PartRegister(random),
+            lambda: configuration_cache.store_time_s(boot_time_s()),
+        ),
+        metrics=Metrics(),
+        random=random,
+    )
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -10,24 +10,20 @@
 from tornado.httpserver import HTTPServer
 
 from celerywharf.adapters import CurlTransport
-from celerywharf.backends import Directory, Loads, Placement, ServerHealth
-from celerywharf.forwarding import (
-    Forwarder,
-    ForwardingContext,
-    Reports,
-)
+from celerywharf.forwarding import Forwarder
 from celerywharf.fronts._admission import AdmissionController
+from celerywharf.fronts._context import build_context
 from celerywharf.fronts._gateway import Gateway
 from celerywharf.fronts._graceful_stop import GracefulStop
 from celerywharf.fronts._reload import Reload, SettingsWatcher
-from celerywharf.fronts._retries import apply_retry_ratio, build_retry_limiter
+from celerywharf.fronts._retries import apply_retry_ratio
 from celerywharf.fronts._sharing import build_shared_store
 from celerywharf.fronts._status import StatusPage, build_status_server
 from celerywharf.fronts._watchers import ConfigurationWatcher, ServerWatcher
-from celerywharf.metrics import Metrics
 from celerywharf.platform import StoreClient, boot_time_s
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
+from celerywharf.sharing import PartExchange, TrialSchedule
 from celerywharf.sockets import bind
 from celerywharf.tasks import Part
 from celerywharf.timers import TimerService
@@ -48,10 +44,12 @@
         settings: the settings at the start; a reload changes only what
             ``apply`` sets.
         configuration_cache: the configuration and its age.
-        directory: the backend servers.
+        context: the components that forwarding depends on.
         gateway: serves the connections of callers.
         shared_store: tables shared with the zone's other fronts; None if no
             address for other fronts is set.
+        part_exchange: shares what is known of prompt parts with the other
+            fronts.
         watchers: follow the tables of the store; first the watcher of the
             configuration, then that of the backend servers.
         graceful_stop: completes requests before the front stops.
@@ -62,14 +60,18 @@
         self.settings = settings
         self.random = Random()
         self.timers = TimerService()
-        self.metrics = Metrics()
         self.transport = CurlTransport()
         self.store = StoreClient(self.transport, settings.store.address)
         self.configuration_cache = ConfigurationCache(
             settings.bounds.revoke_ms / MILLISECONDS
         )
-        self.directory = Directory()
-        self.context = self._build_context()
+        self.context = build_context(
+            settings,
+            self.transport,
+            self.timers,
+            self.configuration_cache,
+            self.random,
+        )
         self.gateway = Gateway(
             AdmissionController(self.configuration_cache, boot_time_s),
             Forwarder(self.context),
@@ -77,6 +79,17 @@
         self.shared_store = build_shared_store(
             settings, self.store, self.context, self.timers, self.random
         )
+        self.part_exchange = PartExchange(
+            self.context.quarantine.register,
+            self.store,
+            self.shared_store,
+            self.random,
+        )
+        self.context.quarantine.is_trial_host = TrialSchedule(
+            settings.front.availability_zone,
+            settings.zones.regions,
+            self.shared_store,
+        ).is_own
         source = self.shared_store or self.store
         self.watchers = (
             ConfigurationWatcher(source, self.random, self.configuration_cache),
@@ -139,11 +152,12 @@
         return (
             not self.gateway.admission.draining
             and self.watchers[1].version is not None
+            and self.part_exchange.has_begun
             and self.configuration_cache.accepts_keys(boot_time_s())
         )
 
     def _parts(self) -> tuple[Part, ...]:
-        parts = (*self.watchers, self.settings_watcher)
+        parts = (*self.watchers, self.part_exchange, self.settings_watcher)
         return (
             parts if self.shared_store is None else (self.shared_store, *parts)
         )
@@ -157,7 +171,9 @@
             body_timeout=BODY_TIMEOUT_S,
         )
         callers.add_sockets(bind('[front] listen', front.listen))
-        status = build_status_server(StatusPage(self.ready, self.metrics))
+        status = build_status_server(
+            StatusPage(self.ready, self.context.metrics)
+        )
         status.add_sockets(bind('[front] health', front.health))
         if front.metrics is not None:
             status.add_sockets(bind('[front] metrics', front.metrics))
@@ -166,33 +182,3 @@
             self.shared_store.server.add_sockets(
                 bind('[front] peers', front.peers),
             )
-
-    def _build_context(self) -> ForwardingContext:
-        loads = Loads()
-        health = ServerHealth(self.directory, loads)
-        return ForwardingContext(
-            transport=self.transport,
-            timers=self.timers,
-            configuration_cache=self.configuration_cache,
-            loads=loads,
-            health=health,
-            placement=Placement(
-                self.directory,
-                loads,
-                health,
-                self.settings.front.availability_zone,
-                self.settings.zones.regions,
-                self.random,
-            ),
-            reports=Reports(
-                self.transport,
-                self.timers,
-                loads,
-                health,
-            ),
-            retries=build_retry_limiter(
-                self.settings, self.timers.now, self.random
-            ),
-            metrics=self.metrics,
-            random=self.random,
-        )
--- a/celerywharf/platform/_prompts.py
+++ b/celerywharf/platform/_prompts.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import hashlib
+import re
 
-# A longer name is replaced by a digest of this many digits.
-MAX_NAME = 64
+# Other names, which the platform does not give, are replaced by a digest.
+PLAIN_NAME = re.compile(r'[0-9a-z_-]{1,64}', re.ASCII)
 
 
 def shared_parts(text: str | None) -> tuple[str, ...]:
@@ -26,6 +27,6 @@
 
 def _name(entry: str) -> str:
     name = entry.partition(':')[0].strip().lower()
-    if len(name) <= MAX_NAME:
+    if not name or PLAIN_NAME.fullmatch(name):
         return name
     return hashlib.sha256(name.encode()).hexdigest()
--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -5,8 +5,10 @@
 import base64
 import binascii
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Any
 from urllib.parse import urlencode
 
 from pydantic import BaseModel, Field, ValidationError
@@ -88,6 +90,35 @@
     current: Row | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RowChange:
+    """A change of a row on the condition that it has a certain version.
+
+    Attributes:
+        key: key of the row.
+        content: the new content; None to remove the row.
+        expected_version: version of the row; 0 if it must not exist.
+    """
+
+    key: str
+    content: bytes | None
+    expected_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class TransactionResult:
+    """Result of a transaction.
+
+    Attributes:
+        version: version of the changed rows; None if a condition failed and
+            nothing was changed.
+        current: the rows of the transaction that exist, if a condition failed.
+    """
+
+    version: int | None
+    current: tuple[Row, ...] = ()
+
+
 class _Row(BaseModel):
     key: str
     value: str | None = None
@@ -191,13 +222,34 @@
             PlatformUnavailableError: the store did not answer; the row may
                 have been written, or may still be written later.
         """
-        name = {'table': table, 'part': '', 'key': key}
-        value = base64.b64encode(content).decode()
-        transaction = {
-            'precondition': [{**name, 'apiVersion': expected_version}],
-            'setKeys': [{**name, 'value': value}],
+        change = RowChange(key, content, expected_version)
+        result = await self.transact(table, [change])
+        return WriteResult(result.version, next(iter(result.current), None))
+
+    async def transact(
+        self, table: str, changes: Sequence[RowChange]
+    ) -> TransactionResult:
+        """Change up to 100 rows of a table, all of them or none.
+
+        Raises:
+            PlatformUnavailableError: the store did not answer; the rows may
+                have been changed, or may still be changed later.
+        """
+        transaction: dict[str, list[dict[str, Any]]] = {
+            'precondition': [],
+            'setKeys': [],
             'delete': [],
         }
+        for change in changes:
+            name = {'table': table, 'part': '', 'key': change.key}
+            transaction['precondition'].append(
+                {**name, 'apiVersion': change.expected_version}
+            )
+            if change.content is None:
+                transaction['delete'].append(name)
+            else:
+                value = base64.b64encode(change.content).decode()
+                transaction['setKeys'].append({**name, 'value': value})
         request = HttpRequest.with_json(
             'POST',
             f'http://{self.address}/api/rows-tx',
@@ -208,9 +260,9 @@
         )
         response, answer, _ = await self._call('rows-tx', request)
         if response.status == HTTPStatus.OK:
-            return WriteResult(version=answer.api_version)
-        return WriteResult(
-            current=next((row.row() for row in answer.rows), None),
+            return TransactionResult(answer.api_version)
+        return TransactionResult(
+            None, tuple(row.row() for row in answer.rows if not row.tombstone)
         )
 
     async def _get(
--- a/celerywharf/routing/_configuration_cache.py
+++ b/celerywharf/routing/_configuration_cache.py
@@ -75,6 +75,13 @@
         if self.current_at_s is None or current_at_s > self.current_at_s:
             self.current_at_s = current_at_s
 
+    def store_time_s(self, now_s: float) -> float:
+        """Convert a time of this host to the store's clock, in seconds.
+
+        Before the first answer of the store this host's own clock is used.
+        """
+        return now_s - (self.clock_offset_s or 0)
+
     def offer(self, configuration: Configuration) -> bool:
         """Install a configuration if its version is newer.
 
--- a/celerywharf/sharing/__init__.py
+++ b/celerywharf/sharing/__init__.py
@@ -11,15 +11,19 @@
 from celerywharf.sharing._election import ElectionStep, Reader, ReaderElection
 from celerywharf.sharing._lending import Lending
 from celerywharf.sharing._mirror import Mirror
+from celerywharf.sharing._part_exchange import PartExchange
 from celerywharf.sharing._store import SharedStore
+from celerywharf.sharing._trials import TrialSchedule
 
 __all__ = (
     'ElectionStep',
     'Lending',
     'Mirror',
+    'PartExchange',
     'Reader',
     'ReaderElection',
     'SharedStore',
     'SharedTable',
+    'TrialSchedule',
     'answer',
 )
--- /dev/null
+++ b/celerywharf/sharing/_part_exchange.py
@@ -0,0 +1,289 @@
+"""Exchanges what is known of prompt parts among all fronts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+from celerywharf.exceptions import CelerywharfError
+from celerywharf.platform import HistoryGoneError, Row, RowChange, StoreClient
+from celerywharf.quarantine import PartRecord, PartRegister
+from celerywharf.sharing._part_rows import (
+    PART_TABLE,
+    decode_part,
+    encode_part,
+    from_state,
+    to_state,
+)
+from celerywharf.sharing._store import SharedStore
+from celerywharf.structures import Address
+from celerywharf.tasks import Part
+from celerywharf.wire import LinkService, Sender
+from celerywharf.wire.quarantine import PartAnswer, PartQuestion, PartState
+
+logger = logging.getLogger(__name__)
+
+STORE_POLL_S = 2.5
+READER_POLL_S = 1.5
+ANSWER_SLACK_S = 0.5
+NO_UPSTREAM_WAIT_S = 0.05
+BACKOFF_S = 0.5
+MAX_BACKOFF_S = 4.0
+# At most five transactions a second of a reader, for all fronts of its zone.
+PUSH_PERIOD_S = 0.2
+# With as many removals and a condition for each, the store's limit of 100
+# entries in a transaction holds.
+MAX_PUSHED = 25
+# Beyond this many rows the reader removes the oldest that quarantine nothing.
+MAX_ROWS = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class _Reader:
+    """Records are exchanged with the zone's reader."""
+
+    client: LinkService
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class _Store:
+    """Records are exchanged with the store."""
+
+
+class PartExchange(Part):
+    """Keeps the registers of all fronts alike.
+
+    The reader of a zone exchanges records with the store, the other fronts of
+    the zone exchange theirs with the reader.  So the fronts of a zone that
+    does not reach the store still share what they learn.  A front that loses
+    its reader goes on with what it knows until there is another one.
+
+    Attributes:
+        register: what this front knows.
+        store: the platform's store.
+        shared_store: tells who the reader is; None if this front reads the
+            store itself.
+        upstream: with whom records are exchanged; None while there is no
+            reader.
+        unsent: parts that upstream may not know.
+        row_versions: versions of the store's rows, by part.
+        version: version of the last reading of the store; None if the whole
+            table must be read.
+        serial: last change of the reader that this front has received.
+        has_begun: the first exchange has succeeded or failed.
+        changed: set and replaced by a new event at each change.
+    """
+
+    def __init__(
+        self,
+        register: PartRegister,
+        store: StoreClient,
+        shared_store: SharedStore | None,
+        random: Random,
+    ) -> None:
+        super().__init__()
+        self.register = register
+        self.store = store
+        self.shared_store = shared_store
+        self.random = random
+        self.upstream: _Reader | _Store | None = None
+        self.unsent: dict[str, None] = {}
+        self.row_versions: dict[str, int] = {}
+        self.version: int | None = None
+        self.serial = 0
+        self.has_begun = False
+        self.changed = asyncio.Event()
+        register.subscribers.append(self._on_change)
+        if shared_store is not None:
+            shared_store.server.subscribe(PartQuestion, self._answer)
+
+    def start(self) -> None:
+        """Start to exchange records."""
+        super().start()
+        self.spawn(self._repeat(self._pull))
+        self.spawn(self._repeat(self._push))
+
+    async def _repeat(self, exchange: Callable[[], Awaitable[None]]) -> None:
+        failures = 0
+        while True:
+            try:
+                await exchange()
+                failures = 0
+            except HistoryGoneError:
+                self.version = None
+            except CelerywharfError as error:
+                self.has_begun = True
+                logger.info(
+                    'no exchange of prompt parts',
+                    extra={'reason': error.message, 'failures': failures},
+                )
+                wait_s = min(BACKOFF_S * 2**failures, MAX_BACKOFF_S)
+                failures = min(failures + 1, 10)
+                await asyncio.sleep(wait_s * (1 + self.random.random()))
+
+    async def _pull(self) -> None:
+        """Wait for changes upstream and apply them."""
+        match self._find_upstream():
+            case _Reader() as reader:
+                wait_s = READER_POLL_S if self.has_begun else 0
+                await self._ask_reader(reader, [], wait_s)
+            case _Store() if self.version is None:
+                await self._read_rows()
+            case _Store():
+                await self._watch_rows()
+            case None:
+                await asyncio.sleep(NO_UPSTREAM_WAIT_S)
+                return
+        self.has_begun = True
+
+    async def _push(self) -> None:
+        """Wait for records that upstream does not know, and send them."""
+        if not self.unsent:
+            await self._wait_for_change(READER_POLL_S)
+        upstream = self._find_upstream()
+        sent = {
+            part: self.register.records[part]
+            for part in list(self.unsent)[:MAX_PUSHED]
+        }
+        match upstream:
+            case _Reader() if sent:
+                states = [to_state(record) for record in sent.values()]
+                await self._ask_reader(upstream, states, 0)
+                self._mark_sent(sent)
+            case _Store() if sent and self.version is not None:
+                await self._write_rows(sent)
+        await asyncio.sleep(PUSH_PERIOD_S)
+
+    def _find_upstream(self) -> _Reader | _Store | None:
+        """Return with whom to exchange now; forget what another one knew."""
+        upstream = self._upstream_now()
+        if upstream != self.upstream:
+            self.upstream = upstream
+            self.version = None
+            self.serial = 0
+            self.unsent = dict.fromkeys(self.register.records)
+        return upstream
+
+    def _upstream_now(self) -> _Reader | _Store | None:
+        shared = self.shared_store
+        if shared is None or shared.is_reader:
+            return _Store()
+        reader = shared.election.reader
+        if reader is None or shared.client is None:
+            return None
+        return _Reader(shared.client, reader.address)
+
+    async def _ask_reader(
+        self, reader: _Reader, states: list[PartState], wait_s: float
+    ) -> None:
+        reply = await reader.client.request(
+            reader.address,
+            PartQuestion(states, self.serial, wait_s),
+            wait_s + ANSWER_SLACK_S,
+        )
+        if reader != self.upstream:
+            return
+        self.serial = max(self.serial, reply.serial)
+        for state in reply.parts:
+            self._merge_from_upstream(from_state(state))
+
+    async def _read_rows(self) -> None:
+        reading = await self.store.read(PART_TABLE)
+        self.version = reading.version
+        self.row_versions = {}
+        for row in reading.rows:
+            self._apply_row(row)
+        for part in self.register.records:
+            if part not in self.row_versions:
+                self.unsent[part] = None
+
+    async def _watch_rows(self) -> None:
+        reading = await self.store.watch(PART_TABLE, self.version, STORE_POLL_S)
+        for row in reading.rows:
+            self._apply_row(row)
+        self.version = reading.version
+
+    def _apply_row(self, row: Row) -> None:
+        if row.removed:
+            self.row_versions.pop(row.key, None)
+            self.unsent.pop(row.key, None)
+            self.register.forget(row.key)
+            return
+        self.row_versions[row.key] = row.version
+        self._merge_from_upstream(decode_part(row))
+
+    def _merge_from_upstream(self, record: PartRecord | None) -> None:
+        if record is None:
+            return
+        merged = self.register.merge(record)
+        if merged == record:
+            self.unsent.pop(record.part, None)
+
+    async def _write_rows(self, sent: dict[str, PartRecord]) -> None:
+        changes = [
+            RowChange(part, encode_part(record), self.row_versions.get(part, 0))
+            for part, record in sent.items()
+        ]
+        changes.extend(self._surplus_rows(sent))
+        result = await self.store.transact(PART_TABLE, changes)
+        if result.version is None:
+            for change in changes:
+                self.row_versions.pop(change.key, None)
+            for row in result.current:
+                self._apply_row(row)
+            return
+        self.row_versions.update(dict.fromkeys(sent, result.version))
+        self._mark_sent(sent)
+
+    def _surplus_rows(self, sent: dict[str, PartRecord]) -> list[RowChange]:
+        """Return the removal of old rows if there are too many."""
+        surplus = len(self.row_versions) + len(sent) - MAX_ROWS
+        if surplus <= 0:
+            return []
+        candidates = sorted(
+            (version, part)
+            for part, version in self.row_versions.items()
+            if part not in sent and part not in self.register.heavy
+        )
+        return [
+            RowChange(part, None, version)
+            for version, part in candidates[: min(surplus, MAX_PUSHED)]
+        ]
+
+    def _mark_sent(self, sent: dict[str, PartRecord]) -> None:
+        for part, record in sent.items():
+            if self.register.records.get(part) == record:
+                self.unsent.pop(part, None)
+
+    def _on_change(self, part: str) -> None:
+        if part in self.register.records:
+            self.unsent[part] = None
+        else:
+            self.unsent.pop(part, None)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _wait_for_change(self, timeout_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.changed.wait()
+
+    async def _answer(self, _: Sender, question: PartQuestion) -> PartAnswer:
+        """Answer another front of the zone."""
+        for state in question.parts:
+            record = from_state(state)
+            if record is not None:
+                self.register.merge(record)
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + min(question.wait_s, READER_POLL_S)
+        while self.register.serial <= question.after and loop.time() < ends_s:
+            await self._wait_for_change(ends_s - loop.time())
+        changes = self.register.changes_since(question.after)
+        return PartAnswer(
+            [to_state(record) for record in changes], self.register.serial
+        )
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -178,7 +178,7 @@
         )
 
     @property
-    def _is_reader(self) -> bool:
+    def is_reader(self) -> bool:
         """Return whether this front reads the store for the others."""
         return self.lending.pool is not None
 
@@ -207,7 +207,7 @@
             raise
         except CelerywharfError:
             self.store_reachable = False
-            if not self._is_reader:
+            if not self.is_reader:
                 self.backoff.failed(
                     boot_time_s(),
                     self.lending.share.zone_hosts,
--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -51,6 +51,19 @@
             for name in ended:
                 self._replace(name, self.zones.pop(name))
 
+    def mend(self) -> None:
+        """Let no engine crash any more; return when all are running."""
+        self.part = ''
+        while self.count_running() < len(self.zones):
+            time.sleep(POLL_S)
+        for name in self.zones:
+            self.rig.fleet.control(name, crash_on='')
+
+    def count_running(self) -> int:
+        """Return how many of the current engines run."""
+        members = self.rig.fleet.members
+        return sum(members[name].is_running for name in self.zones)
+
     def stop(self) -> None:
         """Stop the replacement; engines started by it end as well."""
         self.stopped.set()
--- a/standins/stores.py
+++ b/standins/stores.py
@@ -14,6 +14,8 @@
 OK = 200
 GONE = 410
 CONDITION_FAILED = 412
+TOO_LARGE = 413
+MAX_ENTRIES = 100  # of one transaction
 
 
 @dataclass(slots=True)
@@ -80,6 +82,14 @@
         self.changed.notify_all()
         return self.version
 
+    def transact(self, rows: list[tuple[str, str, bytes | None]]) -> None:
+        """Write rows with one version, or remove those without a value."""
+        self.version += 1
+        for table, key, value in rows:
+            text = None if value is None else value.decode()
+            self.changes.append(Change(self.version, table, key, text))
+        self.changed.notify_all()
+
     def rows(self, table: str) -> list[dict[str, Any]]:
         """Return the rows of a table, sorted by key."""
         latest = {
@@ -139,7 +149,8 @@
     def get(self) -> None:
         self.standin.calls += 1
         first = self.get_argument('from', '')
-        end = self.get_argument('to', None)
+        # A NUL in the argument arrives as a space; it must not be stripped.
+        end = self.get_argument('to', None, strip=False)
         rows = [
             row
             for row in self.standin.rows(self.get_argument('table'))
@@ -149,23 +160,50 @@
 
 
 class _TransactionHandler(control.ProtocolHandler):
-    """Writes one row under a condition on its version."""
+    """Changes rows if all of them have the expected versions."""
 
     def post(self) -> None:
         store = self.standin
         store.calls += 1
         transaction = self.read_json()
-        condition = transaction['precondition'][0]
-        table, key = condition['table'], condition['key']
-        if store.row_version(table, key) != condition['apiVersion']:
-            rows = [row for row in store.rows(table) if row['key'] == key]
-            self.answer(CONDITION_FAILED, store.answer(rows))
+        if sum(map(len, transaction.values())) > MAX_ENTRIES:
+            self.answer(TOO_LARGE, {})
+            return
+        conditions = transaction['precondition']
+        if any(
+            store.row_version(condition['table'], condition['key'])
+            != condition['apiVersion']
+            for condition in conditions
+        ):
+            self.answer(
+                CONDITION_FAILED, store.answer(_current(store, conditions))
+            )
             return
-        text = base64.b64decode(transaction['setKeys'][0]['value']).decode()
-        store.put(table, key, text)
+        store.transact(
+            [
+                (entry['table'], entry['key'], base64.b64decode(entry['value']))
+                for entry in transaction['setKeys']
+            ]
+            + [
+                (entry['table'], entry['key'], None)
+                for entry in transaction['delete']
+            ]
+        )
         self.answer(OK, store.answer([]))
 
 
+def _current(
+    store: Store, conditions: list[dict[str, Any]]
+) -> list[dict[str, Any]]:
+    """Return the existing rows of a transaction's conditions."""
+    return [
+        row
+        for condition in conditions
+        for row in store.rows(condition['table'])
+        if row['key'] == condition['key']
+    ]
+
+
 class _FeedHandler(control.ProtocolHandler):
     async def get(self) -> None:
         store = self.standin
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import time
+from random import Random
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -15,6 +16,7 @@
 from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.metrics import Metrics
 from celerywharf.platform import read_request_headers
+from celerywharf.quarantine import PartGate, PartRegister
 from celerywharf.routing import ResumableStream, Route
 from celerywharf.timers import TimerService
 from tests.backends.test_directory import make_server
@@ -69,6 +71,7 @@
         placement=None,
         reports=None,
         retries=None,
+        quarantine=PartGate(PartRegister(Random(1)), time.monotonic),
         metrics=Metrics(),
         random=None,
     )
--- a/tests/fronts/crashing_parts.feature
+++ b/tests/fronts/crashing_parts.feature
@@ -13,3 +13,19 @@
       | streams            |
       | lookups            |
       | orders             |
+
+  Scenario: fronts that are killed and restarted know the part
+    Given fronts f1, f2 in north-1 and f3, f4 in north-2
+    When streams with the part come at each front for 4 s, beside sound streams
+    And all fronts are killed and restarted
+    And streams with the part come at each front for 6 s, beside sound streams
+    Then no engine has crashed since the restart
+    And sound streams began at once in more than half of the cases
+
+  Scenario: fronts of a zone that is cut off from the store share what they learn
+    Given fronts f1, f2 in north-1 behind links to the store
+    When the zone is cut off from the store
+    And streams with the part come at f1 until it is quarantined there
+    Then within 1 s a stream with the part at f2 is refused as not run
+    When the zone reaches the store again
+    Then within 8 s a new front f3 in north-2 refuses a stream with the part
--- a/tests/fronts/test_crashing_parts.py
+++ b/tests/fronts/test_crashing_parts.py
@@ -9,6 +9,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from soak.records import read_runs
+from standins.calls import call
 from standins.crashing import CrashingEngines
 from standins.fronts import (
     ASK_PATH,
@@ -28,6 +29,7 @@
 EVENTS = 20
 SOUND_PERIOD_S = 0.1
 CRASHING_PERIOD_S = 0.25
+POLL_S = 0.1
 
 
 class Traffic:
@@ -38,6 +40,11 @@
         self.threads = []
         self.crashing = {}
         self.sound = []
+        self.crashes_before = 0
+
+    def runs(self):
+        """Return the runs of all engines so far."""
+        return read_runs(sorted(self.rig.fleet.folder.glob('engine-*.runs')))
 
     def play(self, path, span_s):
         """Send both for a span; return when all are answered."""
@@ -121,6 +128,101 @@
             rig.add_front(name, zone=zone, shares=True)
 
 
+@given('fronts f1, f2 in north-1 behind links to the store')
+def _linked_fronts(rig, engines, fleet):
+    for name in ('f1', 'f2'):
+        link = fleet.start_link(f'link-{name}', rig.store)
+        rig.add_front(
+            name, link.address, zone='north-1', shares=True, revoke_ms=60000
+        )
+
+
+@when('the zone is cut off from the store')
+def _cut(fleet):
+    for name in ('f1', 'f2'):
+        fleet.control(f'link-{name}', cut=True)
+    time.sleep(STABLE_S / 2)  # until the fronts have noticed
+
+
+@when('the zone reaches the store again')
+def _heal(fleet):
+    for name in ('f1', 'f2'):
+        fleet.control(f'link-{name}', cut=False)
+
+
+@when('streams with the part come at f1 until it is quarantined there')
+def _come_at_one(traffic):
+    ends_s = time.monotonic() + 3 * STABLE_S
+    while time.monotonic() < ends_s:
+        if _is_refused(traffic, 'f1'):
+            return
+        time.sleep(POLL_S)
+    pytest.fail('never refused')
+
+
+@then(
+    parsers.parse(
+        'within {span:g} s a stream with the part at f2 is refused as not run'
+    )
+)
+def _refused_there(traffic, span):
+    time.sleep(span)
+    assert _is_refused(traffic, 'f2')
+
+
+@then(
+    parsers.parse(
+        'within {span:g} s a new front f3 in north-2 refuses a stream with the '
+        'part'
+    )
+)
+def _refused_elsewhere(rig, traffic, span):
+    time.sleep(span)
+    rig.add_front('f3', zone='north-2', shares=True)
+    time.sleep(0.5)
+    assert _is_refused(traffic, 'f3')
+
+
+def _is_refused(traffic, front):
+    """Send a stream with the part; return whether it was not run."""
+    traffic.crashing.clear()
+    traffic.send_crashing(front, STREAM_PATH)
+    ((request_id, answer),) = traffic.crashing.items()
+    reached = {run.request_id for run in traffic.runs()}
+    if answer.status != 503 or b'quarantined' not in answer.body:
+        return False
+    assert request_id not in reached
+    return True
+
+
+@when('all fronts are killed and restarted')
+def _restart(rig, fleet, engines, traffic):
+    for name in rig.fronts:
+        fleet.kill(name)
+    for name in rig.fronts:
+        fleet.restart_front(name)
+    ends_s = time.monotonic() + 2 * STABLE_S
+    for address in rig.health.values():
+        while not _is_ready(address):
+            assert time.monotonic() < ends_s
+            time.sleep(POLL_S)
+    traffic.sound.clear()
+    traffic.crashes_before = len(engines.crashes)
+
+
+def _is_ready(address):
+    try:
+        return call(address, 'GET', '/api/ready')[0] == 200
+    except OSError:
+        return False
+
+
+@then('no engine has crashed since the restart')
+def _none_since(engines, traffic):
+    assert engines.crashes
+    assert len(engines.crashes) == traffic.crashes_before
+
+
 @when(
     parsers.parse(
         '{kind} with the part come at each front for {span:g} s, '
@@ -137,14 +239,13 @@
         'the fifth crash'
     )
 )
-def _soon_none(rig, engines, traffic, limit):
+def _soon_none(engines, traffic, limit):
     crashes = sorted(engines.crashes.values())
     assert crashes
     bound_s = crashes[:5][-1] + STABLE_S
-    runs = read_runs(sorted(rig.fleet.folder.glob('engine-*.runs')))
     late = [
         run
-        for run in runs
+        for run in traffic.runs()
         if run.request_id in traffic.crashing and run.began_s > bound_s
     ]
     assert len(late) <= limit, (len(late), len(crashes))
--- /dev/null
+++ b/tests/quarantine/register.feature
@@ -0,0 +1,80 @@
+Feature: Which prompt parts are quarantined
+  Scenario Outline: servers lost in a row under requests with a part
+    Given sound requests with the parts common
+    When <losses> servers are lost as they began to answer common bad
+    And <others> servers are lost under waiting common bad
+    Then a request with common bad is <fate>
+    And a request with common other is let through
+
+    Examples:
+      | losses | others | fate        |
+      | 2      | 0      | let through |
+      | 3      | 0      | blocked     |
+      | 0      | 4      | let through |
+      | 0      | 5      | blocked     |
+      | 2      | 1      | let through |
+      | 2      | 2      | blocked     |
+
+  Scenario: servers of a zone that fail together say nothing of a prompt
+    When 20 servers of each of 2 zones are lost at once under waiting rare
+    Then a request with rare is let through
+
+  Scenario: a part of which a request has completed is not suspect any more
+    When 3 servers are lost as they began to answer bad
+    And a request with bad completes
+    Then a request with bad is let through
+
+  Scenario: parts that no request has proven yet
+    When 3 servers are lost as they began to answer common bad
+    And 3 servers are lost as they began to answer common
+    Then a request with common other is let through only as a trial
+    And a request with common bad is blocked
+
+  Scenario: parts that have been lost together are tried apart
+    When 3 servers are lost as they began to answer bad rare
+    Then a request with bad rare is blocked
+    And a request with rare is let through
+    When a request with rare completes
+    And 1 servers are lost as they began to answer bad
+    Then a request with bad is blocked
+    And a request with rare is let through
+
+  Scenario: sound requests that wait on the servers that a part crashes
+    When 6 servers are lost as they began to answer common bad, with common waiting
+    Then a request with common bad is blocked
+    And a request with common other is let through
+
+  Scenario: a part that was sound and is not any more
+    Given sound requests with the parts common bad
+    When 5 servers are lost as they began to answer common bad, with sound requests of common between
+    Then a request with common bad is blocked
+    And a request with common other is let through
+
+  Scenario: a caller whose own part crashes servers does not block what it shares
+    Given sound requests with the parts common
+    When 5 servers are lost as they began to answer common, with sound requests of common between
+    Then a request with common other is let through
+
+  Scenario: a part among hundreds that are new each time
+    When 60 servers are lost as they began to answer bad and 200 new parts
+    Then a request with bad is blocked
+
+  Scenario: any number of parts takes bounded memory
+    When 4000 servers are lost as they began to answer 40 new parts each
+    And 4000 requests with 40 new parts each complete
+    Then fewer than 1100 records and 4100 proven parts are kept
+    And a part with many losses is still quarantined
+
+  Scenario: trials of a quarantined part become rare
+    Given sound requests with the parts common
+    When 3 servers are lost as they began to answer common bad
+    And each trial of common bad within 24 hours loses a server
+    Then 3 trials were made
+
+  Scenario: an operator releases a part
+    When 3 servers are lost as they began to answer bad
+    And bad is released
+    Then a request with bad is let through
+
+  Scenario: records of several hosts agree whatever the order
+    Then merging random records is commutative, associative and idempotent
--- /dev/null
+++ b/tests/quarantine/test_fleets.py
@@ -0,0 +1,88 @@
+"""Quarantine by many hosts, in virtual time."""
+
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from tests.quarantine.fleets import COMMON, Fleet
+
+scenarios('fleets.feature')
+
+SEEDS = range(5)
+SOUND_PERIOD_S = 1 / 8
+
+
+@given(
+    parsers.parse(
+        '{hosts:d} hosts in {zones:d} zones before {engines:d} engines'
+    ),
+    target_fixture='fleets',
+)
+def _fleets(hosts, zones, engines):
+    return [Fleet(hosts, zones, engines, seed) for seed in SEEDS]
+
+
+def _make_crashing(fleet, count):
+    def make():
+        bad = f'bad{fleet.random.randrange(count)}'
+        return (COMMON, bad, fleet.new_part()), bad
+
+    return make
+
+
+def _make_sound(fleet):
+    return lambda: ((COMMON, fleet.new_part()), None)
+
+
+@when(parsers.parse('all hosts restart at {at:g} s'))
+def _restart(fleets, at):
+    for fleet in fleets:
+        for host in fleet.hosts + fleet.readers:
+            fleet.at(at, host.restart)
+
+
+@when(parsers.parse('zone {zone:d} is cut off from the store for {span:g} s'))
+def _cut(fleets, zone, span):
+    for fleet in fleets:
+        fleet.cut_zone = zone
+        fleet.at(span, setattr, fleet, 'cut_zone', None)
+
+
+@when(
+    parsers.parse(
+        'requests with {bad:d} crashing parts come {rate:g} times a second '
+        'for {span:g} s, beside 8 sound ones'
+    )
+)
+def _come(fleets, bad, rate, span):
+    for fleet in fleets:
+        fleet.repeat(1 / rate, span, _make_crashing(fleet, bad))
+        fleet.repeat(SOUND_PERIOD_S, span, _make_sound(fleet))
+        fleet.run(span)
+
+
+@then(
+    parsers.parse(
+        'at most {limit:d} of them for each part reach engines later than 4 s '
+        'after the fifth crash'
+    )
+)
+def _few_late(fleets, limit):
+    for fleet in fleets:
+        late = {part: fleet.count_late(part) for part in fleet.arrivals}
+        assert max(late.values(), default=0) <= limit, late
+
+
+@then(parsers.parse('at most {limit:d} engines crash for each part'))
+def _few_crashes(fleets, limit):
+    for fleet in fleets:
+        crashes = {part: len(times) for part, times in fleet.crashes.items()}
+        assert max(crashes.values()) <= limit, crashes
+
+
+@then(
+    'most sound requests sent later than 8 s begin at the first attempt',
+)
+def _sound_begin(fleets):
+    for fleet in fleets:
+        late = fleet.sound[int(8 / SOUND_PERIOD_S) : -20]
+        begun = [request for request in late if request.first_begun]
+        assert len(begun) * 2 > len(late), (len(begun), len(late))
