List and release quarantined prompt parts from the command line

Cause: an operator who has mended the engines had no way to let a part reach them before the next trial, which may be hours away. A release writes the next generation of the record, which all hosts prefer to their own. After: tests/fronts/crashing_parts.feature (an operator releases a part), tests/cli/commands.feature.

--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -6,19 +6,20 @@
   celerywharf --version
 
 Commands:
-  serve      Run an entry host.
-  front      Run a front on the users' platform.
-  config     Check a settings file or print the settings reference.
-  table      Read and change the shared table.
-  account    Manage client accounts and their keys.
-  service    Manage the services that callers can request.
-  backend    Manage backend servers.
-  host       List and drain entry hosts.
-  status     Show the status of a host and the table revision at all hosts.
-  timeline   Show the events of all processes.
-  usage      Show the resources used by each client account.
-  explain    Show what log files contain about a request.
-  version    Print the version.
+  serve       Run an entry host.
+  front       Run a front on the users' platform.
+  config      Check a settings file or print the settings reference.
+  table       Read and change the shared table.
+  account     Manage client accounts and their keys.
+  service     Manage the services that callers can request.
+  backend     Manage backend servers.
+  host        List and drain entry hosts.
+  status      Show the status of a host and the table revision at all hosts.
+  quarantine  List and release prompt parts that fronts keep from engines.
+  timeline    Show the events of all processes.
+  usage       Show the resources used by each client account.
+  explain     Show what log files contain about a request.
+  version     Print the version.
 
 See 'celerywharf <command> --help'.
 
@@ -53,6 +54,7 @@
     'backend': 'celerywharf.cli._backend',
     'host': 'celerywharf.cli._host',
     'status': 'celerywharf.cli._status',
+    'quarantine': 'celerywharf.cli._quarantine',
     'version': 'celerywharf.cli._version',
 }
 
--- a/celerywharf/sharing/__init__.py
+++ b/celerywharf/sharing/__init__.py
@@ -12,6 +12,7 @@
 from celerywharf.sharing._lending import Lending
 from celerywharf.sharing._mirror import Mirror
 from celerywharf.sharing._part_exchange import PartExchange
+from celerywharf.sharing._part_rows import read_parts, release_part
 from celerywharf.sharing._store import SharedStore
 from celerywharf.sharing._trials import TrialSchedule
 
@@ -26,4 +27,6 @@
     'SharedTable',
     'TrialSchedule',
     'answer',
+    'read_parts',
+    'release_part',
 )
--- a/celerywharf/sharing/_part_rows.py
+++ b/celerywharf/sharing/_part_rows.py
@@ -8,7 +8,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from celerywharf.platform import Row
+from celerywharf.platform import Row, StoreClient
 from celerywharf.quarantine import MAX_LOSSES, Loss, PartRecord
 from celerywharf.wire.quarantine import PartLoss, PartState
 
@@ -75,3 +75,33 @@
         return None
     losses = (Loss(**asdict(loss)) for loss in state.losses)
     return PartRecord(state.part, state.generation, tuple(sorted(losses)))
+
+
+async def read_parts(store: StoreClient) -> list[PartRecord]:
+    """Read what all hosts have written.
+
+    Raises:
+        PlatformUnavailableError: the store did not answer.
+    """
+    reading = await store.read(PART_TABLE)
+    parts = (decode_part(row) for row in reading.rows)
+    return [part for part in parts if part is not None]
+
+
+async def release_part(store: StoreClient, part: str) -> bool:
+    """Forget the losses under a part; return whether there were any.
+
+    Raises:
+        PlatformUnavailableError: the store did not answer.
+    """
+    reading = await store.read_row(PART_TABLE, part)
+    row = next(iter(reading.rows), None)
+    while row is not None:
+        record = decode_part(row) or PartRecord(part)
+        written = await store.write(
+            PART_TABLE, part, encode_part(record.cleared()), row.version
+        )
+        if written.version is not None:
+            return True
+        row = written.current
+    return False
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -14,6 +14,7 @@
       | host     |
       | status   |
       | timeline |
+      | quarantine |
       | usage    |
       | version  |
 
@@ -30,4 +31,6 @@
       | usage --host=127.0.0.1:1         | 4    | cannot be reached   |
       | timeline --host=127.0.0.1:1      | 4    | cannot be reached   |
       | status --host=nowhere            | 3    | expected ip:port    |
+      | quarantine list --store=127.0.0.1:1 | 4 | Could not connect  |
+      | quarantine list --store=nowhere  | 3    | expected ip:port    |
       | timeline --file=absent.jsonl     | 1    | No such file        |
--- a/tests/fronts/crashing_parts.feature
+++ b/tests/fronts/crashing_parts.feature
@@ -29,3 +29,11 @@
     Then within 1 s a stream with the part at f2 is refused as not run
     When the zone reaches the store again
     Then within 8 s a new front f3 in north-2 refuses a stream with the part
+
+  Scenario: an operator releases a part that crashes engines no more
+    Given fronts f1, f2 in north-1 and f3, f4 in north-2
+    When a sound stream has been served at f1
+    And streams with the part come at f1 until it is quarantined there
+    Then the command line lists the part as quarantined
+    When the engines are mended and the command line releases the part
+    Then within 2 s a stream with the part is served at each front
--- a/tests/fronts/test_crashing_parts.py
+++ b/tests/fronts/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """Prompt parts that crash engines, with real processes."""
 
+import json
 import re
 import secrets
 import threading
@@ -8,6 +9,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from celerywharf.cli import main
 from soak.records import read_runs
 from standins.calls import call
 from standins.crashing import CrashingEngines
@@ -144,12 +146,46 @@
     time.sleep(STABLE_S / 2)  # until the fronts have noticed
 
 
+@then('the command line lists the part as quarantined')
+def _listed(rig, capsys):
+    assert main(['quarantine', 'list', '--store', rig.store, '--json']) == 0
+    (part,) = json.loads(capsys.readouterr().out)
+    assert part['part'] == CRASHING_PART
+    assert part['quarantined']
+
+
+@when('the engines are mended and the command line releases the part')
+def _release(rig, engines):
+    engines.mend()
+    release = ['quarantine', 'release', CRASHING_PART, '--store', rig.store]
+    assert main(release) == 0
+
+
+@then(
+    parsers.parse(
+        'within {span:g} s a stream with the part is served at each front'
+    )
+)
+def _served(rig, traffic, span):
+    time.sleep(span)
+    for front in rig.fronts:
+        traffic.send_crashing(front, STREAM_PATH)
+    statuses = [answer.status for answer in traffic.crashing.values()]
+    assert statuses[-len(rig.fronts) :] == [200 for _ in rig.fronts]
+
+
 @when('the zone reaches the store again')
 def _heal(fleet):
     for name in ('f1', 'f2'):
         fleet.control(f'link-{name}', cut=False)
 
 
+@when('a sound stream has been served at f1')
+def _sound_served(traffic):
+    traffic.send_sound('f1', STREAM_PATH)
+    assert traffic.sound[-1].status == 200
+
+
 @when('streams with the part come at f1 until it is quarantined there')
 def _come_at_one(traffic):
     ends_s = time.monotonic() + 3 * STABLE_S
