Fail a generation whose prompt has crashed five engines

Change: a generation without a token fails after the connections of five engines broke under it. Engines that cannot be connected to are a failure kind of their own, `unreachable`, and do not count. Hosts do not share such prompts: the protocol has no parts that requests of several callers share by name. Before: the trace five_killed_at_start goes on and starts a sixth attempt.

--- a/celerywharf/adapters/engines.py
+++ b/celerywharf/adapters/engines.py
@@ -73,8 +73,8 @@
     """Why a stream ended without an end event.
 
     Attributes:
-        kind: ``reset``, ``truncated``, ``mismatched``, ``malformed``,
-            ``refused``, ``stale_epoch``, ``unknown_attempt`` or ``status``.
+        kind: ``reset``, ``unreachable``, ``truncated``, ``mismatched``,
+            ``malformed``, ``refused``, ``stale_epoch``, ``unknown_attempt`` or ``status``.
         verdict: whether the engine may have run the attempt.
         message: description for operators.
     """
@@ -244,7 +244,9 @@
                     'the engine does not have the attempt',
                 )
         if error is not None:
-            return StreamFailure('reset', error.verdict, error.message)
+            reached = error.verdict is not Verdict.not_run
+            kind = 'reset' if reached else 'unreachable'
+            return StreamFailure(kind, error.verdict, error.message)
         return StreamFailure(
             'status',
             Verdict.may_have_run,
--- a/celerywharf/generations/_attempts.py
+++ b/celerywharf/generations/_attempts.py
@@ -31,6 +31,10 @@
 MAX_DOUBLINGS = 8
 LENGTH_REASON = 'length'
 SILENT = 'silent'
+# Engines whose connections broke before the first token, after which the
+# generation fails: its prompt is likely to have crashed them.
+MAX_LOST_AT_START = 5
+LOST_KINDS = frozenset(('reset', 'truncated'))
 # Failure kinds for which the engine is not excluded.
 NOT_ENGINE_FAULTS = frozenset(('unknown_attempt',))
 
@@ -65,6 +69,7 @@
     Attributes:
         give_up_s: when a generation without progress fails.
         failures: number of failures since the last accepted token.
+        lost_engines: engines whose connections broke before the first token.
         not_before_s: earliest start of the next attempt.
         error: the last refusal by admission.
         pending: an attempt must be started.
@@ -72,6 +77,7 @@
 
     give_up_s: float
     failures: int = 0
+    lost_engines: int = 0
     not_before_s: float = 0
     error: CelerywharfError | None = None
     pending: bool = False
@@ -207,7 +213,12 @@
         if attempt.backend_server and kind not in NOT_ENGINE_FAULTS:
             self.failed_at[attempt.backend_server] = now
         self.retry.failures += 1
-        return [CancelAttempt(number, kind), *self._start_or_wait(now)]
+        if kind in LOST_KINDS and not self.journal.tokens:
+            self.retry.lost_engines += 1
+        cancel = CancelAttempt(number, kind)
+        if self.retry.lost_engines >= MAX_LOST_AT_START:
+            return [cancel, *self.cancel_all(), Fail(_lost_at_start())]
+        return [cancel, *self._start_or_wait(now)]
 
     def refuse(
         self,
@@ -367,3 +378,9 @@
         return self.retry.error or BackendServerError(
             'no backend server could continue the generation',
         )
+
+
+def _lost_at_start() -> CelerywharfError:
+    return BackendServerError(
+        f'{MAX_LOST_AT_START} backend servers were lost as they began it',
+    )
--- a/tests/generations/owner.feature
+++ b/tests/generations/owner.feature
@@ -23,6 +23,8 @@
       | eager_first_recovers     | a0 a1 a2 a3 | length | 2       | 2             | 2       |
       | refused_by_admission     |             | no_backend_server | 1 |          | 0       |
       | resume_finds_nothing_yet | a0 a1 c2 c3 | length | 3       | 1:reset       | 0       |
+      | five_killed_at_start     |             | backend_server_error | 5 | 1:reset 2:reset 3:truncated 4:reset 5:reset | 0 |
+      | five_unreachable_at_start | f0 f1 f2 f3 | length | 6      | 1:unreachable 2:unreachable 3:unreachable 4:unreachable 5:unreachable | 0 |
 
     Examples: engines send wrong events
       | trace           | delivered   | ended  | started | cancelled   | dropped |
