Read an engine's record file before its record in tests

Cause: the stand-in's record was fetched before the file of its runs, so a run that began in between was taken for one from before a kill and had no state: test_two_engines_are_killed_together failed once with KeyError 'state'. Change: the file is read first. Before: tests/standins/test_records.py fails. After: it passes.

--- a/celerywharf/adapters/engines.py
+++ b/celerywharf/adapters/engines.py
@@ -74,7 +74,8 @@
 
     Attributes:
         kind: ``reset``, ``unreachable``, ``truncated``, ``mismatched``,
-            ``malformed``, ``refused``, ``stale_epoch``, ``unknown_attempt`` or ``status``.
+            ``malformed``, ``refused``, ``stale_epoch``, ``unknown_attempt`` or
+            ``status``.
         verdict: whether the engine may have run the attempt.
         message: description for operators.
     """
--- a/standins/launching.py
+++ b/standins/launching.py
@@ -170,17 +170,19 @@
             ProcessLookupError: it has ended or is paused, and is no engine.
         """
         member = self.members[name]
+        # Read before the record: a run that begins in between is in the record
+        # only.
+        rebuilt = self._rebuild_runs(member.record_path)
         if member.is_running and not member.is_paused:
             record = call(member.control, 'GET', '/record')[1]
         elif member.record_path:
             record = {'name': name, 'runs': []}
         else:
             raise ProcessLookupError(name)
-        if member.record_path:
-            record['runs'] += self._rebuild_missing_runs(
-                member.record_path,
-                record['runs'],
-            )
+        live = {run.get('nonce') for run in record.get('runs', [])}
+        missing = [run for run in rebuilt if run['nonce'] not in live]
+        if missing:
+            record['runs'] += missing
         return record
 
     def kill(self, name: str) -> None:
@@ -191,18 +193,14 @@
             self.runs_before_kill.update({run['nonce']: run for run in runs})
         super().kill(name)
 
-    def _rebuild_missing_runs(
-        self,
-        path: Path,
-        live: list[dict[str, Any]],
-    ) -> list[dict[str, Any]]:
-        live_nonces = {run['nonce'] for run in live}
+    def _rebuild_runs(self, path: Path | None) -> list[dict[str, Any]]:
+        if path is None:
+            return []
         with path.open() as lines:
             rebuilt = rebuild_runs(lines)
         return [
             {**self.runs_before_kill.get(run['nonce'], {}), **run}
             for run in rebuilt
-            if run['nonce'] not in live_nonces
         ]
 
     def _start_standin(
