Reserve the ports of tests among the test runs of a machine

Change: a byte of a shared file is locked for each port until the run ends. Before: two runs that choose 200 ports of one range share some (test_ports.py). After: they share none.

--- a/standins/launching.py
+++ b/standins/launching.py
@@ -4,17 +4,20 @@
 `Fleet`, which ends all of its processes when it is closed.
 """
 
+import fcntl
+import functools
 import json
 import random
 import select
 import socket
 import subprocess
+import tempfile
 import time
 from collections.abc import Callable, Mapping
 from configparser import ConfigParser
 from http import HTTPStatus
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 from standins.calls import call
 from standins.processes import ManagedProcess, ProcessGroup
@@ -25,6 +28,7 @@
 FIRST_PORT = 15_000
 LAST_PORT = 32_000
 PORT_TRIES = 100
+RESERVATIONS = Path(tempfile.gettempdir()) / 'celerywharf-test-ports'
 
 SettingsMapping = Mapping[str, Mapping[str, Any]]
 
@@ -267,15 +271,18 @@
 
 
 def find_free_port(ip: str = '127.0.0.1') -> int:
-    """Return a port that is free now; another process may still take it.
+    """Return a port that is free now.
 
-    It lies below the ports that the kernel gives to outgoing connections.
+    It lies below the ports that the kernel gives to outgoing connections, and
+    no other test run of this machine is given it.
 
     Raises:
         OSError: no port was found to be free.
     """
     for _ in range(PORT_TRIES):
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if not _reserve_port(port):
+            continue
         with socket.socket() as probe:
             # A port on which a server has just closed connections is free.
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -287,6 +294,28 @@
     raise OSError('no free port found')
 
 
+def _reserve_port(port: int) -> bool:
+    """Reserve a port among the test runs of this machine.
+
+    Between the check of a port and its use by a started process another run
+    could choose it.  The reservation ends with this process.
+
+    Returns:
+        False if the port is reserved.
+    """
+    try:
+        fcntl.lockf(_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
+@functools.cache
+def _reservations() -> TextIO:
+    """Return the file in which the byte at each reserved port is locked."""
+    return RESERVATIONS.open('a')
+
+
 def _read_announcement(
     process: subprocess.Popen[str], name: str
 ) -> dict[str, Any]:
--- a/tests/standins/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -1,9 +1,12 @@
 """Ports for the processes of tests."""
 
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
 from standins.launching import find_free_port
+from standins.processes import ROOT
 
 EPHEMERAL_RANGE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 
@@ -13,6 +16,20 @@
     assert all(find_free_port() < first_ephemeral for _ in range(50))
 
 
+def test_two_runs_are_given_different_ports():
+    chosen = {find_free_port() for _ in range(200)}
+    command = (
+        'from standins import launching;'
+        f'launching.FIRST_PORT, launching.LAST_PORT = {min(chosen)}, '
+        f'{max(chosen) + 1};'
+        'print(*(launching.find_free_port() for _ in range(200)))'
+    )
+    printed = subprocess.check_output(
+        [sys.executable, '-c', command], cwd=ROOT, text=True
+    )
+    assert not chosen.intersection(map(int, printed.split()))
+
+
 def test_a_port_in_use_is_not_returned():
     ports = set()
     held = []
