Take an unframed stream that ends without an event for broken off

Cause: an answer may have neither a length nor chunks and end with its connection; an engine that a prompt part crashes then looks as if its stream were complete. Such a stream without an event was taken for finished, and one that ended inside an event was no loss of its server. A complete stream without an event was ended without headers, which left the caller without an answer. Change: an unframed stream that ends without an event, or inside one, has lost its server; a framed one without events is answered. After: they pass; real processes in fronts.feature (streams and calls without length or chunks).

--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -30,6 +30,7 @@
 )
 from celerywharf.units import SMALL_MESSAGE_BYTES
 
+FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 MAX_ERROR_BODY_BYTES = SMALL_MESSAGE_BYTES
 # Events without tokens that an engine may send beyond one for each token.
 EXTRA_EVENTS = 16
@@ -79,11 +80,11 @@
         events: number of events relayed by this send.
         begun_at_s: when the headers of a stream arrived, monotonic seconds;
             None before that, and for other answers.
+        framed: the answer declares its length or comes in chunks; otherwise
+            it ends with its connection.
         body: body of an answer that is not a stream.
         proven: the server has answered for so long that the prompt does not
             crash it.
-        max_event: highest event id that the requested number of tokens can
-            have; 0 if the caller did not limit them.
         transfer: the exchange with the server, held while the caller is
             congested; None until it is known.
         done: future of the outcome of the send.
@@ -106,18 +107,26 @@
         self.detector = detector
         self.splitter = EventSplitter()
         self.status = 0
+        self.framed = False
         self.headers: AnswerHeaders | None = None
         self.body = bytearray()
         self.events = 0
         self.begun_at_s: float | None = None
         self.proven = False
-        output_tokens = request.headers.output_tokens
-        self.max_event = output_tokens and output_tokens + EXTRA_EVENTS
         self.transfer: Transfer | None = None
         self.done: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def max_event(self) -> int:
+        """Return the highest event id that the requested tokens can have.
+
+        0 if the caller did not limit them.
+        """
+        output_tokens = self.request.headers.output_tokens
+        return output_tokens and output_tokens + EXTRA_EVENTS
+
     def on_headers(self, status: int, headers: Mapping[str, str]) -> None:
         """Check status and headers; end the send if they are not usable."""
         if self.headers is not None:
@@ -125,6 +134,7 @@
         now_s = self.context.timers.now()
         self.context.loads.mark_alive(self.server.name, now_s)
         self.status = status
+        self.framed = not FRAMING_HEADERS.isdisjoint(headers)
         self.headers = read_answer_headers(headers)
         outcome = refusal(status, self.headers) or invalid_answer(
             self.request,
@@ -173,11 +183,23 @@
                 return replace(outcome, begun=begun)
             return outcome
         if self.splitter.incomplete:
-            return Lost('stream ended inside an event')
-        if self.status == HTTPStatus.OK:
-            return Finished()
-        response = HttpResponse(self.status, {}, bytes(self.body))
-        return Answered(response, self.headers)
+            return self._ended_early('stream ended inside an event')
+        if self.status != HTTPStatus.OK:
+            response = HttpResponse(self.status, {}, bytes(self.body))
+            return Answered(response, self.headers)
+        if not self.framed and not self.events:
+            return self._ended_early('stream ended without an event')
+        if not self.caller.started:
+            self.caller.begin(self.status, self.headers.forwarded)
+        return Finished()
+
+    def _ended_early(self, reason: str) -> Lost:
+        """Return the outcome of a stream that ended in an impossible place.
+
+        If its length was not declared, its connection has been lost.
+        """
+        begun = not self.framed and self._has_just_begun()
+        return Lost(reason, broken=not self.framed, begun=begun)
 
     def _has_just_begun(self) -> bool:
         if self.begun_at_s is None:
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -59,6 +59,7 @@
         shorten: declare one byte more than the answer to a call has.
         status: HTTP status of the answers to plain calls.
         endless: answer without end; a key of `standins.endless.ANSWERS`.
+        unframed: answer without a length or chunks and close the connection.
         crash_on: name of a prompt part; the process ends as soon as it begins
             to write an answer to a request that has it.
     """
@@ -77,6 +78,7 @@
     shorten: bool = False
     status: int = OK
     endless: str = ''
+    unframed: bool = False
     crash_on: str = ''
 
 
@@ -265,7 +267,9 @@
             self.set_header('Server-Stamp', f'stamp.{self.standin.name}')
         if switches.encoded:
             self.set_header('Content-Encoding', 'gzip')
-        if 'Token-Count' in self.request.headers:
+        if switches.unframed:
+            await self.run_unframed(run)
+        elif 'Token-Count' in self.request.headers:
             await self.run_stream(run)
         else:
             await self.run_call(run)
@@ -295,6 +299,45 @@
             await stream.write(repeated)
             await asyncio.sleep(answer.period_s)
 
+    async def run_unframed(self, run: ServedRun) -> None:
+        """Answer a call or a stream, and end it by closing the connection.
+
+        With `break_after` a stream ends inside an event, by `cut` a call is
+        reset inside its body.
+
+        Raises:
+            StreamClosedError: the caller has disconnected.
+        """
+        switches = self.standin.switches
+        stream = self.detach()
+        head = (
+            f'HTTP/1.1 200 OK\r\nAttempt-Id: {run.request_id}\r\n'
+            f'Server-Stamp: stamp.{self.standin.name}\r\n'
+            'Connection: close\r\n\r\n'
+        )
+        await stream.write(head.encode())
+        if 'Token-Count' not in self.request.headers:
+            body = json.dumps({'id': run.request_id, 'by': self.standin.name})
+            await stream.write(body.encode())
+            run.state = 'ended'
+            if switches.cut:
+                control.reset(stream)
+            stream.close()
+            return
+        _, tokens = map(int, self.request.headers['Token-Count'].split(','))
+        for number in range(run.first + 1, tokens // TOKENS_PER_EVENT + 1):
+            await asyncio.sleep(switches.event_ms / control.MS_PER_S)
+            event = f'id: {number}\ndata: word-{number}\n\n'
+            if switches.break_after == number - run.first - 1:
+                await stream.write(event[:-1].encode())
+                run.state = 'broken'
+                break
+            await stream.write(event.encode())
+            run.events = number
+        if run.state == 'running':
+            run.state = 'ended'
+        stream.close()
+
     async def run_call(self, run: ServedRun) -> None:
         """Answer a plain call with its id and this server's name."""
         switches = self.standin.switches
--- a/tests/forwarding/relays.feature
+++ b/tests/forwarding/relays.feature
@@ -18,6 +18,27 @@
       | 0    | 1 unnumbered 2 end            | 1       | lost     |
       | 0    | 1 2 reset                     | 1 2     | lost     |
 
+  Scenario Outline: an answer without length or chunks ends with its connection
+    Given a caller that has events up to <last>
+    When an engine's unframed stream consists of <pieces>
+    Then the caller gets events <events>
+    And the send is <outcome>
+    And the server is <fate>
+
+    Examples:
+      | last | pieces       | events | outcome  | fate                |
+      | 0    | 1 2 3 end    | 1 2 3  | finished | not lost            |
+      | 0    | 1 half-2 end | 1      | lost     | lost as it began    |
+      | 0    | end          | none   | lost     | lost as it began    |
+      | 2    | end          | none   | lost     | lost as it began    |
+      | 0    | 1 2 reset    | 1 2    | lost     | lost as it began    |
+
+  Scenario: a stream that is complete without an event is answered
+    Given a caller that has events up to 0
+    When an engine's stream consists of end
+    Then the send is finished
+    And the caller's answer has begun
+
   Scenario: an event in small pieces is searched once
     When 16 events of 60000 bytes arrive in pieces of 16 bytes
     Then all of them are split within 1 s
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -24,7 +24,11 @@
 scenarios('relays.feature')
 
 REQUEST_ID = 'r1'
-VALID_HEADERS = {'attempt-id': REQUEST_ID, 'server-stamp': 's'}
+VALID_HEADERS = {
+    'attempt-id': REQUEST_ID,
+    'server-stamp': 's',
+    'transfer-encoding': 'chunked',
+}
 FAULTY_HEADERS = {
     'of another request': (200, {**VALID_HEADERS, 'attempt-id': 'r2'}),
     'without signature': (200, {'attempt-id': REQUEST_ID}),
@@ -112,14 +116,16 @@
     return relay.caller, outcome, relay
 
 
-def _feed(relay, pieces):
-    relay.on_headers(200, VALID_HEADERS)
+def _feed(relay, pieces, headers):
+    relay.on_headers(200, headers)
     for piece in pieces.split():
         match piece.partition('-'):
             case ('end', _, _):
                 relay.on_end(None)
             case ('reset', _, _):
-                relay.on_end(TransportError('reset'))
+                error = TransportError('reset')
+                error.answer_begun = True
+                relay.on_end(error)
             case ('half', _, number):
                 relay.on_chunk(f'id: {number}\ndata: wo'.encode())
             case ('comment', _, _):
@@ -145,7 +151,33 @@
     target_fixture='relayed',
 )
 def _relay_stream(last, pieces):
-    return asyncio.run(_run_relay(last, lambda relay: _feed(relay, pieces)))
+    return asyncio.run(
+        _run_relay(last, lambda relay: _feed(relay, pieces, VALID_HEADERS))
+    )
+
+
+@when(
+    parsers.parse("an engine's unframed stream consists of {pieces}"),
+    target_fixture='relayed',
+)
+def _relay_unframed(last, pieces):
+    headers = {**VALID_HEADERS}
+    headers.pop('transfer-encoding')
+    return asyncio.run(
+        _run_relay(last, lambda relay: _feed(relay, pieces, headers))
+    )
+
+
+@then(parsers.parse('the server is {fate}'))
+def _fate(relayed, fate):
+    outcome = relayed[1]
+    is_lost = isinstance(outcome, Lost) and outcome.broken and outcome.begun
+    assert is_lost == (fate == 'lost as it began')
+
+
+@then("the caller's answer has begun")
+def _begun(relayed):
+    assert relayed[0].started
 
 
 @when(
--- a/tests/fronts/fronts.feature
+++ b/tests/fronts/fronts.feature
@@ -15,6 +15,29 @@
     Then the caller has received events 1 to 20 and a complete answer
     And e2 continued from a copy
 
+  Scenario Outline: a stream without length or chunks
+    Given engines e1 in north-1, e2 in north-2, and a front
+    And e1 answers without length or chunks
+    And e1 breaks its streams after <broken> events
+    When a caller requests a stream of 20 events
+    Then the caller has received events 1 to 20 and a complete answer
+    And e2 has run <runs> of them
+
+    Examples:
+      | broken | runs |
+      | 0      | 1    |
+      | 8      | 1    |
+      | 99     | 0    |
+
+  Scenario: calls without length or chunks
+    Given desks d1, d2 and a front
+    And both desks answer without length or chunks
+    When a caller buys
+    Then the caller gets 200
+    When both desks cut the connection
+    And a caller buys
+    Then the caller gets 502
+
   Scenario: an engine that falls silent is replaced and its run is stopped
     Given engines e1 in north-1, e2 in north-2, and a front
     And e1 falls silent in its streams after 6 events
--- a/tests/fronts/test_fronts.py
+++ b/tests/fronts/test_fronts.py
@@ -32,6 +32,7 @@
     'truncate their answers': {'shorten': True},
     'answer twice': {'twice': True},
     'fail': {'status': 500},
+    'answer without length or chunks': {'unframed': True},
     'are at capacity': {'full': True},
 }
 CHANGE_TIMEOUT_S = 4.0
@@ -145,11 +146,22 @@
     threading.Thread(target=silence, daemon=True).start()
 
 
+@given(parsers.parse('{name} answers without length or chunks'))
+def _unframed(fleet, name):
+    fleet.control(name, unframed=True)
+
+
+@then(parsers.parse('{name} has run {count:d} of them'))
+def _has_run(rig, name, count):
+    assert len(rig.runs(name)) == count
+
+
 @given(parsers.parse('{name} needs {prefill:d} ms for a prompt'))
 def _slow_prompt(fleet, name, prefill):
     fleet.control(name, prefill_ms=prefill)
 
 
+@when(parsers.parse('both desks {fault}'))
 @given(parsers.parse('both desks {fault}'))
 def _faulty(fleet, fault):
     for name in ('d1', 'd2'):
