Log the request limits that servers state

Change: `Server-Limit` is read from each answer that the server itself gave (calls, heads of streams, refusals) into StatedLimits; a change is logged as `server limit`. An answer without it ends a limit only if its request was sent after the limit was stated. The load of an answer is read in the same place, no more from answers of other servers. No request is placed differently. After: tests/forwarding, tests/platform, tests/fronts/test_fronts.py pass.

--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -20,7 +20,13 @@
     Outcome,
 )
 from celerywharf.forwarding._requests import IncomingRequest
-from celerywharf.forwarding._sends import failed_send, invalid_answer, refusal
+from celerywharf.forwarding._sends import (
+    failed_send,
+    invalid_answer,
+    is_from_server,
+    record_statements,
+    refusal,
+)
 from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.platform import (
     AnswerHeaders,
@@ -141,6 +147,9 @@
             status,
             self.headers,
         )
+        if outcome is None or is_from_server(outcome):
+            sent_s = self.detector.started_s
+            record_statements(self.context, self.server, self.headers, sent_s)
         if outcome is not None:
             self.settle(outcome)
         elif status == HTTPStatus.OK:
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -17,6 +17,7 @@
     Refused,
 )
 from celerywharf.forwarding._requests import IncomingRequest
+from celerywharf.limits import LimitStatement
 from celerywharf.platform import (
     AnswerHeaders,
     Resumption,
@@ -83,6 +84,46 @@
     return None
 
 
+def is_from_server(outcome: Outcome) -> bool:
+    """Return whether an answer came from the server that was meant."""
+    match outcome:
+        case Answered():
+            return True
+        case Refused(reached=reached, replaced=replaced):
+            return reached and not replaced
+        case _:
+            return False
+
+
+def record_statements(
+    context: ForwardingContext,
+    server: BackendServer,
+    headers: AnswerHeaders,
+    sent_s: float,
+) -> None:
+    """Record what a server says of itself in the headers of an answer.
+
+    Args:
+        context: components of the host.
+        server: the backend server, which has been identified.
+        headers: headers of its answer.
+        sent_s: when the request was sent, monotonic seconds.
+    """
+    now_s = context.timers.now()
+    if headers.load is not None:
+        context.loads.reported(server.name, headers.load, now_s)
+    if headers.has_limit and headers.limit_per_s is None:
+        return
+    store_time_s = context.store_time_s()
+    statement = LimitStatement(
+        server.incarnation,
+        server.availability_zone,
+        headers.limit_per_s,
+        store_time_s,
+    )
+    context.limits.record_answer(statement, store_time_s - (now_s - sent_s))
+
+
 def invalid_answer(
     request: IncomingRequest,
     status: int,
@@ -129,7 +170,7 @@
         context.loads.ended(server.name, 0)
         context.health.ended(server)
     if isinstance(outcome, HttpResponse):
-        outcome = _classify(context, request, server, outcome)
+        outcome = _classify(context, request, server, outcome, started_s)
     record_outcome(context, server, outcome)
     if isinstance(outcome, Answered):
         took_s = context.timers.now() - started_s
@@ -191,13 +232,14 @@
     request: IncomingRequest,
     server: BackendServer,
     response: HttpResponse,
+    sent_s: float,
 ) -> Outcome:
     headers = read_answer_headers(response.headers)
-    if headers.load is not None:
-        now_s = context.timers.now()
-        context.loads.reported(server.name, headers.load, now_s)
-    return (
+    outcome = (
         refusal(response.status, headers)
         or invalid_answer(request, response.status, headers)
         or Answered(response, headers)
     )
+    if is_from_server(outcome):
+        record_statements(context, server, headers, sent_s)
+    return outcome
--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -53,6 +53,7 @@
 
     Attributes:
         gap_target_s: longest acceptable pause between two events.
+        started_s: when the send started, monotonic seconds.
         last_s: when the last event arrived, or the start before the first.
         gaps: recent pauses between events, seconds.
         has_events: whether any event has arrived.
@@ -63,6 +64,7 @@
 
     def __init__(self, gap_target_s: float, started_s: float) -> None:
         self.gap_target_s = gap_target_s
+        self.started_s = started_s
         self.last_s = started_s
         self.gaps: deque[float] = deque(maxlen=MAX_GAPS)
         self.has_events = False
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import functools
 from random import Random
 
 from celerywharf.adapters.transports import Transport
 from celerywharf.backends import Directory, Loads, Placement, ServerHealth
 from celerywharf.forwarding import ForwardingContext, Reports
 from celerywharf.fronts._retries import build_retry_limiter
+from celerywharf.limits import StatedLimits
 from celerywharf.metrics import Metrics
 from celerywharf.platform import boot_time_s
 from celerywharf.quarantine import PartGate, PartRegister
@@ -27,6 +29,7 @@
     directory = Directory()
     loads = Loads()
     health = ServerHealth(directory, loads)
+    store_time_s = functools.partial(_store_time_s, configuration_cache)
     return ForwardingContext(
         transport=transport,
         timers=timers,
@@ -43,10 +46,13 @@
         ),
         reports=Reports(transport, timers, loads, health),
         retries=build_retry_limiter(settings, timers.now, random),
-        quarantine=PartGate(
-            PartRegister(random),
-            lambda: configuration_cache.store_time_s(boot_time_s()),
-        ),
+        quarantine=PartGate(PartRegister(random), store_time_s),
+        limits=StatedLimits(),
         metrics=Metrics(),
         random=random,
+        store_time_s=store_time_s,
     )
+
+
+def _store_time_s(configuration_cache: ConfigurationCache) -> float:
+    return configuration_cache.store_time_s(boot_time_s())
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -26,6 +26,7 @@
 SERVER_STAMP = 'server-stamp'
 NOT_RUN = 'not-run'
 LOAD = 'engine-load'
+LIMIT = 'server-limit'
 BACKUP = 'kv-backup'
 RESUME_FROM = 'kv-from'
 
@@ -89,6 +90,9 @@
             body is not as the backend server sent it.
         load: running and waiting requests divided by slots; None if missing
             or malformed.
+        has_limit: the backend server states a request limit.
+        limit_per_s: requests a second that it takes from all hosts together;
+            None if it states none or a malformed one.
         forwarded: headers sent to the caller unchanged.
     """
 
@@ -97,6 +101,8 @@
     not_run: bool
     encoded: bool
     load: float | None
+    has_limit: bool
+    limit_per_s: float | None
     forwarded: dict[str, str]
 
 
@@ -154,6 +160,8 @@
         not_run=NOT_RUN in headers,
         encoded=headers.get('content-encoding', 'identity') != 'identity',
         load=_load(headers.get(LOAD)),
+        has_limit=LIMIT in headers,
+        limit_per_s=_rate_per_s(headers.get(LIMIT, '')),
         forwarded={
             name: text
             for name, text in headers.items()
@@ -241,6 +249,14 @@
     return count
 
 
+def _rate_per_s(text: str) -> float | None:
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _load(text: str | None) -> float | None:
     try:
         running, waiting, slots = map(int, (text or '').split(','))
