Show that servers get more requests than the limit that they stated

Before: 38 purchases, 37 lookups and 21 streams in 4 s (29, 29 and 11 allowed); with limits at all servers 44, and none is refused.

--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -59,6 +59,7 @@
         shorten: declare one byte more than the answer to a call has.
         status: HTTP status of the answers to plain calls.
         endless: answer without end; a key of `standins.endless.ANSWERS`.
+        limit_per_s: state this request limit in each answer.
         unframed: answer without a length or chunks and close the connection.
         crash_on: name of a prompt part; the process ends as soon as it begins
             to write an answer to a request that has it.
@@ -78,6 +79,7 @@
     shorten: bool = False
     status: int = OK
     endless: str = ''
+    limit_per_s: float | None = None
     unframed: bool = False
     crash_on: str = ''
 
@@ -201,6 +203,9 @@
 
     async def serve(self) -> None:
         """Run or refuse a request."""
+        if self.standin.switches.limit_per_s is not None:
+            limit_per_s = str(self.standin.switches.limit_per_s)
+            self.set_header('Server-Limit', limit_per_s)
         refusal_status = self.refusal_status()
         if refusal_status:
             self.set_header('Not-Run', '1')
