Iterate over a copy of the engines that are replaced meanwhile

Cause: test_an_operator_releases_a_part failed once in a whole ./check: 'dictionary changed size during iteration' in the stand-in, whose thread replaces engines while the test mends them. The fronts did what they should (kept logs).

--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -46,7 +46,9 @@
         while not self.stopped.wait(POLL_S):
             members = self.rig.fleet.members
             ended = [
-                name for name in self.zones if not members[name].is_running
+                name
+                for name in tuple(self.zones)
+                if not members[name].is_running
             ]
             for name in ended:
                 self._replace(name, self.zones.pop(name))
@@ -56,13 +58,14 @@
         self.part = ''
         while self.count_running() < len(self.zones):
             time.sleep(POLL_S)
-        for name in self.zones:
+        for name in tuple(self.zones):
             self.rig.fleet.control(name, crash_on='')
 
     def count_running(self) -> int:
         """Return how many of the current engines run."""
         members = self.rig.fleet.members
-        return sum(members[name].is_running for name in self.zones)
+        names = tuple(self.zones)
+        return sum(members[name].is_running for name in names)
 
     def stop(self) -> None:
         """Stop the replacement; engines started by it end as well."""
