Keep all hosts together within the limits that servers state

Cause: no host read the limit, and no host knew what the others send: a limit for all hosts together needs one place that grants. Evidence: rates at both servers did not change when they stated their limits; the test on: 38, 37 and 21 requests in 4 s (29, 29 and 11 allowed). Change: package limits. Before each send to a server with a limit a host asks the reader of its zone, which asks the reader of the server's zone; that one has a token bucket for the whole limit, so it is used whatever zones and hosts have the requests. Who is refused is told a time at which to ask again, takes another server meanwhile, and answers 503 with that time if all are at their limits. Streams in progress may run two requests ahead. A zone that does not reach the granting reader uses an equal part of half of the limit, a host without a reader one of a quarter, a host that shares nothing a fifteenth. Statements travel with the answers to the table questions of a zone. Servers with a limit are not probed. A limit that nobody has repeated for 30 s is dropped; all is bounded.

--- a/bench/emulation.py
+++ b/bench/emulation.py
@@ -25,6 +25,7 @@
     ServerHealth,
 )
 from celerywharf.forwarding import Reports
+from celerywharf.limits import Clocks, ServerLimiter, StatedLimits
 from celerywharf.structures import Address
 
 # Figures from the load sheets of the platform's users.
@@ -152,7 +153,10 @@
             dict.fromkeys(ZONES, 'region'),
             Random(number),
         )
-        self.reports = Reports(cluster, cluster, self.loads, health)
+        limits = ServerLimiter(
+            StatedLimits(), None, Clocks(cluster.now, cluster.now)
+        )
+        self.reports = Reports(cluster, cluster, self.loads, health, limits)
         self.round_robin = itertools.cycle(cluster.engines)
         for _ in range(cluster.random.randrange(len(cluster.engines))):
             next(self.round_robin)
--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import abc
+import itertools
+import math
+from collections.abc import Iterable
 from http import HTTPStatus
 
 from celerywharf.backends import BackendServer
@@ -24,6 +27,12 @@
 from celerywharf.forwarding._request_log import RequestLog
 from celerywharf.forwarding._requests import IncomingRequest
 
+# Servers at their limits that are passed over for one request.
+MAX_LIMITED = 16
+MIN_RETRY_AFTER_S = 0.2
+# Those who are refused together return at different times.
+RETRY_AFTER_JITTER = 1.0
+
 
 class Forwarding(abc.ABC):
     """Sends one request until it is finished or must not be retried.
@@ -34,6 +43,8 @@
         service: name of the service that the request is sent to.
         request_log: writes its log lines.
         plan: decides the next step after each send.
+        limit_wait_s: the shortest time after which a server that was at its
+            limit may be tried; infinite if there was none.
         prompt_parts: the parts of the prompt that other requests may share.
     """
 
@@ -49,6 +60,7 @@
         self.service = service
         self.request_log = request_log
         self.plan = RetryPlan(request.route.policy, request.route.max_attempts)
+        self.limit_wait_s = math.inf
         self.prompt_parts = request.headers.shared_parts
 
     async def run(self) -> PassOn | Fail | Done:
@@ -59,6 +71,7 @@
             if blocking is not None:
                 self.context.metrics.count('quarantine_refusals')
                 return self.plan.quarantined(blocking)
+            self.limit_wait_s = math.inf
             step = await self.send()
             if not isinstance(step, SendAgain):
                 return step
@@ -91,6 +104,39 @@
             ):
                 quarantine.completed(self.prompt_parts)
 
+    async def first_within_limit(
+        self, servers: Iterable[BackendServer]
+    ) -> BackendServer | None:
+        """Return the first server whose limit allows this request.
+
+        None if there is none among the first ``MAX_LIMITED`` servers; the
+        shortest time after which one may be tried is kept for the caller.
+        """
+        for server in itertools.islice(servers, MAX_LIMITED):
+            if await self.is_within_limit(server):
+                return server
+        return None
+
+    async def is_within_limit(self, server: BackendServer) -> bool:
+        """Return whether a server's limit allows a request now."""
+        limits = self.context.limits
+        incarnation = server.incarnation
+        if await limits.acquire(incarnation, in_progress=self.in_progress()):
+            return True
+        wait_s = limits.wait_s(incarnation)
+        self.limit_wait_s = min(self.limit_wait_s, wait_s)
+        return False
+
+    def give_up_for_now(self) -> PassOn | Fail:
+        """Return the final step if no server may be sent the request now."""
+        if math.isinf(self.limit_wait_s):
+            return self.plan.give_up('no backend server available')
+        spread = 1 + RETRY_AFTER_JITTER * self.context.random.random()
+        return self.plan.give_up(
+            'backend servers are at their limits',
+            max(self.limit_wait_s, MIN_RETRY_AFTER_S) * spread,
+        )
+
     async def _may_repeat(self) -> bool:
         if not self.plan.delivered:
             return True
--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -43,9 +43,9 @@
         remaining_s = self.request.deadline_at_s() - now_s
         if remaining_s <= 0:
             return self.plan.timed_out()
-        server = self._choose(now_s)
+        server = await self._choose(now_s)
         if server is None:
-            return self.plan.give_up('no backend server available')
+            return self.give_up_for_now()
         self.tried_names.add(server.name)
         with self.context.quarantine.sending(self.prompt_parts):
             outcome = await send_call(
@@ -63,14 +63,17 @@
         self.request_log.log_send(server, outcome, step)
         return step
 
-    def _choose(self, now_s: float) -> BackendServer | None:
+    async def _choose(self, now_s: float) -> BackendServer | None:
         """Choose an untried server, else a tried one that was reachable."""
         placement = self.context.placement
-        untried = Demand(self.service, excluded=self.tried_names)
-        reachable = Demand(self.service, excluded=self.unreachable_names)
-        return placement.choose(untried, now_s) or placement.choose(
-            reachable, now_s
-        )
+        for excluded in (self.tried_names, self.unreachable_names):
+            ranked = placement.ranked(
+                Demand(self.service, excluded=excluded), now_s
+            )
+            server = await self.first_within_limit(ranked)
+            if server is not None:
+                return server
+        return None
 
     def _answer_timeout_s(self, remaining_s: float) -> float:
         if isinstance(self.request.route.policy, Idempotent) and (
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
 from celerywharf.adapters.transports import Transport
 from celerywharf.backends import Loads, Placement, ServerHealth
 from celerywharf.forwarding._reports import Reports
-from celerywharf.limits import StatedLimits
+from celerywharf.limits import ServerLimiter
 from celerywharf.metrics import Metrics
 from celerywharf.quarantine import PartGate
 from celerywharf.retries import RetryLimiter
@@ -19,11 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardingContext:
-    """Components of the host, shared by all requests.
-
-    Attributes:
-        store_time_s: returns the time on the store's clock, seconds.
-    """
+    """Components of the host, shared by all requests."""
 
     transport: Transport
     timers: TimerService
@@ -34,7 +29,6 @@
     reports: Reports
     retries: RetryLimiter
     quarantine: PartGate
-    limits: StatedLimits
+    limits: ServerLimiter
     metrics: Metrics
     random: Random
-    store_time_s: Callable[[], float]
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -132,13 +132,17 @@
         """Return whether the request may be sent again if this send fails."""
         return self.repeatable and self.sends + 1 < self.max_attempts
 
-    def give_up(self, reason: str) -> PassOn | Fail:
+    def give_up(
+        self, reason: str, retry_after_s: float | None = None
+    ) -> PassOn | Fail:
         """Return the final step of a request that is not sent again.
 
         An error answer of a backend server is forwarded, if there is one,
         rather than replaced by an error of this host.
         """
-        return self.answer or self.unavailable(reason)
+        if self.answer is not None:
+            return self.answer
+        return replace(self.unavailable(reason), retry_after_s=retry_after_s)
 
     def unavailable(self, reason: str) -> Fail:
         """Return the error if no backend server can take the request."""
@@ -148,10 +152,8 @@
 
     def quarantined(self, part: str) -> PassOn | Fail:
         """Return the final step if a prompt part must reach no server."""
-        step = self.give_up(f'prompt part {part} is quarantined')
-        if isinstance(step, Fail):
-            return replace(step, retry_after_s=QUARANTINE_RETRY_AFTER_S)
-        return step
+        reason = f'prompt part {part} is quarantined'
+        return self.give_up(reason, QUARANTINE_RETRY_AFTER_S)
 
     def timed_out(self) -> Fail:
         """Return the error if the deadline of the request has passed."""
--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -14,6 +14,7 @@
     ServerHealth,
 )
 from celerywharf.exceptions import ProtocolError, TransportError
+from celerywharf.limits import ServerLimiter
 from celerywharf.platform import PROBE_PATH, decode_report
 from celerywharf.timers import TimerService
 from celerywharf.units import SMALL_MESSAGE_BYTES
@@ -43,11 +44,13 @@
         timers: TimerService,
         loads: Loads,
         health: ServerHealth,
+        limits: ServerLimiter,
     ) -> None:
         self.transport = transport
         self.timers = timers
         self.loads = loads
         self.health = health
+        self.limits = limits
 
     async def best(
         self,
@@ -134,5 +137,12 @@
         return decode_report((await self.transport.fetch(request)).body)
 
     def _is_stale(self, server: BackendServer) -> bool:
+        """Return whether a server should be probed.
+
+        One that has stated a limit is not: the probe would take the place of a
+        request.
+        """
+        if self.limits.is_limited(server.incarnation):
+            return False
         age_s = self.timers.now() - self.loads.report_at_s(server.name)
         return age_s > REPORT_MAX_AGE_S
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -17,7 +17,6 @@
     Refused,
 )
 from celerywharf.forwarding._requests import IncomingRequest
-from celerywharf.limits import LimitStatement
 from celerywharf.platform import (
     AnswerHeaders,
     Resumption,
@@ -114,14 +113,12 @@
         context.loads.reported(server.name, headers.load, now_s)
     if headers.has_limit and headers.limit_per_s is None:
         return
-    store_time_s = context.store_time_s()
-    statement = LimitStatement(
+    context.limits.record_answer(
         server.incarnation,
         server.availability_zone,
         headers.limit_per_s,
-        store_time_s,
+        sent_s,
     )
-    context.limits.record_answer(statement, store_time_s - (now_s - sent_s))
 
 
 def invalid_answer(
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from celerywharf.backends import BackendServer, Demand
@@ -14,6 +15,9 @@
 
 STREAM_CANDIDATES = 2  # engines probed for their load at a time
 BACKUP_CANDIDATES = 1  # the same for the backup copy
+MAX_LIMITED = 8  # engines at their limits that are passed over for one send
+
+LimitCheck = Callable[[BackendServer], Awaitable[bool]]
 
 
 class StreamPlacer:
@@ -26,6 +30,7 @@
             unknown or has none.
         demand: what the stream needs from an engine.
         failed_names: names of engines that failed or refused this stream.
+        limited_names: names of engines at their limits, for the current send.
         copy_holder: engine that may hold a copy of the run; None if there is
             none or it has been tried.
     """
@@ -50,11 +55,18 @@
             self.memory.capacity_tokens if self.memory else 0,
         )
         self.failed_names: set[str] = set()
+        self.limited_names: set[str] = set()
         self.copy_holder: BackendServer | None = None
 
-    async def place(self) -> tuple[BackendServer | None, Resumption]:
+    async def place(
+        self, is_within_limit: LimitCheck
+    ) -> tuple[BackendServer | None, Resumption]:
         """Choose an engine for the next send.
 
+        Args:
+            is_within_limit: returns whether an engine's limit allows a
+                request now.
+
         Returns:
             The engine, None if there is none, and the position from which it
             must resume the stream.
@@ -65,12 +77,18 @@
         if (
             copy_holder is not None
             and copy_holder.name not in self.failed_names
+            and await is_within_limit(copy_holder)
         ):
             return copy_holder, Resumption(last_event, copy_holder.address)
-        server = await self.context.reports.best(
-            self._rank_engines, STREAM_CANDIDATES
-        )
-        return server, Resumption(last_event)
+        self.limited_names = set()
+        for _ in range(MAX_LIMITED):
+            server = await self.context.reports.best(
+                self._rank_engines, STREAM_CANDIDATES
+            )
+            if server is None or await is_within_limit(server):
+                return server, Resumption(last_event)
+            self.limited_names.add(server.name)
+        return None, Resumption(last_event)
 
     async def backup(
         self,
@@ -138,4 +156,5 @@
         )
 
     def _current_demand(self) -> Demand:
-        return replace(self.demand, excluded=self.failed_names)
+        excluded = self.failed_names | self.limited_names
+        return replace(self.demand, excluded=excluded)
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -84,9 +84,9 @@
         remaining_s = self.request.deadline_at_s() - now_s
         if remaining_s <= 0:
             return self.plan.timed_out()
-        server, resumption = await self.placer.place()
+        server, resumption = await self.placer.place(self.is_within_limit)
         if server is None:
-            return self.plan.give_up('no backend server available')
+            return self.give_up_for_now()
         # Reserved before the backup is chosen, so that streams placed in the
         # meantime take this one into account.
         self.relay = None
@@ -195,6 +195,11 @@
         if not self.plan.has_alternative:
             return
         liveness = relay.detector.assess(now_s, self._alive_at_s(server))
+        if liveness is Liveness.suspect and not await self.is_within_limit(
+            server
+        ):
+            relay.detector.record_report(self.context.timers.now())
+            return
         if liveness is Liveness.suspect:
             report = await self.context.reports.probe(server)
             request_id = self.request.headers.request_id
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -8,8 +8,13 @@
 from celerywharf.adapters.transports import Transport
 from celerywharf.backends import Directory, Loads, Placement, ServerHealth
 from celerywharf.forwarding import ForwardingContext, Reports
-from celerywharf.fronts._retries import build_retry_limiter
-from celerywharf.limits import StatedLimits
+from celerywharf.fronts._retries import UNSHARED_HOSTS, build_retry_limiter
+from celerywharf.limits import (
+    Clocks,
+    FixedShare,
+    ServerLimiter,
+    StatedLimits,
+)
 from celerywharf.metrics import Metrics
 from celerywharf.platform import boot_time_s
 from celerywharf.quarantine import PartGate, PartRegister
@@ -30,6 +35,11 @@
     loads = Loads()
     health = ServerHealth(directory, loads)
     store_time_s = functools.partial(_store_time_s, configuration_cache)
+    limits = ServerLimiter(
+        StatedLimits(),
+        FixedShare(1 / UNSHARED_HOSTS),
+        Clocks(timers.now, store_time_s),
+    )
     return ForwardingContext(
         transport=transport,
         timers=timers,
@@ -44,13 +54,12 @@
             settings.zones.regions,
             random,
         ),
-        reports=Reports(transport, timers, loads, health),
+        reports=Reports(transport, timers, loads, health, limits),
         retries=build_retry_limiter(settings, timers.now, random),
         quarantine=PartGate(PartRegister(random), store_time_s),
-        limits=StatedLimits(),
+        limits=limits,
         metrics=Metrics(),
         random=random,
-        store_time_s=store_time_s,
     )
 
 
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -17,13 +17,18 @@
 from celerywharf.fronts._graceful_stop import GracefulStop
 from celerywharf.fronts._reload import Reload, SettingsWatcher
 from celerywharf.fronts._retries import apply_retry_ratio
-from celerywharf.fronts._sharing import build_shared_store
+from celerywharf.fronts._sharing import build_shared_store, build_zone_readers
 from celerywharf.fronts._status import StatusPage, build_status_server
 from celerywharf.fronts._watchers import ConfigurationWatcher, ServerWatcher
 from celerywharf.platform import StoreClient, boot_time_s
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
-from celerywharf.sharing import PartExchange, TrialSchedule
+from celerywharf.sharing import (
+    LimitExchange,
+    PartExchange,
+    TrialSchedule,
+    ZoneReaders,
+)
 from celerywharf.sockets import bind
 from celerywharf.tasks import Part
 from celerywharf.timers import TimerService
@@ -48,6 +53,8 @@
         gateway: serves the connections of callers.
         shared_store: tables shared with the zone's other fronts; None if no
             address for other fronts is set.
+        zone_readers: links to the readers of other zones; None like
+            ``shared_store``.
         part_exchange: shares what is known of prompt parts with the other
             fronts.
         watchers: follow the tables of the store; first the watcher of the
@@ -79,6 +86,14 @@
         self.shared_store = build_shared_store(
             settings, self.store, self.context, self.timers, self.random
         )
+        self.zone_readers: ZoneReaders | None = None
+        if self.shared_store is not None:
+            self.zone_readers = build_zone_readers(
+                settings, self.store, self.shared_store
+            )
+            self.context.limits.lender = LimitExchange(
+                self.context.limits.stated, self.shared_store, self.zone_readers
+            )
         self.part_exchange = PartExchange(
             self.context.quarantine.register,
             self.store,
@@ -158,9 +173,9 @@
 
     def _parts(self) -> tuple[Part, ...]:
         parts = (*self.watchers, self.part_exchange, self.settings_watcher)
-        return (
-            parts if self.shared_store is None else (self.shared_store, *parts)
-        )
+        if self.shared_store is None:
+            return parts
+        return (self.shared_store, self.zone_readers, *parts)
 
     def _listen(self) -> None:
         front = self.settings.front
--- a/celerywharf/fronts/_retries.py
+++ b/celerywharf/fronts/_retries.py
@@ -9,9 +9,9 @@
 from celerywharf.settings import FrontSettings
 from celerywharf.sharing import Lending
 
-# Part of the retry slack for each host of a deployment whose hosts share
-# nothing; up to this many of them stay within the slack.
-SLACK_SHARES = 15
+# Assumed number of hosts of a deployment whose hosts share nothing; up to this
+# many of them stay within the retry slack and the limits of servers.
+UNSHARED_HOSTS = 15
 RATIO_SHARE = 0.9  # keeps the total of all hosts below the ratio
 # Parts of the retry slack for lenders and for the shares of hosts.  Two lenders
 # of a zone may lend at the same time after a partition.
@@ -29,7 +29,7 @@
     ratio = bounds.retry_ratio * RATIO_SHARE
     window_s = bounds.retry_window_s
     if settings.front.peers is None:
-        fixed = int(bounds.retry_slack / SLACK_SHARES)
+        fixed = int(bounds.retry_slack / UNSHARED_HOSTS)
         return RetryLimiter(RetryBudget(ratio, fixed, window_s), now)
     zones = max(len(settings.zones.regions), 1)
     share = HostShare(
--- a/celerywharf/fronts/_sharing.py
+++ b/celerywharf/fronts/_sharing.py
@@ -8,7 +8,13 @@
 from celerywharf.forwarding import ForwardingContext
 from celerywharf.platform import StoreClient
 from celerywharf.settings import FrontSettings
-from celerywharf.sharing import Lending, Reader, ReaderElection, SharedStore
+from celerywharf.sharing import (
+    Lending,
+    Reader,
+    ReaderElection,
+    SharedStore,
+    ZoneReaders,
+)
 from celerywharf.structures import HostIdentity
 from celerywharf.timers import TimerService
 
@@ -39,7 +45,16 @@
             front.peers,
             int(timers.wall() * MILLISECONDS),
         ),
-        context.configuration_cache.synchronize,
+        context.configuration_cache,
         lending,
+        context.limits.stated,
         context.metrics,
     )
+
+
+def build_zone_readers(
+    settings: FrontSettings, store: StoreClient, shared_store: SharedStore
+) -> ZoneReaders:
+    """Return the links to the readers of other zones."""
+    zones = len(settings.zones.regions)
+    return ZoneReaders(store, shared_store.identity, zones)
--- /dev/null
+++ b/celerywharf/limits/_limiter.py
@@ -0,0 +1,109 @@
+"""Keeps the sends of a host within the limits that servers state."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from celerywharf.limits._lender import LimitLender
+from celerywharf.limits._statements import LimitStatement, StatedLimits
+
+MAX_WAITS = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Clocks:
+    """Clocks of a host.
+
+    Attributes:
+        now: returns monotonic seconds.
+        store_time_s: returns the time on the store's clock, seconds.
+    """
+
+    now: Callable[[], float]
+    store_time_s: Callable[[], float]
+
+
+class ServerLimiter:
+    """Decides whether a request may be sent to a server now.
+
+    Attributes:
+        stated: what servers have stated.
+        lender: grants requests; None grants all.
+        clocks: clocks of this host.
+        waits: until when a server was refused, by incarnation, monotonic
+            seconds.
+    """
+
+    def __init__(
+        self, stated: StatedLimits, lender: LimitLender | None, clocks: Clocks
+    ) -> None:
+        self.stated = stated
+        self.lender = lender
+        self.clocks = clocks
+        self.waits: dict[str, float] = {}
+
+    def is_limited(self, incarnation: str) -> bool:
+        """Return whether a server has stated a limit."""
+        return self._statement(incarnation) is not None
+
+    def wait_s(self, incarnation: str) -> float:
+        """Return how long not to send to a server; 0 if it may be tried."""
+        until_s = self.waits.get(incarnation, 0)
+        return max(until_s - self.clocks.now(), 0)
+
+    def record_answer(
+        self,
+        incarnation: str,
+        availability_zone: str,
+        per_s: float | None,
+        sent_s: float,
+    ) -> None:
+        """Record what an answer says of its server's limit.
+
+        Args:
+            incarnation: the incarnation of the server.
+            availability_zone: zone of the server.
+            per_s: the stated limit; None if there is none.
+            sent_s: when the request was sent, monotonic seconds.
+        """
+        if per_s is None and incarnation not in self.stated.statements:
+            return
+        store_time_s = self.clocks.store_time_s()
+        statement = LimitStatement(
+            incarnation, availability_zone, per_s, store_time_s
+        )
+        age_s = self.clocks.now() - sent_s
+        recorded = self.stated.record_answer(statement, store_time_s - age_s)
+        if recorded and self.lender is not None:
+            self.lender.tell(statement)
+
+    async def acquire(
+        self, incarnation: str, *, in_progress: bool = False
+    ) -> bool:
+        """Return whether a request may be sent to a server now.
+
+        Args:
+            incarnation: the incarnation of the server.
+            in_progress: whether the caller already has a part of the answer.
+        """
+        statement = self._statement(incarnation)
+        if statement is None or self.lender is None:
+            return True
+        if self.wait_s(incarnation) > 0 and not in_progress:
+            return False
+        grant = await self.lender.ask(statement, in_progress=in_progress)
+        if not grant.granted:
+            self._wait(incarnation, grant.wait_s)
+        return grant.granted
+
+    def _statement(self, incarnation: str) -> LimitStatement | None:
+        if not self.stated.statements:
+            return None
+        return self.stated.limit(incarnation, self.clocks.store_time_s())
+
+    def _wait(self, incarnation: str, wait_s: float) -> None:
+        self.waits.pop(incarnation, None)
+        self.waits[incarnation] = self.clocks.now() + wait_s
+        if len(self.waits) > MAX_WAITS:
+            self.waits.pop(next(iter(self.waits)))
--- a/celerywharf/limits/_statements.py
+++ b/celerywharf/limits/_statements.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 logger = logging.getLogger(__name__)
 
 # A limit that no answer has repeated for this long is dropped, so that a server
 # that gets no requests is asked again.
-STATEMENT_TTL_S = 10.0
+STATEMENT_TTL_S = 30.0
 MAX_STATEMENTS = 1024
 
 
@@ -57,7 +56,7 @@
             return None
         return known
 
-    def record_answer(self, statement: LimitStatement, sent_s: float) -> None:
+    def record_answer(self, statement: LimitStatement, sent_s: float) -> bool:
         """Record what an answer says.
 
         Answers on different connections may overtake each other, so one
@@ -67,19 +66,26 @@
         Args:
             statement: what the answer says.
             sent_s: when the request was sent, on the store's clock.
+
+        Returns:
+            Whether it says something new.
         """
         known = self.statements.get(statement.incarnation)
         if statement.per_s is None and (
             known is None or known.per_s is None or sent_s < known.at_s
         ):
-            return
-        self.merge(statement)
+            return False
+        return self.merge(statement)
+
+    def merge(self, statement: LimitStatement) -> bool:
+        """Add a statement that this or another host has received.
 
-    def merge(self, statement: LimitStatement) -> None:
-        """Add a statement that this or another host has received."""
+        Returns:
+            Whether it is newer than the known one.
+        """
         known = self.statements.get(statement.incarnation)
         if known is not None and known.at_s >= statement.at_s:
-            return
+            return False
         previous = known and known.per_s
         if previous != statement.per_s:
             logger.info(
@@ -94,23 +100,16 @@
         self.statements[statement.incarnation] = statement
         if len(self.statements) > MAX_STATEMENTS:
             self.statements.pop(next(iter(self.statements)))
+        return True
 
-    def current(self, now_s: float) -> Iterable[LimitStatement]:
+    def current(self, now_s: float) -> list[LimitStatement]:
         """Return all statements that have not expired."""
         self.statements = {
             incarnation: statement
             for incarnation, statement in self.statements.items()
             if not _is_expired(statement, now_s)
         }
-        return self.statements.values()
-
-    def retain(self, incarnations: Container[str]) -> None:
-        """Drop the statements of other servers."""
-        self.statements = {
-            incarnation: statement
-            for incarnation, statement in self.statements.items()
-            if incarnation in incarnations
-        }
+        return list(self.statements.values())
 
 
 def _is_expired(statement: LimitStatement, now_s: float) -> bool:
--- a/celerywharf/sharing/__init__.py
+++ b/celerywharf/sharing/__init__.py
@@ -10,15 +10,18 @@
 from celerywharf.sharing._answers import SharedTable, answer
 from celerywharf.sharing._election import ElectionStep, Reader, ReaderElection
 from celerywharf.sharing._lending import Lending
+from celerywharf.sharing._limit_exchange import LimitExchange
 from celerywharf.sharing._mirror import Mirror
 from celerywharf.sharing._part_exchange import PartExchange
 from celerywharf.sharing._part_rows import read_parts, release_part
+from celerywharf.sharing._readers import ZoneReaders
 from celerywharf.sharing._store import SharedStore
 from celerywharf.sharing._trials import TrialSchedule
 
 __all__ = (
     'ElectionStep',
     'Lending',
+    'LimitExchange',
     'Mirror',
     'PartExchange',
     'Reader',
@@ -26,6 +29,7 @@
     'SharedStore',
     'SharedTable',
     'TrialSchedule',
+    'ZoneReaders',
     'answer',
     'read_parts',
     'release_part',
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from dataclasses import replace
 
 from celerywharf.exceptions import (
@@ -13,6 +13,7 @@
     PeerUnreachableError,
     PlatformUnavailableError,
 )
+from celerywharf.limits import StatedLimits
 from celerywharf.metrics import Metrics
 from celerywharf.platform import (
     HistoryGoneError,
@@ -20,7 +21,7 @@
     StoreClient,
     boot_time_s,
 )
-from celerywharf.routing import AnswerTiming
+from celerywharf.routing import AnswerTiming, ConfigurationCache
 from celerywharf.sharing._answers import SharedTable, answer, decode_rows
 from celerywharf.sharing._election import ElectionStep, Reader, ReaderElection
 from celerywharf.sharing._entries import (
@@ -29,6 +30,7 @@
     encode_reader,
 )
 from celerywharf.sharing._lending import Lending
+from celerywharf.sharing._limit_messages import from_message, to_message
 from celerywharf.sharing._store_backoff import StoreBackoff
 from celerywharf.structures import HostIdentity
 from celerywharf.tasks import Part
@@ -72,6 +74,8 @@
         newest_store_s: the latest time of the store's clock in an answer of a
             reader, seconds.
         lending: lends retries to the fronts of the zone.
+        configuration_cache: knows the store's clock.
+        limits: request limits that servers have stated, shared in the zone.
         server: serves the other fronts, with this front's key.
         client: link to the reader, with the reader's key; None without one.
     """
@@ -81,16 +85,18 @@
         store: StoreClient,
         election: ReaderElection,
         identity: HostIdentity,
-        synchronize: Callable[[AnswerTiming], None],
+        configuration_cache: ConfigurationCache,
         lending: Lending,
+        limits: StatedLimits,
         metrics: Metrics,
     ) -> None:
         super().__init__()
         self.store = store
         self.election = election
         self.identity = identity
-        self.synchronize = synchronize
+        self.configuration_cache = configuration_cache
         self.lending = lending
+        self.limits = limits
         self.metrics = metrics
         self.tables: dict[str, SharedTable] = defaultdict(SharedTable)
         self.row_checked = asyncio.Event()
@@ -239,7 +245,6 @@
                 READER_WAIT_S + READER_ANSWER_SLACK_S,
             )
             self._check_clock(reply)
-            self.lending.learn_hosts(reply.zone_hosts)
         except HistoryGoneError:
             raise
         except CelerywharfError as error:
@@ -250,6 +255,8 @@
                 self._report_reader_failure(reader, error.message)
             return None
         self.reader_answers = True
+        self.lending.learn_hosts(reply.zone_hosts)
+        self._learn_limits(reply)
         self.metrics.count('table_readings', source='reader')
         timing = AnswerTiming(
             sent_s, boot_time_s(), reply.store_s, relayed=True
@@ -286,7 +293,18 @@
         self.lending.record_host(sender.host)
         self.election.record_request(boot_time_s())
         reply = await answer(self.tables[question.table], question, boot_time_s)
-        return replace(reply, zone_hosts=self.lending.count_hosts())
+        now_s = self.configuration_cache.store_time_s(boot_time_s())
+        return replace(
+            reply,
+            zone_hosts=self.lending.count_hosts(),
+            limits=[to_message(each) for each in self.limits.current(now_s)],
+        )
+
+    def _learn_limits(self, reply: TableAnswer) -> None:
+        for limit in reply.limits:
+            statement = from_message(limit)
+            if statement is not None:
+                self.limits.merge(statement)
 
     async def _check_periodically(self) -> None:
         while True:
@@ -304,7 +322,7 @@
     async def _check_row(self) -> None:
         zone = self.identity.availability_zone
         reading = await self.store.read_row(READER_TABLE, zone)
-        self.synchronize(reading.timing)
+        self.configuration_cache.synchronize(reading.timing)
         row = next(iter(reading.rows), None)
         step = self.election.apply_row(decode_reader(row), boot_time_s())
         if step is ElectionStep.take_over:
--- a/celerywharf/wire/schemas/sharing.capnp
+++ b/celerywharf/wire/schemas/sharing.capnp
@@ -31,4 +31,27 @@
   version @1 :Int64;
   storeS @2 :Float64;
   zoneHosts @3 :Int64;
+  limits @4 :List(ServerLimit);
+}
+
+struct ServerLimit {
+  incarnation @0 :Text;
+  availabilityZone @1 :Text;
+  hasLimit @2 :Bool;
+  perS @3 :Float64;
+  atS @4 :Float64;
+}
+
+struct LimitQuestion {
+  limit @0 :ServerLimit;
+  inProgress @1 :Bool;
+}
+
+struct LimitAnswer {
+  granted @0 :Bool;
+  waitS @1 :Float64;
+}
+
+struct LimitNotice {
+  limit @0 :ServerLimit;
 }
--- a/celerywharf/wire/sharing.py
+++ b/celerywharf/wire/sharing.py
@@ -1,12 +1,31 @@
-"""Messages among the fronts of a zone: rows of the store, and retries."""
+"""Messages among fronts: rows of the store, retries and request limits."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 WHOLE_TABLE = -1
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLimit:
+    """What a backend server has stated of its request limit.
+
+    Attributes:
+        incarnation: the incarnation of the backend server.
+        availability_zone: zone of the backend server.
+        has_limit: whether it states a limit.
+        per_s: requests a second that it takes from all hosts together.
+        at_s: when an answer said so, on the store's clock, seconds.
+    """
+
+    incarnation: str
+    availability_zone: str
+    has_limit: bool
+    per_s: float
+    at_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class TableQuestion:
     """Asks for a table or for its changes; the reply is a ``TableAnswer``.
@@ -51,12 +70,14 @@
         store_s: the store's clock at the last successful read, seconds.
         zone_hosts: number of hosts that read from this reader, itself
             included; 0 if unknown.
+        limits: the request limits that servers have stated lately.
     """
 
     rows: list[SharedRow]
     version: int
     store_s: float
     zone_hosts: int = 0
+    limits: list[ServerLimit] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,3 +110,36 @@
 
     lent: bool
     zone_hosts: int
+
+
+@dataclass(frozen=True, slots=True)
+class LimitQuestion:
+    """Asks to send one request to a server; the reply is a ``LimitAnswer``.
+
+    Attributes:
+        limit: what the asking host knows of the server.
+        in_progress: whether a caller already has a part of the answer.
+    """
+
+    limit: ServerLimit
+    in_progress: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LimitAnswer:
+    """The decision on one request to a server.
+
+    Attributes:
+        granted: whether the host may send the request.
+        wait_s: if not, when to ask again, seconds.
+    """
+
+    granted: bool
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """Passes on what a server has stated to the sending host."""
+
+    limit: ServerLimit
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -14,7 +14,7 @@
 from celerywharf.forwarding._outcomes import Finished, Lost, Refused
 from celerywharf.forwarding._relays import Progress, StreamRelay
 from celerywharf.forwarding._silence import SilenceDetector
-from celerywharf.limits import StatedLimits
+from celerywharf.limits import Clocks, ServerLimiter, StatedLimits
 from celerywharf.metrics import Metrics
 from celerywharf.platform import read_request_headers
 from celerywharf.quarantine import PartGate, PartRegister
@@ -76,11 +76,12 @@
         placement=None,
         reports=None,
         retries=None,
-        limits=StatedLimits(),
+        limits=ServerLimiter(
+            StatedLimits(), None, Clocks(time.monotonic, time.monotonic)
+        ),
         quarantine=PartGate(PartRegister(Random(1)), time.monotonic),
         metrics=Metrics(),
         random=None,
-        store_time_s=time.monotonic,
     )
 
 
--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -10,6 +10,7 @@
 from celerywharf.backends import Directory, Loads, ServerHealth
 from celerywharf.exceptions import TransportError
 from celerywharf.forwarding import Reports
+from celerywharf.limits import Clocks, ServerLimiter, StatedLimits
 from celerywharf.structures import Address
 from celerywharf.timers import TimerService
 from tests.backends.test_directory import SERVICE, make_server
@@ -28,7 +29,17 @@
         self.timers = TimerService()
         self.directory = Directory()
         self.health = ServerHealth(self.directory, self.loads)
-        self.reports = Reports(self, self.timers, self.loads, self.health)
+        self.reports = Reports(
+            self,
+            self.timers,
+            self.loads,
+            self.health,
+            ServerLimiter(
+                StatedLimits(),
+                None,
+                Clocks(self.timers.now, self.timers.now),
+            ),
+        )
 
     async def fetch(self, request):
         """Answer a probe with the scripted report."""
--- a/tests/fronts/server_limits.feature
+++ b/tests/fronts/server_limits.feature
@@ -28,6 +28,15 @@
     And together they got at least 6 requests a second
     And each request was served or refused as not run within 0.5 s
 
+  Scenario: the front that grants a limit is killed
+    When d1 states a limit of 4 a second
+    And callers send purchases 40 times a second for 3 s
+    And the reader of the zone of d1 is killed
+    And callers send purchases 40 times a second for 10 s
+    Then from 4 s on d1 got at most 29 requests in any 4 s
+    And d1 got at least 1 requests a second
+    And nearly all requests were served
+
   Scenario: a limit ends when a server states it no more
     When d1 states a limit of 4 a second
     And callers send purchases 40 times a second for 6 s
--- a/tests/fronts/test_server_limits.py
+++ b/tests/fronts/test_server_limits.py
@@ -119,6 +119,18 @@
     traffic.play(PATHS[requests], per_s, span)
 
 
+@when('the reader of the zone of d1 is killed')
+def _kill_reader(rig, fleet, traffic):
+    (reader,) = [
+        name
+        for name in ('f1', 'f3')
+        if '"step": "take_over"' in fleet.log(name)
+    ]
+    fleet.kill(reader)
+    rig.fronts.pop(reader)
+    traffic.answers.clear()
+
+
 @then(
     parsers.re(
         r'from 4 s on (?P<names>d\d(, d\d)*) got at most (?P<limit>\d+) '
