Log the digest of requests whose sends fail

Change: a digest of account, host, method, target and body in 'send failed'; computed only when it is logged. No decision depends on it yet.

--- a/celerywharf/forwarding/_request_log.py
+++ b/celerywharf/forwarding/_request_log.py
@@ -54,6 +54,7 @@
             'send failed',
             extra={
                 'request_id': self.request.headers.request_id,
+                'request_digest': self.request.digest,
                 'backend_server': server.name,
                 'send': self.sends,
                 'outcome': _describe(outcome),
--- a/celerywharf/forwarding/_requests.py
+++ b/celerywharf/forwarding/_requests.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import functools
+import hashlib
 from dataclasses import dataclass
 
 from celerywharf.platform import RequestHeaders
 from celerywharf.routing import Route
 
 
-@dataclass(frozen=True, slots=True)
+DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True)
 class IncomingRequest:
     """A request that has been accepted for a route.
 
     Attributes:
         method: HTTP method.
+        host: the Host header, in lower case and without the port.
         target: path and query as the caller sent them.
         body: None if there is none.
         headers: parsed headers.
@@ -23,6 +29,7 @@
     """
 
     method: str
+    host: str
     target: str
     body: bytes | None
     headers: RequestHeaders
@@ -30,6 +37,21 @@
     account: str | None
     arrived_s: float
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """Return what the request has in common with its repetitions.
+
+        Repetitions of a request have the same account, host, method, target
+        and body, and differ in their ids and deadlines.
+        """
+        account = 'public' if self.account is None else f'of {self.account}'
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for text in (account, self.host, self.method, self.target):
+            encoded = text.encode(errors='surrogatepass')
+            digest.update(f'{len(encoded)}:'.encode() + encoded)
+        digest.update(self.body or b'')
+        return digest.hexdigest()
+
     def deadline_at_s(self) -> float:
         """Return when the caller must have its answer, monotonic seconds.
 
--- a/celerywharf/fronts/_gateway.py
+++ b/celerywharf/fronts/_gateway.py
@@ -151,6 +151,7 @@
             return
         request = IncomingRequest(
             method=self.start_line.method,
+            host=self.host,
             target=self.start_line.path,
             body=bytes(self.body) if self.has_body else None,
             headers=self.headers,
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -99,7 +99,7 @@
         public=True,
     )
     headers = read_request_headers([('Attempt-Id', REQUEST_ID)])
-    return IncomingRequest('POST', '/', b'', headers, route, None, 0)
+    return IncomingRequest('POST', 'shop', '/', b'', headers, route, None, 0)
 
 
 def _make_relay(last):
