--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -1,4 +1,4 @@
-"""Engines that crash on a prompt part and come back as new instances."""
+"""Engines that requests crash, and that come back as new instances."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 
 
 class CrashingEngines(threading.Thread):
-    """Runs engines that crash on a prompt part; replaces those that ended.
+    """Runs engines that requests crash; replaces those that ended.
 
     Attributes:
         rig: the platform that the engines belong to.
         service: service of the engines.
-        part: name of the prompt part that crashes an engine.
+        switches: what crashes an engine, as switches of the stand-in.
         zones: availability zone of each running engine, by name.
         crashes: when each engine was seen to have ended, by name, monotonic
             seconds.
@@ -24,11 +24,11 @@
         stopped: event that ends the replacement of engines.
     """
 
-    def __init__(self, rig: PlatformRig, service: str, part: str) -> None:
+    def __init__(self, rig: PlatformRig, service: str, **switches: str) -> None:
         super().__init__(daemon=True)
         self.rig = rig
         self.service = service
-        self.part = part
+        self.switches = switches
         self.zones: dict[str, str] = {}
         self.crashes: dict[str, float] = {}
         self.started = 0
@@ -38,7 +38,7 @@
         """Start and register an engine."""
         self.started += 1
         name = f'engine-{self.started}'
-        self.rig.add_server(name, self.service, zone, crash_on=self.part)
+        self.rig.add_server(name, self.service, zone, **self.switches)
         self.zones[name] = zone
 
     def run(self) -> None:
@@ -55,11 +55,11 @@
 
     def mend(self) -> None:
         """Let no engine crash any more; return when all are running."""
-        self.part = ''
+        self.switches = dict.fromkeys(self.switches, '')
         while self.count_running() < len(self.zones):
             time.sleep(POLL_S)
         for name in tuple(self.zones):
-            self.rig.fleet.control(name, crash_on='')
+            self.rig.fleet.control(name, **self.switches)
 
     def count_running(self) -> int:
         """Return how many of the current engines run."""
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -63,6 +63,8 @@
         unframed: answer without a length or chunks and close the connection.
         crash_on: name of a prompt part; the process ends as soon as it begins
             to write an answer to a request that has it.
+        crash_request: account, target and body of a request, with spaces
+            between; the process ends as soon as it runs one like it.
     """
 
     full: bool = False
@@ -82,6 +84,7 @@
     limit_per_s: float | None = None
     unframed: bool = False
     crash_on: str = ''
+    crash_request: str = ''
 
 
 @dataclass(slots=True)
@@ -213,6 +216,7 @@
             self.answer(refusal_status, {})
             return
         self.served_run = self.start_run()
+        await self.crash_if_requested(self.served_run)
         try:
             await self.run(self.served_run)
         except StreamClosedError:
@@ -279,6 +283,13 @@
         else:
             await self.run_call(run)
 
+    async def crash_if_requested(self, run: ServedRun) -> None:
+        """End the process without an answer if the request crashes it."""
+        crash_request = self.standin.switches.crash_request
+        if crash_request == f'{run.account} {run.target} {run.body}':
+            await asyncio.sleep(CRASH_DELAY_S)
+            os._exit(CRASH_EXIT_CODE)
+
     async def crash_if_due(self) -> None:
         """End the process if a part of the prompt crashes it."""
         crash_on = self.standin.switches.crash_on
--- a/tests/fronts/test_crashing_parts.py
+++ b/tests/fronts/test_crashing_parts.py
@@ -115,7 +115,7 @@
 
 @pytest.fixture
 def engines(rig):
-    engines = CrashingEngines(rig, 'narrator', CRASHING_PART)
+    engines = CrashingEngines(rig, 'narrator', crash_on=CRASHING_PART)
     for number in range(6):
         engines.add(('north-1', 'north-2')[number % 2])
     engines.start()
