Keep a request that crashes engines from reaching them again

Cause: what harms servers was known only by shared parts of prompts; a call has none, a request's own part is not among them, and the fate of a request was forgotten with it, by each host for itself. Change: the quarantine knows traits: shared prompt parts and the digest of the whole request (account, host, method, target, body), for calls and streams, in one register and one exchange. Three losses of servers at work on a request, five of waiting streams, without an answer between them, keep its repetitions out; a request that was lost no more often than another one, or than a part, on the same servers is not blocked. A request explains the losses of the parts it shares. An answer, or one second of a stream, clears it. A first loss is told to others after half a second, if the request has not been answered by then. A call that broke off two servers is not sent a third time. Records are bounded as before (1,024, the lightest go first).

--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -15,7 +15,7 @@
   backend     Manage backend servers.
   host        List and drain entry hosts.
   status      Show the status of a host and the table revision at all hosts.
-  quarantine  List and release prompt parts that fronts keep from engines.
+  quarantine  List and release requests that fronts keep from engines.
   timeline    Show the events of all processes.
   usage       Show the resources used by each client account.
   explain     Show what log files contain about a request.
--- a/celerywharf/cli/_quarantine.py
+++ b/celerywharf/cli/_quarantine.py
@@ -1,16 +1,17 @@
-"""celerywharf quarantine: prompt parts that fronts keep from engines.
+"""celerywharf quarantine: requests that fronts keep from engines.
 
 Usage:
-  celerywharf quarantine list --store ADDRESS [--json]
-  celerywharf quarantine release PART --store ADDRESS
+  celerywharf quarantine list --store ADDRESS [--all] [--json]
+  celerywharf quarantine release NAME --store ADDRESS
   celerywharf quarantine (-h | --help)
 
 Commands:
-  list     Show the prompt parts under which engines were lost.
-  release  Let requests with a part reach engines again.
+  list     Show the requests and prompt parts that reach no engine.
+  release  Let a request, or requests with a prompt part, reach engines again.
 
 Options:
   --store ADDRESS  The platform's metadata store, ip:port.
+  --all            Show all under which engines were lost lately.
   --json           Print JSON instead of columns.
 """
 
@@ -28,30 +29,34 @@
 from celerywharf.cli._printing import print_json, print_records
 from celerywharf.exceptions import SettingsError
 from celerywharf.platform import StoreClient
-from celerywharf.quarantine import PartRecord
-from celerywharf.sharing import read_parts, release_part
+from celerywharf.quarantine import LossRecord, is_request
+from celerywharf.sharing import read_records, release_trait
 from celerywharf.structures import Address
 
-COLUMNS = ('part', 'quarantined', 'generation', 'lost_servers')
+COLUMNS = ('kind', 'name', 'quarantined', 'generation', 'lost_servers')
 
 Result = TypeVar('Result')
 
 
 def run(argv: Sequence[str]) -> int:
-    """List the parts or release one."""
+    """List what is quarantined, or release a request or a part."""
     options = docopt(__doc__, argv=list(argv))
     address = _parse_address(options['--store'])
     if options['release']:
-        part = options['PART']
+        name = options['NAME']
         if not asyncio.run(
-            _call(address, lambda store: release_part(store, part))
+            _call(address, lambda store: release_trait(store, name))
         ):
-            sys.stderr.write(f'celerywharf: {part}: no engines were lost\n')
+            sys.stderr.write(f'celerywharf: {name}: no engines were lost\n')
             return ExitCode.failed
-        sys.stdout.write(f'{part}: released\n')
+        sys.stdout.write(f'{name}: released\n')
         return ExitCode.done
-    parts = asyncio.run(_call(address, read_parts))
-    records = [_describe(part) for part in parts if part.losses]
+    lost = asyncio.run(_call(address, read_records))
+    records = [
+        _describe(record)
+        for record in lost
+        if record.is_heavy or (record.losses and options['--all'])
+    ]
     if options['--json']:
         print_json(records)
     else:
@@ -69,12 +74,13 @@
         transport.close()
 
 
-def _describe(part: PartRecord) -> dict[str, Any]:
+def _describe(record: LossRecord) -> dict[str, Any]:
     return {
-        'part': part.part,
-        'quarantined': part.is_heavy,
-        'generation': part.generation,
-        'lost_servers': [loss.instance for loss in part.losses],
+        'kind': 'request' if is_request(record.trait) else 'prompt part',
+        'name': record.trait,
+        'quarantined': record.is_heavy,
+        'generation': record.generation,
+        'lost_servers': [loss.instance for loss in record.losses],
     }
 
 
--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -5,7 +5,7 @@
 import abc
 import itertools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from http import HTTPStatus
 
 from celerywharf.backends import BackendServer
@@ -45,7 +45,7 @@
         plan: decides the next step after each send.
         limit_wait_s: the shortest time after which a server that was at its
             limit may be tried; infinite if there was none.
-        prompt_parts: the parts of the prompt that other requests may share.
+        traits: what may crash backend servers about the request.
     """
 
     def __init__(
@@ -61,13 +61,13 @@
         self.request_log = request_log
         self.plan = RetryPlan(request.route.policy, request.route.max_attempts)
         self.limit_wait_s = math.inf
-        self.prompt_parts = request.headers.shared_parts
+        self.traits = request.traits
 
     async def run(self) -> PassOn | Fail | Done:
         """Send and retry the request; return the final step."""
         self.context.retries.record_request(self.service)
         while True:
-            blocking = self.context.quarantine.blocking_part(self.prompt_parts)
+            blocking = self.context.quarantine.blocking_trait(self.traits)
             if blocking is not None:
                 self.context.metrics.count('quarantine_refusals')
                 return self.plan.quarantined(blocking)
@@ -86,23 +86,27 @@
         """Return whether the caller already has a part of the answer."""
         return False
 
+    def suspects(self) -> Sequence[str]:
+        """Return the traits that may have crashed the server of a send."""
+        return self.traits
+
     def record_end(self, server: BackendServer, outcome: Outcome) -> None:
-        """Record whether a server was lost under the request's prompt."""
+        """Record whether a server was lost under the request."""
         quarantine = self.context.quarantine
         match outcome:
             case Lost(broken=True, begun=begun):
                 quarantine.lost(
-                    self.prompt_parts,
+                    self.suspects(),
                     server.incarnation,
                     server.availability_zone,
                     begun=begun,
                 )
             case Finished():
-                quarantine.completed(self.prompt_parts)
+                quarantine.completed(self.traits)
             case Answered(response=response) if (
                 response.status < HTTPStatus.INTERNAL_SERVER_ERROR
             ):
-                quarantine.completed(self.prompt_parts)
+                quarantine.completed(self.traits)
 
     async def first_within_limit(
         self, servers: Iterable[BackendServer]
--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -47,7 +47,7 @@
         if server is None:
             return self.give_up_for_now()
         self.tried_names.add(server.name)
-        with self.context.quarantine.sending(self.prompt_parts):
+        with self.context.quarantine.sending(self.traits):
             outcome = await send_call(
                 self.context,
                 self.request,
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -10,7 +10,7 @@
 from celerywharf.forwarding._reports import Reports
 from celerywharf.limits import ServerLimiter
 from celerywharf.metrics import Metrics
-from celerywharf.quarantine import PartGate
+from celerywharf.quarantine import QuarantineGate
 from celerywharf.retries import RetryLimiter
 from celerywharf.routing import ConfigurationCache
 from celerywharf.timers import TimerService
@@ -28,7 +28,7 @@
     placement: Placement
     reports: Reports
     retries: RetryLimiter
-    quarantine: PartGate
+    quarantine: QuarantineGate
     limits: ServerLimiter
     metrics: Metrics
     random: Random
--- a/celerywharf/forwarding/_outcomes.py
+++ b/celerywharf/forwarding/_outcomes.py
@@ -43,8 +43,9 @@
         reason: for the log.
         broken: whether the connection broke or the server stopped responding,
             so that the server may be dead.
-        begun: whether the answer had just begun when the connection broke, so
-            that the request itself may have crashed the server.
+        begun: whether the server was at work on the request itself when the
+            connection broke, so that it may have crashed the server: the
+            answer had just begun, or it was a call.
         resumable: whether the request may be sent again; False if what the
             caller already has cannot be part of a correct answer.
     """
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -15,6 +15,7 @@
     Refused,
 )
 from celerywharf.platform import AnswerHeaders
+from celerywharf.quarantine import describe
 from celerywharf.routing import (
     Idempotent,
     NonIdempotent,
@@ -26,10 +27,10 @@
 # A refusal costs no engine time, so it does not count as an attempt.  The limit
 # prevents endless retries at a service that is full.
 MAX_REFUSALS = 3
-# Losses as the answer had just begun: a request to which this happens twice is
-# likely to have crashed both servers.
+# Losses while the server was at work on the request: one to which this happens
+# twice is likely to have crashed both servers.
 MAX_BEGUN_LOSSES = 2
-# A quarantined part stays so for hours.
+# A quarantined trait stays so for hours.
 QUARANTINE_RETRY_AFTER_S = 60.0
 MIN_TIME_FOR_RETRY_S = 0.05  # about the duration of the shortest calls
 
@@ -85,8 +86,8 @@
         max_attempts: maximum number of sends that may have run.
         sends: number of sends that may have run.
         refusals: number of sends that a backend server refused.
-        begun_losses: number of sends that lost their server as it had just
-            begun to answer.
+        begun_losses: number of sends that lost their server while it was at
+            work on the request.
         may_have_run: whether any send may have run, in which case the caller
             must not receive 503.
         answer: the backend server's own answer to the last send, if any.
@@ -150,9 +151,9 @@
             return Fail(HTTPStatus.BAD_GATEWAY, reason)
         return Fail(HTTPStatus.SERVICE_UNAVAILABLE, reason)
 
-    def quarantined(self, part: str) -> PassOn | Fail:
-        """Return the final step if a prompt part must reach no server."""
-        reason = f'prompt part {part} is quarantined'
+    def quarantined(self, trait: str) -> PassOn | Fail:
+        """Return the final step if a trait must reach no server."""
+        reason = f'{describe(trait)} is quarantined'
         return self.give_up(reason, QUARANTINE_RETRY_AFTER_S)
 
     def timed_out(self) -> Fail:
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -250,8 +250,7 @@
     def _record_progress(self, now_s: float) -> None:
         if not self.proven and now_s - self.begun_at_s >= PROOF_S:
             self.proven = True
-            parts = self.request.headers.shared_parts
-            self.context.quarantine.progressed(parts)
+            self.context.quarantine.progressed(self.request.traits)
 
     def _hold(self, transfer: Transfer) -> None:
         """Stop reading from the server until the caller has caught up."""
--- a/celerywharf/forwarding/_requests.py
+++ b/celerywharf/forwarding/_requests.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 
 from celerywharf.platform import RequestHeaders
+from celerywharf.quarantine import request_trait
 from celerywharf.routing import Route
 
-
 DIGEST_BYTES = 16
 
 
@@ -52,6 +52,11 @@
         digest.update(self.body or b'')
         return digest.hexdigest()
 
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """Return what may crash backend servers about the request."""
+        return (request_trait(self.digest), *self.headers.shared_parts)
+
     def deadline_at_s(self) -> float:
         """Return when the caller must have its answer, monotonic seconds.
 
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from http import HTTPStatus
 
 from celerywharf.adapters.transports import HttpRequest, HttpResponse
@@ -221,7 +222,11 @@
     except TimeoutError:
         return Lost('answer timed out')
     except TransportError as error:
-        return failed_send(error)
+        outcome = failed_send(error)
+        # A server that breaks off a call is likely to have been at work on it.
+        if isinstance(outcome, Lost) and outcome.broken:
+            return replace(outcome, begun=True)
+        return outcome
 
 
 def _classify(
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+from collections.abc import Sequence
 from typing import Any
 
 from celerywharf.backends import BackendServer
@@ -66,6 +67,12 @@
         """Return whether the caller has received a part of the stream."""
         return self.caller.started
 
+    def suspects(self) -> Sequence[str]:
+        """Return the traits that may have crashed the server of a send."""
+        if self.relay is not None and self.relay.proven:
+            return self.request.headers.shared_parts
+        return self.traits
+
     def details(self) -> dict[str, Any]:
         """Return the log fields that describe the finished stream."""
         progress = self.progress
@@ -149,7 +156,7 @@
         relay.transfer = transfer
         try:
             with context.quarantine.sending(
-                self.prompt_parts, functools.partial(_recall, relay)
+                self.traits, functools.partial(_recall, relay)
             ):
                 outcome = await self._await_outcome(relay, server)
         finally:
@@ -224,4 +231,4 @@
 def _recall(relay: StreamRelay) -> None:
     """Take a stream back whose answer has not begun."""
     if relay.begun_at_s is None:
-        relay.settle(Recalled('a prompt part was quarantined meanwhile'))
+        relay.settle(Recalled('quarantined meanwhile'))
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -17,7 +17,7 @@
 )
 from celerywharf.metrics import Metrics
 from celerywharf.platform import boot_time_s
-from celerywharf.quarantine import PartGate, PartRegister
+from celerywharf.quarantine import LossRegister, QuarantineGate
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
 from celerywharf.timers import TimerService
@@ -56,7 +56,7 @@
         ),
         reports=Reports(transport, timers, loads, health, limits),
         retries=build_retry_limiter(settings, timers.now, random),
-        quarantine=PartGate(PartRegister(random), store_time_s),
+        quarantine=QuarantineGate(LossRegister(random), store_time_s),
         limits=limits,
         metrics=Metrics(),
         random=random,
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -25,7 +25,7 @@
 from celerywharf.settings import FrontSettings
 from celerywharf.sharing import (
     LimitExchange,
-    PartExchange,
+    QuarantineExchange,
     TrialSchedule,
     ZoneReaders,
 )
@@ -55,7 +55,7 @@
             address for other fronts is set.
         zone_readers: links to the readers of other zones; None like
             ``shared_store``.
-        part_exchange: shares what is known of prompt parts with the other
+        quarantine_exchange: shares what requests crash engines with the other
             fronts.
         watchers: follow the tables of the store; first the watcher of the
             configuration, then that of the backend servers.
@@ -94,7 +94,7 @@
             self.context.limits.lender = LimitExchange(
                 self.context.limits.stated, self.shared_store, self.zone_readers
             )
-        self.part_exchange = PartExchange(
+        self.quarantine_exchange = QuarantineExchange(
             self.context.quarantine.register,
             self.store,
             self.shared_store,
@@ -167,12 +167,16 @@
         return (
             not self.gateway.admission.draining
             and self.watchers[1].version is not None
-            and self.part_exchange.has_begun
+            and self.quarantine_exchange.has_begun
             and self.configuration_cache.accepts_keys(boot_time_s())
         )
 
     def _parts(self) -> tuple[Part, ...]:
-        parts = (*self.watchers, self.part_exchange, self.settings_watcher)
+        parts = (
+            *self.watchers,
+            self.quarantine_exchange,
+            self.settings_watcher,
+        )
         if self.shared_store is None:
             return parts
         return (self.shared_store, self.zone_readers, *parts)
--- a/celerywharf/quarantine/_gate.py
+++ b/celerywharf/quarantine/_gate.py
@@ -1,4 +1,4 @@
-"""Keeps requests with quarantined prompt parts from backend servers."""
+"""Keeps requests with quarantined traits from backend servers."""
 
 from __future__ import annotations
 
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from celerywharf.quarantine._records import Loss
-from celerywharf.quarantine._register import PartRegister
+from celerywharf.quarantine._register import LossRegister
+from celerywharf.quarantine._traits import REQUEST_PREFIX, is_request
 
 logger = logging.getLogger(__name__)
 
@@ -20,30 +21,30 @@
     """A request that a backend server has not begun to answer, or not ended.
 
     Attributes:
-        parts: the shared parts of its prompt.
+        traits: the traits of the request.
         recall: called when one of them is quarantined; None if the send must
             not be interrupted.
     """
 
-    parts: Sequence[str]
+    traits: Sequence[str]
     recall: Callable[[], None] | None
 
 
-class PartGate:
+class QuarantineGate:
     """Checks requests against the register, and reports their ends to it.
 
     Attributes:
-        register: decides which parts are quarantined.
+        register: decides which traits are quarantined.
         now: returns the time on the store's clock, seconds.
-        is_trial_host: returns whether this host may let a request with a part
+        is_trial_host: returns whether this host may let a request with a trait
             through at a time; None if no host may.
-        sends: sends in progress whose prompts have shared parts.
-        quarantined: parts that were logged as quarantined.
+        sends: sends in progress.
+        quarantined: traits that were logged as quarantined.
     """
 
     def __init__(
         self,
-        register: PartRegister,
+        register: LossRegister,
         now: Callable[[], float],
     ) -> None:
         self.register = register
@@ -53,27 +54,24 @@
         self.quarantined: set[str] = set()
         register.subscribers.append(self._on_change)
 
-    def blocking_part(self, parts: Sequence[str]) -> str | None:
-        """Return the part for which a request must not be sent; None if none.
+    def blocking_trait(self, traits: Sequence[str]) -> str | None:
+        """Return the trait for which a request must not be sent; None if none.
 
         After some time one request is let through by one host of all, as a
         trial.
         """
-        part = self.register.blocking_part(parts)
-        if part is None or not self._may_try(part, parts):
-            return part
-        logger.info('quarantined part tried', extra={'prompt_part': part})
+        trait = self.register.blocking_trait(traits)
+        if trait is None or not self._may_try(trait, traits):
+            return trait
+        logger.info('quarantined trait tried', extra=_log_fields(trait))
         return None
 
     @contextmanager
     def sending(
-        self, parts: Sequence[str], recall: Callable[[], None] | None = None
+        self, traits: Sequence[str], recall: Callable[[], None] | None = None
     ) -> Iterator[None]:
-        """Call ``recall`` if a part is quarantined while the body runs."""
-        if not parts:
-            yield
-            return
-        send = _Send(parts, recall)
+        """Call ``recall`` if a trait is quarantined while the body runs."""
+        send = _Send(traits, recall)
         self.sends.add(send)
         try:
             yield
@@ -82,7 +80,7 @@
 
     def lost(
         self,
-        parts: Sequence[str],
+        traits: Sequence[str],
         instance: str,
         availability_zone: str,
         *,
@@ -91,55 +89,60 @@
         """Record the loss of a server that worked on a request.
 
         Args:
-            parts: the shared parts of the request's prompt.
+            traits: the traits of the request that may have crashed it.
             instance: the incarnation of the server.
             availability_zone: zone of the server.
-            begun: whether the answer had just begun.
+            begun: whether the server was at work on the request itself.
         """
-        if parts:
-            loss = Loss(self.now(), instance, availability_zone, begun)
-            self.register.record_loss(parts, loss)
+        loss = Loss(self.now(), instance, availability_zone, begun)
+        self.register.record_loss(traits, loss)
 
-    def progressed(self, parts: Sequence[str]) -> None:
+    def progressed(self, traits: Sequence[str]) -> None:
         """Record that a server has been answering a request for a while."""
-        self.register.record_progress(parts)
+        self.register.record_progress(traits)
 
-    def completed(self, parts: Sequence[str]) -> None:
+    def completed(self, traits: Sequence[str]) -> None:
         """Record that a request has been answered completely."""
-        self.register.record_completion(parts)
+        self.register.record_completion(traits)
 
-    def _may_try(self, part: str, parts: Sequence[str]) -> bool:
+    def _may_try(self, trait: str, traits: Sequence[str]) -> bool:
         now_s = self.now()
-        if now_s < self.register.trial_due_s(part, parts):
+        if now_s < self.register.trial_due_s(trait, traits):
             return False
-        if self.is_trial_host is None or not self.is_trial_host(part, now_s):
+        if self.is_trial_host is None or not self.is_trial_host(trait, now_s):
             return False
-        return not any(part in send.parts for send in self.sends)
+        return not any(trait in send.traits for send in self.sends)
 
-    def _on_change(self, part: str) -> None:
-        self._log(part)
+    def _on_change(self, trait: str) -> None:
+        self._log(trait)
         for send in tuple(self.sends):
-            if send.recall is None or part not in send.parts:
+            if send.recall is None or trait not in send.traits:
                 continue
-            if self.register.blocking_part(send.parts) is not None:
+            if self.register.blocking_trait(send.traits) is not None:
                 send.recall()
 
-    def _log(self, part: str) -> None:
-        record = self.register.records.get(part)
-        is_quarantined = part in self.register.heavy
-        if is_quarantined == (part in self.quarantined):
+    def _log(self, trait: str) -> None:
+        record = self.register.records.get(trait)
+        is_quarantined = trait in self.register.heavy
+        if is_quarantined == (trait in self.quarantined):
             return
         if is_quarantined:
-            self.quarantined.add(part)
+            self.quarantined.add(trait)
         else:
-            self.quarantined.discard(part)
+            self.quarantined.discard(trait)
+        subject = 'request' if is_request(trait) else 'prompt part'
+        change = 'quarantined' if is_quarantined else 'released'
         logger.warning(
-            'prompt part quarantined'
-            if is_quarantined
-            else 'prompt part released',
+            f'{subject} {change}',
             extra={
-                'prompt_part': part,
+                **_log_fields(trait),
                 'generation': record.generation if record else None,
                 'lost_servers': sorted(record.instances) if record else [],
             },
         )
+
+
+def _log_fields(trait: str) -> dict[str, str]:
+    if is_request(trait):
+        return {'request_digest': trait.removeprefix(REQUEST_PREFIX)}
+    return {'prompt_part': trait}
--- a/celerywharf/quarantine/_records.py
+++ b/celerywharf/quarantine/_records.py
@@ -1,4 +1,4 @@
-"""What is known of a prompt part whose requests lost their servers."""
+"""What is known of a trait whose requests lost their servers."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 import math
 from dataclasses import dataclass, replace
 
-# A loss counts most if the answer had just begun: few other requests on the
-# server are at that point.
+# A loss counts most if the server was at work on the request: few others on
+# the server are at that point.
 BEGUN_WEIGHT = 5
 OTHER_WEIGHT = 3
 # Losses in a zone closer together than this count once: servers that fail
@@ -16,7 +16,7 @@
 MAX_LOSSES = 16
 # Three servers lost as they began an answer, or five lost otherwise.
 QUARANTINE_WEIGHT = 3 * BEGUN_WEIGHT
-# A loss this long after the one before belongs to another trial of a part.
+# A loss this long after the one before belongs to another trial of a trait.
 TRIAL_PAUSE_S = 4.0
 
 
@@ -29,7 +29,8 @@
             seconds.
         instance: the incarnation of the backend server.
         availability_zone: zone of the backend server.
-        begun: the answer to the request had just begun.
+        begun: the server was at work on the request itself: the answer had
+            just begun, or it was a call.
     """
 
     at_s: float
@@ -39,24 +40,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PartRecord:
-    """Losses under requests with one prompt part, in a row.
+class LossRecord:
+    """Losses under requests with one trait, in a row.
 
-    Records of the same part from several hosts are merged; the result does
+    Records of the same trait from several hosts are merged; the result does
     not depend on order or repetition.
 
     Attributes:
-        part: name of the prompt part.
-        generation: increases when a request with the part has completed or an
+        trait: see ``celerywharf.quarantine._traits``.
+        generation: increases when a request with the trait has completed or an
             operator has released it; older losses then no longer count.
         losses: the newest losses, one for each server, oldest first.
     """
 
-    part: str
+    trait: str
     generation: int = 0
     losses: tuple[Loss, ...] = ()
 
-    def merge(self, other: PartRecord) -> PartRecord:
+    def merge(self, other: LossRecord) -> LossRecord:
         """Return what both records say together."""
         if self.generation != other.generation:
             return max(self, other, key=lambda record: record.generation)
@@ -67,15 +68,15 @@
                 max(known, loss), begun=known.begun or loss.begun
             )
         losses = tuple(sorted(by_instance.values()))[-MAX_LOSSES:]
-        return PartRecord(self.part, self.generation, losses)
+        return LossRecord(self.trait, self.generation, losses)
 
-    def add(self, loss: Loss) -> PartRecord:
+    def add(self, loss: Loss) -> LossRecord:
         """Return the record with one more loss."""
-        return self.merge(PartRecord(self.part, self.generation, (loss,)))
+        return self.merge(LossRecord(self.trait, self.generation, (loss,)))
 
-    def cleared(self) -> PartRecord:
+    def cleared(self) -> LossRecord:
         """Return the record without losses, in the next generation."""
-        return PartRecord(self.part, self.generation + 1)
+        return LossRecord(self.trait, self.generation + 1)
 
     @property
     def instances(self) -> frozenset[str]:
@@ -100,12 +101,12 @@
 
     @property
     def is_heavy(self) -> bool:
-        """Return whether there are enough losses to quarantine the part."""
+        """Return whether there are enough losses to quarantine the trait."""
         return sum(self.weights) >= QUARANTINE_WEIGHT
 
     @property
     def trials(self) -> int:
-        """Return how often the part was tried after it was quarantined."""
+        """Return how often the trait was tried after it was quarantined."""
         totals = itertools.accumulate(self.weights)
         return sum(
             total > QUARANTINE_WEIGHT
--- a/celerywharf/quarantine/_register.py
+++ b/celerywharf/quarantine/_register.py
@@ -1,4 +1,4 @@
-"""Decides which prompt parts no longer reach backend servers."""
+"""Decides which requests no longer reach backend servers."""
 
 from __future__ import annotations
 
@@ -8,79 +8,83 @@
 from dataclasses import replace
 from random import Random
 
-from celerywharf.quarantine._records import Loss, PartRecord
+from celerywharf.quarantine._records import Loss, LossRecord
+from celerywharf.quarantine._traits import is_request
 
 MAX_RECORDS = 1024
 MAX_PROVEN = 4096
-MAX_PARTS_PER_LOSS = 32
-# Waits before a quarantined part is tried again; the last one doubles.  The
+MAX_TRAITS_PER_LOSS = 32
+# Waits before a quarantined trait is tried again; the last one doubles.  The
 # first two are for parts that may be suspect only for what other parts do.
 AMBIGUOUS_TRIAL_WAITS_S = (5.0, 30.0)
+REQUEST_TRIAL_WAITS_S = (60.0,)
 TRIAL_WAIT_S = 7200.0
 
 Subscriber = Callable[[str], None]
 
 
-class PartRegister:
-    """Records the losses of servers by prompt part, and quarantines parts.
+class LossRegister:
+    """Records the losses of servers by trait, and quarantines traits.
 
-    Answers loads in which a part of a prompt crashes each server that begins
-    to write an answer to it, whatever else the request holds.  Such requests
-    come at any host, and share their other parts with sound requests.
+    Answers two loads: a part of a prompt crashes each server that begins to
+    write an answer to it, whatever else the request holds; and one request
+    crashes each server that runs it, and comes again.  Such requests come at
+    any host, and share all but one trait with sound requests.
 
     A part is suspect only while no request with it completes.  Of a lost
     request the parts are suspect that are not known to be sound; if all are,
-    each of them.
+    each of them; and always the request itself.
 
     Times are seconds on the store's clock.
 
     Attributes:
-        records: what is known by part; the most recently changed last.
-        heavy: parts with enough losses to be quarantined.
+        records: what is known by trait; the most recently changed last.
+        heavy: traits with enough losses to be quarantined.
         proven: parts of completed requests, the most recent last.
         serials: number of the last change of each record.
         serial: number of the last change.
         random: picks some of a request's many parts.
-        subscribers: called with the name of each part whose record changed
+        subscribers: called with the name of each trait whose record changed
             or was dropped.
     """
 
     def __init__(self, random: Random) -> None:
         self.random = random
-        self.records: OrderedDict[str, PartRecord] = OrderedDict()
+        self.records: OrderedDict[str, LossRecord] = OrderedDict()
         self.heavy: set[str] = set()
         self.proven: OrderedDict[str, None] = OrderedDict()
         self.serials: dict[str, int] = {}
         self.serial = 0
         self.subscribers: list[Subscriber] = []
 
-    def blocking_part(self, parts: Collection[str]) -> str | None:
-        """Return the part for which a request must not be sent; None if none.
+    def blocking_trait(self, traits: Collection[str]) -> str | None:
+        """Return the trait for which a request must not be sent; None if none.
 
-        A quarantined part does not block a request if what the request lacks
-        explains all of its losses: one other suspect part, or several other
-        quarantined parts together.
+        A quarantined trait does not block a request if what the request lacks
+        explains all of its losses: one other suspect trait, or several other
+        quarantined traits together.  Requests that were lost together with a
+        part several times do not explain its losses together.
 
         Args:
-            parts: the shared parts of the request's prompt.
+            traits: the traits of the request.
         """
-        suspects = self.heavy.intersection(parts)
+        suspects = self.heavy.intersection(traits)
         blocking = (
-            part
-            for part in parts
-            if part in suspects and not self._is_explained(part, parts)
+            trait
+            for trait in traits
+            if trait in suspects and not self._is_explained(trait, traits)
         )
         return next(blocking, None)
 
-    def trial_due_s(self, part: str, parts: Collection[str]) -> float:
-        """Return when a quarantined part may be tried by a request.
+    def trial_due_s(self, trait: str, traits: Collection[str]) -> float:
+        """Return when a quarantined trait may be tried by a request.
 
         Args:
-            part: the quarantined part.
-            parts: the shared parts of the request's prompt.
+            trait: the quarantined trait.
+            traits: the traits of the request.
         """
-        record = self.records[part]
-        waits_s = AMBIGUOUS_TRIAL_WAITS_S if self._overlaps(part, parts) else ()
+        record = self.records[trait]
+        waits_s = self._first_trial_waits_s(trait, traits)
         trials = record.trials
         if trials < len(waits_s):
             wait_s = waits_s[trials]
@@ -88,112 +92,156 @@
             wait_s = TRIAL_WAIT_S * 2 ** (trials - len(waits_s))
         return record.losses[-1].at_s + wait_s
 
-    def record_loss(self, parts: Sequence[str], loss: Loss) -> None:
+    def record_loss(self, traits: Sequence[str], loss: Loss) -> None:
         """Record the loss of a server that worked on a request."""
+        parts = [trait for trait in traits if not is_request(trait)]
+        # Parts come last: by then the request itself may explain their losses.
+        for request in filter(is_request, traits):
+            self._add(request, loss)
         suspects = [part for part in parts if part not in self.proven]
         if not suspects:
             # What crashed the server may as well be the request's own part.
-            suspects = list(parts)
+            suspects = parts
             for part in parts:
                 self.proven.pop(part)
             loss = replace(loss, begun=False)
-        for part in self._pick(suspects):
-            known = self.records.get(part, PartRecord(part))
-            self._store(known.add(loss))
+        for suspect in self._pick(suspects):
+            self._add(suspect, loss)
 
-    def record_progress(self, parts: Collection[str]) -> None:
+    def record_progress(self, traits: Collection[str]) -> None:
         """Record that a server has been answering a request for a while."""
-        for part in parts:
-            self.proven[part] = None
-            self.proven.move_to_end(part)
+        for trait in traits:
+            if is_request(trait):
+                self._clear(trait)
+            else:
+                self.proven[trait] = None
+                self.proven.move_to_end(trait)
         while len(self.proven) > MAX_PROVEN:
             self.proven.popitem(last=False)
 
-    def record_completion(self, parts: Collection[str]) -> None:
+    def record_completion(self, traits: Collection[str]) -> None:
         """Record that a request has been answered completely."""
-        self.record_progress(parts)
-        for part in parts:
-            known = self.records.get(part)
-            if known is not None and known.losses:
-                self._store(known.cleared())
+        self.record_progress(traits)
+        for trait in traits:
+            self._clear(trait)
 
-    def release(self, part: str) -> None:
-        """Forget the losses of a part."""
-        self._store(self.records.get(part, PartRecord(part)).cleared())
+    def release(self, trait: str) -> None:
+        """Forget the losses of a trait."""
+        self._store(self.records.get(trait, LossRecord(trait)).cleared())
 
-    def merge(self, record: PartRecord) -> PartRecord:
+    def merge(self, record: LossRecord) -> LossRecord:
         """Add what another host knows; return what is known now."""
-        known = self.records.get(record.part, PartRecord(record.part))
+        known = self.records.get(record.trait, LossRecord(record.trait))
         merged = known.merge(record)
         self._store(merged)
         return merged
 
-    def forget(self, part: str) -> None:
-        """Drop the record of a part."""
-        self.records.pop(part, None)
-        self.serials.pop(part, None)
-        self.heavy.discard(part)
+    def forget(self, trait: str) -> None:
+        """Drop the record of a trait."""
+        self.records.pop(trait, None)
+        self.serials.pop(trait, None)
+        self.heavy.discard(trait)
         for subscriber in self.subscribers:
-            subscriber(part)
+            subscriber(trait)
 
-    def changes_since(self, serial: int) -> list[PartRecord]:
+    def changes_since(self, serial: int) -> list[LossRecord]:
         """Return the records that changed after a change, oldest first."""
         if serial >= self.serial:
             return []
         return [
             record
-            for part, record in self.records.items()
-            if self.serials[part] > serial
+            for trait, record in self.records.items()
+            if self.serials[trait] > serial
         ]
 
-    def _is_explained(self, part: str, parts: Collection[str]) -> bool:
-        lost = self.records[part].instances
-        if any(record.instances >= lost for record in self._others(parts)):
+    def _add(self, trait: str, loss: Loss) -> None:
+        known = self.records.get(trait, LossRecord(trait))
+        self._store(known.add(loss))
+
+    def _clear(self, trait: str) -> None:
+        """Forget the losses of a trait that servers have survived."""
+        known = self.records.get(trait)
+        if known is None or not known.losses:
+            return
+        if is_request(trait) and len(known.losses) == 1:
+            # Other hosts need not hear of it.
+            self.forget(trait)
+        else:
+            self._store(known.cleared())
+
+    def _is_explained(self, trait: str, traits: Collection[str]) -> bool:
+        lost = self.records[trait].instances
+        if any(
+            len(record.losses) >= len(lost) and record.instances >= lost
+            for record in self._others(traits)
+        ):
             return True
         quarantined = (
             self.records[other].instances
-            for other in self.heavy.difference(parts)
+            for other in self.heavy.difference(traits)
+            if not is_request(other) or is_request(trait)
         )
-        return lost <= frozenset(itertools.chain.from_iterable(quarantined))
+        # A request that was lost more often than another is not its victim.
+        at_least = len(lost) if is_request(trait) else 0
+        return lost <= frozenset(
+            itertools.chain.from_iterable(
+                instances
+                for instances in quarantined
+                if len(instances) >= at_least
+            )
+        )
+
+    def _first_trial_waits_s(
+        self, trait: str, traits: Collection[str]
+    ) -> tuple[float, ...]:
+        if is_request(trait):
+            return REQUEST_TRIAL_WAITS_S
+        if self._overlaps(trait, traits):
+            return AMBIGUOUS_TRIAL_WAITS_S
+        return ()
 
-    def _overlaps(self, part: str, parts: Collection[str]) -> bool:
-        """Return whether a part that is not given was lost together with it."""
-        lost = self.records[part].instances
-        return any(record.instances & lost for record in self._others(parts))
+    def _overlaps(self, trait: str, traits: Collection[str]) -> bool:
+        """Return whether a part not given was lost together with it."""
+        lost = self.records[trait].instances
+        return any(
+            record.instances & lost
+            for record in self._others(traits)
+            if not is_request(record.trait)
+        )
 
-    def _others(self, parts: Collection[str]) -> Iterator[PartRecord]:
+    def _others(self, traits: Collection[str]) -> Iterator[LossRecord]:
         return (
             record
             for record in self.records.values()
-            if record.part not in parts
+            if record.trait not in traits
         )
 
     def _pick(self, suspects: list[str]) -> list[str]:
         """Return all suspects, or a limited number with those known before."""
-        if len(suspects) <= MAX_PARTS_PER_LOSS:
+        if len(suspects) <= MAX_TRAITS_PER_LOSS:
             return suspects
-        known = [part for part in suspects if part in self.records]
-        known = known[-MAX_PARTS_PER_LOSS:]
-        new = [part for part in suspects if part not in self.records]
-        count = min(MAX_PARTS_PER_LOSS - len(known), len(new))
+        known = [trait for trait in suspects if trait in self.records]
+        known = known[-MAX_TRAITS_PER_LOSS:]
+        new = [trait for trait in suspects if trait not in self.records]
+        count = min(MAX_TRAITS_PER_LOSS - len(known), len(new))
         return known + self.random.sample(new, count)
 
-    def _store(self, record: PartRecord) -> None:
-        part = record.part
-        if self.records.get(part) == record:
+    def _store(self, record: LossRecord) -> None:
+        trait = record.trait
+        if self.records.get(trait) == record:
             return
         self.serial += 1
-        self.records[part] = record
-        self.records.move_to_end(part)
-        self.serials[part] = self.serial
+        self.records[trait] = record
+        self.records.move_to_end(trait)
+        self.serials[trait] = self.serial
         if record.is_heavy:
-            self.heavy.add(part)
+            self.heavy.add(trait)
         else:
-            self.heavy.discard(part)
+            self.heavy.discard(trait)
         if len(self.records) > MAX_RECORDS:
             self._evict()
         for subscriber in self.subscribers:
-            subscriber(part)
+            subscriber(trait)
 
     def _evict(self) -> None:
         """Drop the oldest records, those with the fewest losses first."""
@@ -201,8 +249,8 @@
             self.records.values(),
             key=lambda record: (
                 sum(record.weights),
-                self.serials[record.part],
+                self.serials[record.trait],
             ),
         )
         for record in order[: MAX_RECORDS // 8]:
-            self.forget(record.part)
+            self.forget(record.trait)
--- a/celerywharf/sharing/__init__.py
+++ b/celerywharf/sharing/__init__.py
@@ -12,8 +12,8 @@
 from celerywharf.sharing._lending import Lending
 from celerywharf.sharing._limit_exchange import LimitExchange
 from celerywharf.sharing._mirror import Mirror
-from celerywharf.sharing._part_exchange import PartExchange
-from celerywharf.sharing._part_rows import read_parts, release_part
+from celerywharf.sharing._quarantine_exchange import QuarantineExchange
+from celerywharf.sharing._quarantine_rows import read_records, release_trait
 from celerywharf.sharing._readers import ZoneReaders
 from celerywharf.sharing._store import SharedStore
 from celerywharf.sharing._trials import TrialSchedule
@@ -23,7 +23,7 @@
     'Lending',
     'LimitExchange',
     'Mirror',
-    'PartExchange',
+    'QuarantineExchange',
     'Reader',
     'ReaderElection',
     'SharedStore',
@@ -31,6 +31,6 @@
     'TrialSchedule',
     'ZoneReaders',
     'answer',
-    'read_parts',
-    'release_part',
+    'read_records',
+    'release_trait',
 )
--- a/celerywharf/sharing/_part_exchange.py
+++ b/celerywharf/sharing/_quarantine_exchange.py
@@ -1,21 +1,23 @@
-"""Exchanges what is known of prompt parts among all fronts."""
+"""Exchanges the records of lost servers among all fronts."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import itertools
 import logging
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
 
 from celerywharf.exceptions import CelerywharfError
 from celerywharf.platform import HistoryGoneError, Row, RowChange, StoreClient
-from celerywharf.quarantine import PartRecord, PartRegister
-from celerywharf.sharing._part_rows import (
-    PART_TABLE,
-    decode_part,
-    encode_part,
+from celerywharf.quarantine import LossRecord, LossRegister, is_request
+from celerywharf.sharing._quarantine_rows import (
+    LOSS_TABLE,
+    decode_record,
+    encode_record,
     from_state,
     to_state,
 )
@@ -35,6 +37,9 @@
 MAX_BACKOFF_S = 4.0
 # At most five transactions a second of a reader, for all fronts of its zone.
 PUSH_PERIOD_S = 0.2
+# Most requests whose server was lost are answered by another one at once, and
+# then nobody needs to know.
+FIRST_LOSS_DELAY_S = 0.5
 # With as many removals and a condition for each, the store's limit of 100
 # entries in a transaction holds.
 MAX_PUSHED = 25
@@ -55,7 +60,7 @@
     """Records are exchanged with the store."""
 
 
-class PartExchange(Part):
+class QuarantineExchange(Part):
     """Keeps the registers of all fronts alike.
 
     The reader of a zone exchanges records with the store, the other fronts of
@@ -70,8 +75,9 @@
             store itself.
         upstream: with whom records are exchanged; None while there is no
             reader.
-        unsent: parts that upstream may not know.
-        row_versions: versions of the store's rows, by part.
+        unsent: when each trait that upstream may not know is due to be sent,
+            monotonic seconds.
+        row_versions: versions of the store's rows, by trait.
         version: version of the last reading of the store; None if the whole
             table must be read.
         serial: last change of the reader that this front has received.
@@ -81,7 +87,7 @@
 
     def __init__(
         self,
-        register: PartRegister,
+        register: LossRegister,
         store: StoreClient,
         shared_store: SharedStore | None,
         random: Random,
@@ -92,7 +98,7 @@
         self.shared_store = shared_store
         self.random = random
         self.upstream: _Reader | _Store | None = None
-        self.unsent: dict[str, None] = {}
+        self.unsent: dict[str, float] = {}
         self.row_versions: dict[str, int] = {}
         self.version: int | None = None
         self.serial = 0
@@ -119,7 +125,7 @@
             except CelerywharfError as error:
                 self.has_begun = True
                 logger.info(
-                    'no exchange of prompt parts',
+                    'no exchange of quarantine records',
                     extra={'reason': error.message, 'failures': failures},
                 )
                 wait_s = min(BACKOFF_S * 2**failures, MAX_BACKOFF_S)
@@ -146,10 +152,7 @@
         if not self.unsent:
             await self._wait_for_change(READER_POLL_S)
         upstream = self._find_upstream()
-        sent = {
-            part: self.register.records[part]
-            for part in list(self.unsent)[:MAX_PUSHED]
-        }
+        sent = self._due_records()
         match upstream:
             case _Reader() if sent:
                 states = [to_state(record) for record in sent.values()]
@@ -159,6 +162,14 @@
                 await self._write_rows(sent)
         await asyncio.sleep(PUSH_PERIOD_S)
 
+    def _due_records(self) -> dict[str, LossRecord]:
+        now_s = time.monotonic()
+        due = (trait for trait, due_s in self.unsent.items() if due_s <= now_s)
+        return {
+            trait: self.register.records[trait]
+            for trait in itertools.islice(due, MAX_PUSHED)
+        }
+
     def _find_upstream(self) -> _Reader | _Store | None:
         """Return with whom to exchange now; forget what another one knew."""
         upstream = self._upstream_now()
@@ -166,7 +177,7 @@
             self.upstream = upstream
             self.version = None
             self.serial = 0
-            self.unsent = dict.fromkeys(self.register.records)
+            self.unsent = dict.fromkeys(self.register.records, time.monotonic())
         return upstream
 
     def _upstream_now(self) -> _Reader | _Store | None:
@@ -193,17 +204,17 @@
             self._merge_from_upstream(from_state(state))
 
     async def _read_rows(self) -> None:
-        reading = await self.store.read(PART_TABLE)
+        reading = await self.store.read(LOSS_TABLE)
         self.version = reading.version
         self.row_versions = {}
         for row in reading.rows:
             self._apply_row(row)
-        for part in self.register.records:
-            if part not in self.row_versions:
-                self.unsent[part] = None
+        for trait in self.register.records:
+            if trait not in self.row_versions:
+                self.unsent[trait] = time.monotonic()
 
     async def _watch_rows(self) -> None:
-        reading = await self.store.watch(PART_TABLE, self.version, STORE_POLL_S)
+        reading = await self.store.watch(LOSS_TABLE, self.version, STORE_POLL_S)
         for row in reading.rows:
             self._apply_row(row)
         self.version = reading.version
@@ -215,22 +226,24 @@
             self.register.forget(row.key)
             return
         self.row_versions[row.key] = row.version
-        self._merge_from_upstream(decode_part(row))
+        self._merge_from_upstream(decode_record(row))
 
-    def _merge_from_upstream(self, record: PartRecord | None) -> None:
+    def _merge_from_upstream(self, record: LossRecord | None) -> None:
         if record is None:
             return
         merged = self.register.merge(record)
         if merged == record:
-            self.unsent.pop(record.part, None)
+            self.unsent.pop(record.trait, None)
 
-    async def _write_rows(self, sent: dict[str, PartRecord]) -> None:
+    async def _write_rows(self, sent: dict[str, LossRecord]) -> None:
         changes = [
-            RowChange(part, encode_part(record), self.row_versions.get(part, 0))
-            for part, record in sent.items()
+            RowChange(
+                trait, encode_record(record), self.row_versions.get(trait, 0)
+            )
+            for trait, record in sent.items()
         ]
         changes.extend(self._surplus_rows(sent))
-        result = await self.store.transact(PART_TABLE, changes)
+        result = await self.store.transact(LOSS_TABLE, changes)
         if result.version is None:
             for change in changes:
                 self.row_versions.pop(change.key, None)
@@ -240,31 +253,39 @@
         self.row_versions.update(dict.fromkeys(sent, result.version))
         self._mark_sent(sent)
 
-    def _surplus_rows(self, sent: dict[str, PartRecord]) -> list[RowChange]:
+    def _surplus_rows(self, sent: dict[str, LossRecord]) -> list[RowChange]:
         """Return the removal of old rows if there are too many."""
         surplus = len(self.row_versions) + len(sent) - MAX_ROWS
         if surplus <= 0:
             return []
         candidates = sorted(
-            (version, part)
-            for part, version in self.row_versions.items()
-            if part not in sent and part not in self.register.heavy
+            (version, trait)
+            for trait, version in self.row_versions.items()
+            if trait not in sent and trait not in self.register.heavy
         )
         return [
-            RowChange(part, None, version)
-            for version, part in candidates[: min(surplus, MAX_PUSHED)]
+            RowChange(trait, None, version)
+            for version, trait in candidates[: min(surplus, MAX_PUSHED)]
         ]
 
-    def _mark_sent(self, sent: dict[str, PartRecord]) -> None:
-        for part, record in sent.items():
-            if self.register.records.get(part) == record:
-                self.unsent.pop(part, None)
+    def _mark_sent(self, sent: dict[str, LossRecord]) -> None:
+        for trait, record in sent.items():
+            if self.register.records.get(trait) == record:
+                self.unsent.pop(trait, None)
 
-    def _on_change(self, part: str) -> None:
-        if part in self.register.records:
-            self.unsent[part] = None
+    def _send_now(self, trait: str) -> None:
+        due_s = self.unsent.get(trait)
+        if due_s is not None:
+            self.unsent[trait] = min(due_s, time.monotonic())
+
+    def _on_change(self, trait: str) -> None:
+        record = self.register.records.get(trait)
+        if record is None:
+            self.unsent.pop(trait, None)
         else:
-            self.unsent.pop(part, None)
+            is_early = is_request(trait) and len(record.losses) == 1
+            delay_s = FIRST_LOSS_DELAY_S if is_early else 0
+            self.unsent[trait] = time.monotonic() + delay_s
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -279,6 +300,7 @@
             record = from_state(state)
             if record is not None:
                 self.register.merge(record)
+                self._send_now(record.trait)
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + min(question.wait_s, READER_POLL_S)
         while self.register.serial <= question.after and loop.time() < ends_s:
--- a/celerywharf/sharing/_part_rows.py
+++ b/celerywharf/sharing/_quarantine_rows.py
@@ -1,4 +1,4 @@
-"""Encoding of prompt parts, for rows of the store and for messages."""
+"""Encoding of loss records, for rows of the store and for messages."""
 
 from __future__ import annotations
 
@@ -9,10 +9,11 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from celerywharf.platform import Row, StoreClient
-from celerywharf.quarantine import MAX_LOSSES, Loss, PartRecord
+from celerywharf.quarantine import MAX_LOSSES, Loss, LossRecord
 from celerywharf.wire.quarantine import PartLoss, PartState
 
-PART_TABLE = 'prompt-parts'  # one row per part; the key is its name
+# One row per trait, which is the key.  Running fleets know this name.
+LOSS_TABLE = 'prompt-parts'
 MAX_NAME = 100
 MAX_GENERATION = 1_000_000_000
 
@@ -26,39 +27,39 @@
     begun: bool
 
 
-class _Part(BaseModel):
+class _Record(BaseModel):
     model_config = ConfigDict(extra='ignore')
 
     generation: int = Field(ge=0, le=MAX_GENERATION)
     losses: list[_Loss] = Field(max_length=MAX_LOSSES)
 
 
-def encode_part(record: PartRecord) -> bytes:
-    """Return the content of a part's row as JSON."""
+def encode_record(record: LossRecord) -> bytes:
+    """Return the content of a trait's row as JSON."""
     losses = [asdict(loss) for loss in record.losses]
     content = {'generation': record.generation, 'losses': losses}
     return json.dumps(content).encode()
 
 
-def decode_part(row: Row) -> PartRecord | None:
-    """Return the part that a row describes; None if it is unreadable."""
+def decode_record(row: Row) -> LossRecord | None:
+    """Return the record in a row; None if it is unreadable."""
     if row.content is None or len(row.key) > MAX_NAME:
         return None
     try:
-        entry = _Part.model_validate_json(row.content)
+        entry = _Record.model_validate_json(row.content)
     except ValidationError:
         return None
     losses = (Loss(**loss.model_dump()) for loss in entry.losses)
-    return PartRecord(row.key, entry.generation, tuple(sorted(losses)))
+    return LossRecord(row.key, entry.generation, tuple(sorted(losses)))
 
 
-def to_state(record: PartRecord) -> PartState:
+def to_state(record: LossRecord) -> PartState:
     """Convert a record to a message."""
     losses = [PartLoss(**asdict(loss)) for loss in record.losses]
-    return PartState(record.part, record.generation, losses)
+    return PartState(record.trait, record.generation, losses)
 
 
-def from_state(state: PartState) -> PartRecord | None:
+def from_state(state: PartState) -> LossRecord | None:
     """Convert a message to a record; None if it exceeds a bound."""
     acceptable = (
         len(state.part) <= MAX_NAME
@@ -74,32 +75,32 @@
     if not acceptable:
         return None
     losses = (Loss(**asdict(loss)) for loss in state.losses)
-    return PartRecord(state.part, state.generation, tuple(sorted(losses)))
+    return LossRecord(state.part, state.generation, tuple(sorted(losses)))
 
 
-async def read_parts(store: StoreClient) -> list[PartRecord]:
+async def read_records(store: StoreClient) -> list[LossRecord]:
     """Read what all hosts have written.
 
     Raises:
         PlatformUnavailableError: the store did not answer.
     """
-    reading = await store.read(PART_TABLE)
-    parts = (decode_part(row) for row in reading.rows)
-    return [part for part in parts if part is not None]
+    reading = await store.read(LOSS_TABLE)
+    records = (decode_record(row) for row in reading.rows)
+    return [record for record in records if record is not None]
 
 
-async def release_part(store: StoreClient, part: str) -> bool:
-    """Forget the losses under a part; return whether there were any.
+async def release_trait(store: StoreClient, trait: str) -> bool:
+    """Forget the losses of a trait; return whether there were any.
 
     Raises:
         PlatformUnavailableError: the store did not answer.
     """
-    reading = await store.read_row(PART_TABLE, part)
+    reading = await store.read_row(LOSS_TABLE, trait)
     row = next(iter(reading.rows), None)
     while row is not None:
-        record = decode_part(row) or PartRecord(part)
+        record = decode_record(row) or LossRecord(trait)
         written = await store.write(
-            PART_TABLE, part, encode_part(record.cleared()), row.version
+            LOSS_TABLE, trait, encode_record(record.cleared()), row.version
         )
         if written.version is not None:
             return True
--- a/celerywharf/sharing/_trials.py
+++ b/celerywharf/sharing/_trials.py
@@ -1,4 +1,4 @@
-"""Which host may try a quarantined prompt part."""
+"""Which host may try a quarantined trait."""
 
 from __future__ import annotations
 
@@ -28,14 +28,14 @@
         self.zones = sorted({zone, *zones})
         self.shared_store = shared_store
 
-    def is_own(self, part: str, store_time_s: float) -> bool:
+    def is_own(self, trait: str, store_time_s: float) -> bool:
         """Return whether it is this host's turn.
 
         Args:
-            part: name of the prompt part.
+            trait: what is quarantined.
             store_time_s: time on the store's clock.
         """
         if self.shared_store is not None and not self.shared_store.is_reader:
             return False
-        turn = zlib.crc32(part.encode()) + int(store_time_s // TURN_S)
+        turn = zlib.crc32(trait.encode()) + int(store_time_s // TURN_S)
         return self.zones[turn % len(self.zones)] == self.zone
--- a/celerywharf/wire/quarantine.py
+++ b/celerywharf/wire/quarantine.py
@@ -1,4 +1,4 @@
-"""Messages among the fronts of a zone about prompt parts."""
+"""Messages among the fronts of a zone about lost servers."""
 
 from __future__ import annotations
 
@@ -7,13 +7,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PartLoss:
-    """The loss of a backend server under requests with a prompt part.
+    """The loss of a backend server under requests with a trait.
 
     Attributes:
         at_s: when it was noticed, on the store's clock, seconds.
         instance: the incarnation of the backend server.
         availability_zone: zone of the backend server.
-        begun: the answer had just begun.
+        begun: the server was at work on the request itself.
     """
 
     at_s: float
@@ -24,10 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PartState:
-    """What a front knows of a prompt part.
+    """What a front knows of a trait.
 
     Attributes:
-        part: name of the prompt part.
+        part: name of the trait.
         generation: increases when earlier losses no longer count.
         losses: the newest losses.
     """
--- a/tests/quarantine/register.feature
+++ b/tests/quarantine/register.feature
@@ -78,3 +78,74 @@
 
   Scenario: records of several hosts agree whatever the order
     Then merging random records is commutative, associative and idempotent
+
+  Scenario Outline: servers lost in a row under one request
+    When <losses> servers are lost as they began to answer request:bad
+    And <others> servers are lost under waiting request:bad
+    Then a request with request:bad is <fate>
+    And a request with request:other is let through
+
+    Examples:
+      | losses | others | fate        |
+      | 2      | 0      | let through |
+      | 3      | 0      | blocked     |
+      | 0      | 4      | let through |
+      | 0      | 5      | blocked     |
+
+  Scenario: a request that crashes servers does not block the parts that it shares
+    When 5 servers are lost as they began to answer request:bad common
+    Then a request with request:bad common is blocked
+    And a request with request:other common is let through
+
+  Scenario: a part that crashes servers does not block the rest of a request that had it
+    Given sound requests with the parts common
+    When 4 servers are lost as they began to answer request:one common bad
+    And 1 servers are lost as they began to answer request:two common bad
+    Then a request with request:one common is let through
+    And a request with request:three common bad is blocked
+
+  Scenario: a sound request that was lost each time together with another
+    When 3 servers are lost as they began to answer request:bad, with request:sound waiting
+    And 2 servers are lost as they began to answer request:bad
+    Then a request with request:bad is blocked
+    And a request with request:sound is let through
+
+  Scenario: requests that were lost together as often are tried apart
+    When 1 times 3 servers are lost under request:bad and a new request that follows it
+    Then a request with request:bad is let through
+    And a request with request:new0 is let through
+    When 1 servers are lost as they began to answer request:bad
+    Then a request with request:bad is blocked
+    And a request with request:new0 is let through
+
+  Scenario: followers of a request that crashes servers do not excuse it
+    When 4 times 3 servers are lost under request:bad and a new request that follows it
+    Then a request with request:bad is blocked
+    And a request with request:new0 is let through
+    And a request with request:new3 is let through
+
+  Scenario Outline: a request that servers survive is not suspect any more
+    When 2 servers are lost as they began to answer request:sound
+    And <survival>
+    And 2 servers are lost as they began to answer request:sound
+    Then a request with request:sound is let through
+
+    Examples:
+      | survival                                   |
+      | a request with request:sound completes     |
+      | a server answers request:sound for a while |
+
+  Scenario: a quarantined request is tried once a minute later, then rarely
+    When 3 servers are lost as they began to answer request:bad
+    And 59 s pass
+    Then a request with request:bad is blocked
+    When 2 s pass
+    Then a request with request:bad is let through
+    When 1 servers are lost as they began to answer request:bad
+    And 3600 s pass
+    Then a request with request:bad is blocked
+
+  Scenario: any number of lost requests takes bounded memory
+    When 4000 servers are lost under 6 new requests each
+    Then fewer than 1100 records and 4100 proven parts are kept
+    And the request with many losses is still quarantined
