Log the software versions of engines

Change: the version in entries is decoded and logged in 'backend server entry', 'send failed' and 'request ended'. No decision depends on it yet.

--- a/celerywharf/backends/_servers.py
+++ b/celerywharf/backends/_servers.py
@@ -21,6 +21,8 @@
         born_ms: start of the incarnation, Unix milliseconds.
         sequence: increases with each entry that the incarnation publishes.
         warm_up_left_s: seconds for which it is still slow after its start.
+        software_version: of its program, not of the weights; empty if it is
+            not stated.
     """
 
     name: str
@@ -32,6 +34,7 @@
     born_ms: int
     sequence: int
     warm_up_left_s: float
+    software_version: str = ''
 
     @property
     def incarnation(self) -> str:
--- a/celerywharf/forwarding/_request_log.py
+++ b/celerywharf/forwarding/_request_log.py
@@ -30,6 +30,7 @@
         version: version of the configuration that was used.
         sends: number of sends so far.
         servers: names of the backend servers it was sent to, in order.
+        software_versions: their software versions.
     """
 
     def __init__(self, request: IncomingRequest, version: int) -> None:
@@ -37,6 +38,7 @@
         self.version = version
         self.sends = 0
         self.servers: list[str] = []
+        self.software_versions: list[str] = []
 
     def log_send(
         self,
@@ -48,6 +50,7 @@
         """Count a send; log it unless its answer goes to the caller."""
         self.sends += 1
         self.servers.append(server.name)
+        self.software_versions.append(server.software_version)
         if isinstance(outcome, Finished) or isinstance(step, PassOn):
             return
         logger.info(
@@ -56,6 +59,7 @@
                 'request_id': self.request.headers.request_id,
                 'request_digest': self.request.digest,
                 'backend_server': server.name,
+                'software_version': server.software_version,
                 'send': self.sends,
                 'outcome': _describe(outcome),
                 'then': type(step).__name__,
@@ -76,6 +80,7 @@
             'configuration': self.version,
             'sends': self.sends,
             'backend_servers': self.servers,
+            'software_versions': self.software_versions,
             'took_ms': round(
                 (now_s - self.request.arrived_s) * MILLISECONDS,
                 1,
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -255,6 +255,7 @@
                 extra={
                     'server': server.name,
                     'draining': server.draining,
+                    'software_version': server.software_version,
                     'sequence': server.sequence,
                     'born_ms': server.born_ms,
                     'routine': not server.draining,
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -149,6 +149,7 @@
     seq: int = 0
     born: int = 0
     cold_left_ms: float = 0
+    version: str | int = ''
 
 
 class _Report(_Document):
@@ -206,6 +207,7 @@
         born_ms=document.born,
         sequence=document.seq,
         warm_up_left_s=document.cold_left_ms / MS_PER_S,
+        software_version=str(document.version),
     )
 
 
