Show that streams go on at engines of another software version

Before: 12 and 13 of 24 streams, 11 that began before there was a second version, and 6 of 12 whose version is gone have events of two versions; streams that nobody knows any more are not refused.

--- /dev/null
+++ b/tests/fronts/test_software_versions.py
@@ -0,0 +1,286 @@
+"""Streams at engines of two software versions, with real processes."""
+
+import itertools
+import re
+import secrets
+import threading
+import time
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from standins.calls import call
+from standins.fronts import STREAM_PATH, PlatformRig, request_headers, send
+
+scenarios('software_versions.feature')
+
+ZONES = ('north-1', 'north-2')
+VERSIONS = ('v1', 'v2')
+TOKENS_PER_EVENT = 7
+SETTLES_S = 0.5
+RESTART_S = 8.0
+
+
+class Stream:
+    """A caller's stream, over its tries.
+
+    Attributes:
+        tries: ids of the attempts in order; the first is named when the
+            stream is taken up again.
+        answers: the answers to them.
+        last_event: id of the last event that the caller has.
+    """
+
+    def __init__(self, wanted):
+        self.wanted = wanted
+        self.tries = []
+        self.answers = []
+        self.last_event = 0
+
+    @property
+    def is_complete(self):
+        """Return whether the caller has all events, each once."""
+        events = [event for answer in self.answers for event in answer.events]
+        assert events == list(range(1, len(events) + 1))
+        return len(events) == self.wanted
+
+    def send(self, address):
+        """Send the stream, or take it up after the last event."""
+        headers = {
+            'Attempt_Id': secrets.token_hex(8),
+            'Deadline_Ms': '12000',
+            'Token_Count': f'350,{self.wanted * TOKENS_PER_EVENT}',
+            'Prompt_Prefix': f'c0ffee:200,{secrets.token_hex(4)}:150',
+        }
+        if self.last_event:
+            headers['Last_Event_Id'] = str(self.last_event)
+            headers['Resumes'] = self.tries[0]
+        self.tries.append(headers['Attempt_Id'])
+        body = secrets.token_hex(8).encode()
+        answer = send(
+            address, STREAM_PATH, body=body, headers=request_headers(**headers)
+        )
+        self.answers.append(answer)
+        self.last_event = max((self.last_event, *answer.events))
+
+
+class Callers:
+    """Callers with one stream each."""
+
+    def __init__(self, rig):
+        self.rig = rig
+        self.versions = {}
+        self.streams = []
+        self.threads = []
+
+    def add_engines(self):
+        """Start the engines, alternately of both versions in each zone."""
+        for number in range(6):
+            name = f'engine-{number}'
+            self.versions[name] = VERSIONS[number % 2]
+            self.rig.servers[name] = self.rig.start_server(name)
+            self.register(name)
+
+    def register(self, name, **changes):
+        """Write the entry of an engine, with its version."""
+        zone = ZONES[int(name[-1]) // 3]
+        changes.setdefault('version', self.versions[name])
+        self.rig.register(name, 'narrator', zone, **changes)
+
+    def of_version(self, version):
+        """Return the names of the engines of a version."""
+        return [
+            name for name in self.versions if self.versions[name] == version
+        ]
+
+    def start(self, count, wanted, fronts):
+        """Start streams at fronts in turn."""
+        addresses = itertools.cycle(self.rig.fronts[name] for name in fronts)
+        for _ in range(count):
+            stream = Stream(wanted)
+            self.streams.append(stream)
+            self.spawn(stream, next(addresses))
+
+    def spawn(self, stream, address):
+        """Send a stream in a thread of its own."""
+        thread = threading.Thread(target=stream.send, args=(address,))
+        thread.start()
+        self.threads.append(thread)
+
+    def join(self):
+        """Wait until all streams have ended or broken off."""
+        while self.threads:
+            self.threads.pop().join()
+
+    def events_by_version(self, stream):
+        """Return which versions sent events of a stream, of all its tries."""
+        return {
+            self.versions[name]
+            for name in self.versions
+            for run in self.rig.runs(name)
+            if run['request_id'] in stream.tries
+            and run['events'] > run['first']
+        }
+
+
+@pytest.fixture
+def callers(rig):
+    callers = Callers(rig)
+    yield callers
+    callers.join()
+
+
+@given(
+    'a platform with 6 engines in two zones, every other one of version v2',
+    target_fixture='rig',
+)
+def _platform(fleet):
+    return PlatformRig(fleet)
+
+
+@given(parsers.re(r'fronts (?P<places>f1, f2 in .*)'))
+def _fronts(rig, callers, places):
+    callers.add_engines()
+    for names, zone in re.findall(r'(f\d(?:, f\d)*) in ([\w-]+)', places):
+        for name in names.split(', '):
+            rig.add_front(name, zone=zone, shares=True)
+    time.sleep(SETTLES_S)
+
+
+@when('engines break off streams after 30 events')
+def _break(fleet, callers):
+    for name in callers.versions:
+        fleet.control(name, break_after=30)
+
+
+@when('no engine states its version')
+def _unstated(callers):
+    for name in callers.versions:
+        callers.register(name, version='', seq=2)
+    time.sleep(SETTLES_S)
+
+
+@when(
+    parsers.re(
+        r'(?P<count>\d+) streams of (?P<wanted>\d+) events are sent to '
+        '(?P<places>.*)'
+    )
+)
+def _send(rig, callers, count, wanted, places):
+    fronts = list(rig.fronts) if places == 'all fronts' else places.split(', ')
+    callers.start(int(count), int(wanted), fronts)
+
+
+@when(parsers.parse('f1 is killed after {span:g} s'))
+def _kill(fleet, callers, span):
+    time.sleep(span)
+    fleet.kill('f1')
+    callers.join()
+
+
+@when(parsers.parse('all fronts are killed and restarted after {span:g} s'))
+def _restart(rig, fleet, callers, span):
+    time.sleep(span)
+    for name in rig.fronts:
+        fleet.kill(name)
+    callers.join()
+    for name in rig.fronts:
+        fleet.restart_front(name)
+    ends_s = time.monotonic() + RESTART_S
+    while not all(map(_is_ready, rig.health.values())):
+        assert time.monotonic() < ends_s
+        time.sleep(0.1)
+
+
+def _is_ready(address):
+    try:
+        return call(address, 'GET', '/api/ready')[0] == 200
+    except OSError:
+        return False
+
+
+@when('all engines of version v2 are taken away')
+def _take_away(rig, callers):
+    for name in callers.of_version('v2'):
+        rig.put('servers', name, None)
+    time.sleep(SETTLES_S)
+
+
+@when('the engines of version v2 are back')
+def _back(callers):
+    time.sleep(SETTLES_S)
+    for name in callers.of_version('v2'):
+        callers.register(name, seq=2)
+
+
+@when(parsers.re('their callers take the streams up at (?P<places>.*)'))
+def _take_up(rig, callers, places):
+    callers.join()
+    addresses = itertools.cycle(rig.fronts[name] for name in places.split(', '))
+    for stream in callers.streams:
+        assert 0 < stream.last_event < stream.wanted
+        callers.spawn(stream, next(addresses))
+    callers.join()
+
+
+@then('no stream has events of two versions')
+def _unmixed(callers):
+    callers.join()
+    mixed = [
+        versions
+        for versions in map(callers.events_by_version, callers.streams)
+        if len(versions) > 1
+    ]
+    assert not mixed, len(mixed)
+
+
+@then(parsers.parse('at least {least:d} of the streams are complete'))
+def _complete(callers, least):
+    callers.join()
+    complete = [stream for stream in callers.streams if stream.is_complete]
+    assert len(complete) >= least, len(complete)
+
+
+@then('each of them is refused as not run')
+def _all_refused(rig, callers):
+    for stream in callers.streams:
+        _assert_refused(rig, callers, stream)
+
+
+def _assert_refused(rig, callers, stream):
+    answer = stream.answers[-1]
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) > 0
+    reached = {
+        run['request_id'] for name in callers.versions for run in rig.runs(name)
+    }
+    assert stream.tries[-1] not in reached
+
+
+@then(
+    'streams of version v2 are refused as not run within 1 s, '
+    'the others are complete'
+)
+def _some_refused(rig, callers):
+    by_version = {version: [] for version in VERSIONS}
+    for stream in callers.streams:
+        (version,) = callers.events_by_version(stream)
+        by_version[version].append(stream)
+    assert all(by_version.values())
+    for stream in by_version['v2']:
+        _assert_refused(rig, callers, stream)
+        assert stream.answers[-1].took_s < 1
+    assert all(stream.is_complete for stream in by_version['v1'])
+
+
+@then('every copy of a run is at an engine of the version that runs it')
+def _copies(rig, callers):
+    names = {address: name for name, address in rig.servers.items()}
+    copies = [
+        (callers.versions[name], callers.versions[names[backup]])
+        for name in callers.versions
+        for run in rig.runs(name)
+        if (backup := run['headers'].get('kv-backup'))
+    ]
+    assert copies
+    assert all(run == copy for run, copy in copies)
