Let streams go on only at the software version that began them

Callers saw: streams whose events came from engines of two software versions (ORDER). Cause: no host knew the software version of an engine, so any engine of the service was taken for a stream that goes on, within one answer and when a caller takes it up; and the host that a caller takes it up at cannot know where it began. Change: placement takes a software version, for a stream from its first event on and for copies of its run. Package origins remembers by the id of the attempt which version sent the first event. While a service has, or had in the last two minutes, several versions, fronts tell the reader of their zone, and it the readers of the others; a front that takes a stream up asks them. If nobody knows it, or no engine of the version is left, the stream is refused at once as not run. Streams that began while there was one version are told as soon as there is a second. Bounds: 65,536 streams, dropped when their callers have given up; 500 in a message; names of 100 characters.

--- a/celerywharf/backends/__init__.py
+++ b/celerywharf/backends/__init__.py
@@ -5,6 +5,7 @@
 from celerywharf.backends._loads import Loads
 from celerywharf.backends._placement import Demand, Placement
 from celerywharf.backends._servers import BackendServer, EngineReport
+from celerywharf.backends._software_versions import SoftwareVersions
 
 __all__ = (
     'BackendServer',
@@ -14,4 +15,5 @@
     'Loads',
     'Placement',
     'ServerHealth',
+    'SoftwareVersions',
 )
--- a/celerywharf/backends/_directory.py
+++ b/celerywharf/backends/_directory.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from celerywharf.backends._servers import BackendServer
+from celerywharf.backends._software_versions import SoftwareVersions
 
 # Servers whose entries expired during an outage of the store publish them again
 # within two seconds after its end.
@@ -30,6 +31,7 @@
             replaced, by name.
         missing: names whose entries were removed around an outage.
         since_s: when the incarnation was first seen, by name.
+        software_versions: those of the servers now and lately.
         outage_ended_s: end of the last outage; None before the first.
         in_outage: whether the store is unavailable.
     """
@@ -40,6 +42,7 @@
         self.departed: dict[str, int] = {}
         self.missing: set[str] = set()
         self.since_s: dict[str, float] = {}
+        self.software_versions = SoftwareVersions()
         self.outage_ended_s: float | None = None
         self.in_outage = False
 
@@ -71,7 +74,9 @@
             server = replace(server, draining=True)
         if known is not None:
             self._stop_accepting(known)
+            self.software_versions.removed(known)
         self.servers[server.name] = server
+        self.software_versions.added(server)
         if not server.draining:
             self.accepting.setdefault(server.service, {})[server.name] = server
 
@@ -127,6 +132,7 @@
         known = self.servers.pop(name, None)
         if known is not None:
             self._stop_accepting(known)
+            self.software_versions.removed(known)
 
     def usable(self, service: str) -> list[BackendServer]:
         """Return the backend servers of a service that accept requests."""
--- a/celerywharf/backends/_placement.py
+++ b/celerywharf/backends/_placement.py
@@ -39,12 +39,15 @@
         capacity_tokens: token memory of each backend server; 0 if it is not
             limited.
         excluded: names of backend servers that must not be chosen.
+        software_version: of the backend servers that may be chosen; None if
+            all may.
     """
 
     service: str
     tokens: int = 0
     capacity_tokens: int = 0
     excluded: Collection[str] = field(default=())
+    software_version: str | None = None
 
 
 class Placement:
@@ -90,7 +93,7 @@
         """
         usable = [
             server
-            for server in self._sample(demand.service)
+            for server in self._sample(demand)
             if server.name not in demand.excluded
             and self._fits(server, demand, now_s)
         ]
@@ -120,7 +123,7 @@
         """
         others = [
             other
-            for other in self._sample(server.service)
+            for other in self._sample(demand)
             if other.availability_zone != server.availability_zone
             and other.name not in demand.excluded
             and self.health.usable(other, now_s)
@@ -138,13 +141,19 @@
             ),
         )
 
-    def _sample(self, service: str) -> list[BackendServer]:
+    def _sample(self, demand: Demand) -> list[BackendServer]:
         """Return all usable servers, or a random sample of a large service.
 
         Up to half of the sample is taken from this host's zone, so that nearby
         servers are still preferred.
         """
-        usable = self.directory.usable(service)
+        usable = self.directory.usable(demand.service)
+        if demand.software_version is not None:
+            usable = [
+                server
+                for server in usable
+                if server.software_version == demand.software_version
+            ]
         if len(usable) <= MAX_RANKED:
             return usable
         zone = self.availability_zone
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -10,6 +10,7 @@
 from celerywharf.forwarding._reports import Reports
 from celerywharf.limits import ServerLimiter
 from celerywharf.metrics import Metrics
+from celerywharf.origins import StreamOrigins
 from celerywharf.quarantine import QuarantineGate
 from celerywharf.retries import RetryLimiter
 from celerywharf.routing import ConfigurationCache
@@ -30,5 +31,6 @@
     retries: RetryLimiter
     quarantine: QuarantineGate
     limits: ServerLimiter
+    origins: StreamOrigins
     metrics: Metrics
     random: Random
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -56,6 +56,8 @@
             before that.
         last_at_s: when the last event was written, monotonic seconds.
         longest_gap_s: longest pause between two consecutive events.
+        software_version: of the engine that sent the stream's first event; None
+            before it.
     """
 
     def __init__(self, last_event: int | None) -> None:
@@ -64,6 +66,7 @@
         self.first_at_s: float | None = None
         self.last_at_s: float = 0
         self.longest_gap_s: float = 0
+        self.software_version: str | None = None
 
     def record_event(self, now_s: float) -> None:
         """Record that an event was written to the caller."""
@@ -239,6 +242,7 @@
         if not self.caller.started:
             self.caller.begin(self.status, self.headers.forwarded)
         self._observe_latency(now_s)
+        self._record_origin()
         self.progress.record_event(now_s)
         self.progress.last_event = event.number
         self.events += 1
@@ -247,6 +251,17 @@
         if self.caller.congested and self.transfer is not None:
             self._hold(self.transfer)
 
+    def _record_origin(self) -> None:
+        """Record which software version began the stream."""
+        if self.progress.software_version is not None:
+            return
+        self.progress.software_version = self.server.software_version
+        self.context.origins.began(
+            self.request.headers.request_id,
+            self.server,
+            self.request.given_up_at_s(),
+        )
+
     def _record_progress(self, now_s: float) -> None:
         if not self.proven and now_s - self.begun_at_s >= PROOF_S:
             self.proven = True
--- a/celerywharf/forwarding/_requests.py
+++ b/celerywharf/forwarding/_requests.py
@@ -57,6 +57,13 @@
         """Return what may crash backend servers about the request."""
         return (request_trait(self.digest), *self.headers.shared_parts)
 
+    def given_up_at_s(self) -> float:
+        """Return when its caller stops trying, monotonic seconds."""
+        waits_s = self.headers.deadline_s
+        if waits_s is None:
+            waits_s = self.route.timeout_s
+        return self.arrived_s + waits_s
+
     def deadline_at_s(self) -> float:
         """Return when the caller must have its answer, monotonic seconds.
 
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -149,12 +149,15 @@
 
     def _rank_backups(self, server: BackendServer) -> list[BackendServer]:
         now_s = self.context.timers.now()
-        return self.context.placement.backups(
-            server,
-            self._current_demand(),
-            now_s,
+        demand = replace(
+            self._current_demand(), software_version=server.software_version
         )
+        return self.context.placement.backups(server, demand, now_s)
 
     def _current_demand(self) -> Demand:
         excluded = self.failed_names | self.limited_names
-        return replace(self.demand, excluded=excluded)
+        return replace(
+            self.demand,
+            excluded=excluded,
+            software_version=self.progress.software_version,
+        )
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -36,6 +36,7 @@
 MIN_WAIT_S = 0.005  # prevents a busy loop when a timer fires late
 # A wait that ends this much late shows that this host did not run for a while.
 LATE_S = 0.1
+UNKNOWN_VERSION = 'no host knows which software version began the stream'
 DEFAULT_GAP_TARGET_S = 2.0  # for streams that cannot be resumed
 
 
@@ -91,6 +92,10 @@
         remaining_s = self.request.deadline_at_s() - now_s
         if remaining_s <= 0:
             return self.plan.timed_out()
+        if self.progress.last_event and self.progress.software_version is None:
+            await self._find_software_version()
+            if self.progress.software_version is None:
+                return self.plan.give_up(UNKNOWN_VERSION)
         server, resumption = await self.placer.place(self.is_within_limit)
         if server is None:
             return self.give_up_for_now()
@@ -120,6 +125,14 @@
         )
         return step
 
+    async def _find_software_version(self) -> None:
+        """Find which software version began a stream that is taken up."""
+        possible = await self.context.origins.possible_versions(
+            self.request.headers.resumed_request, self.service
+        )
+        if len(possible) == 1:
+            self.progress.software_version = next(iter(possible))
+
     def _next_step(self, outcome: Outcome, remaining_s: float) -> Step:
         if isinstance(outcome, Answered) and self.caller.started:
             status = outcome.response.status
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -16,6 +16,7 @@
     StatedLimits,
 )
 from celerywharf.metrics import Metrics
+from celerywharf.origins import StreamOrigins
 from celerywharf.platform import boot_time_s
 from celerywharf.quarantine import LossRegister, QuarantineGate
 from celerywharf.routing import ConfigurationCache
@@ -58,6 +59,7 @@
         retries=build_retry_limiter(settings, timers.now, random),
         quarantine=QuarantineGate(LossRegister(random), store_time_s),
         limits=limits,
+        origins=StreamOrigins(directory.software_versions, timers.now),
         metrics=Metrics(),
         random=random,
     )
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -25,6 +25,7 @@
 from celerywharf.settings import FrontSettings
 from celerywharf.sharing import (
     LimitExchange,
+    OriginExchange,
     QuarantineExchange,
     TrialSchedule,
     ZoneReaders,
@@ -94,6 +95,12 @@
             self.context.limits.lender = LimitExchange(
                 self.context.limits.stated, self.shared_store, self.zone_readers
             )
+            self.context.origins.source = OriginExchange(
+                self.context.origins,
+                self.shared_store,
+                self.zone_readers,
+                sorted(settings.zones.regions),
+            )
         self.quarantine_exchange = QuarantineExchange(
             self.context.quarantine.register,
             self.store,
@@ -179,7 +186,12 @@
         )
         if self.shared_store is None:
             return parts
-        return (self.shared_store, self.zone_readers, *parts)
+        return (
+            self.shared_store,
+            self.zone_readers,
+            self.context.origins.source,
+            *parts,
+        )
 
     def _listen(self) -> None:
         front = self.settings.front
--- /dev/null
+++ b/celerywharf/origins/_streams.py
@@ -0,0 +1,84 @@
+"""Finds the software version at which a stream may go on."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+
+from celerywharf.backends import BackendServer, SoftwareVersions
+from celerywharf.origins._register import (
+    MAX_LIFETIME_S,
+    OriginRegister,
+    StreamOrigin,
+)
+
+
+class OriginSource(abc.ABC):
+    """Other hosts, which may know where a stream began."""
+
+    @abc.abstractmethod
+    async def ask(self, request_id: str) -> StreamOrigin | None:
+        """Return where a stream began; None if nobody who answers knows."""
+
+
+class StreamOrigins:
+    """Tells which software version began a stream, at this host or another.
+
+    Engines of another version cannot go on with a stream, and do not check it.
+
+    Attributes:
+        register: the streams that this host knows.
+        software_versions: versions of the engines now and lately.
+        now: returns monotonic seconds.
+        source: other hosts; None if this host shares nothing with any.
+    """
+
+    def __init__(
+        self, software_versions: SoftwareVersions, now: Callable[[], float]
+    ) -> None:
+        self.register = OriginRegister()
+        self.software_versions = software_versions
+        self.now = now
+        self.source: OriginSource | None = None
+
+    def began(
+        self, request_id: str, server: BackendServer, given_up_at_s: float
+    ) -> None:
+        """Record the first event of a new stream.
+
+        Args:
+            request_id: id of the caller's attempt.
+            server: the engine that sent the event.
+            given_up_at_s: when the caller stops trying, monotonic seconds.
+        """
+        now_s = self.now()
+        expires_s = min(given_up_at_s, now_s + MAX_LIFETIME_S)
+        self.register.began(
+            StreamOrigin(
+                request_id,
+                server.service,
+                server.software_version,
+                expires_s,
+            ),
+            now_s,
+        )
+
+    async def possible_versions(
+        self, request_id: str, service: str
+    ) -> frozenset[str]:
+        """Return the software versions that may have begun a stream.
+
+        Args:
+            request_id: id of the attempt that brought the first event; empty
+                if the caller does not name it.
+            service: name of the service.
+        """
+        recent = self.software_versions.recent(service, self.now())
+        if len(recent) == 1:
+            return recent
+        origin = self.register.find(request_id, self.now())
+        if origin is None and request_id and self.source is not None:
+            origin = await self.source.ask(request_id)
+        if origin is None:
+            return recent
+        return frozenset((origin.software_version,))
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -20,6 +20,7 @@
 TOKENS = 'token-count'
 PROMPT_PARTS = 'prompt-prefix'
 LAST_EVENT = 'last-event-id'
+RESUMED_REQUEST = 'resumes'
 AUTHORIZATION = 'authorization'
 ACCOUNT = 'tenant'
 INSTANCE = 'expect-instance'
@@ -64,6 +65,8 @@
             which no other request has.
         last_event: id of the last event that the caller received; None if
             the request does not resume a stream.
+        resumed_request: id of the attempt that brought the first event of the
+            stream that is resumed; empty if it is not given.
         forwarded: headers sent to the backend server unchanged.
     """
 
@@ -74,6 +77,7 @@
     output_tokens: int
     shared_parts: tuple[str, ...]
     last_event: int | None
+    resumed_request: str
     forwarded: dict[str, str]
 
 
@@ -141,6 +145,7 @@
         output_tokens=output,
         shared_parts=shared_parts(joined.get(PROMPT_PARTS)),
         last_event=_count(last_event) if last_event else None,
+        resumed_request=joined.get(RESUMED_REQUEST, ''),
         forwarded={
             name: text
             for name, text in joined.items()
--- /dev/null
+++ b/celerywharf/sharing/_origin_exchange.py
@@ -0,0 +1,244 @@
+"""Shares among fronts which software version began each stream."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import logging
+import math
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+
+from celerywharf.exceptions import CelerywharfError
+from celerywharf.origins import (
+    MAX_LIFETIME_S,
+    MAX_ORIGINS,
+    OriginSource,
+    StreamOrigin,
+    StreamOrigins,
+)
+from celerywharf.sharing._readers import ZoneReaders
+from celerywharf.sharing._store import SharedStore
+from celerywharf.tasks import Part
+from celerywharf.wire import Sender
+from celerywharf.wire.origins import (
+    OriginAnswer,
+    OriginEntry,
+    OriginNotice,
+    OriginQuestion,
+)
+
+logger = logging.getLogger(__name__)
+
+READER_TIMEOUT_S = 0.3  # the reader may have to ask other zones
+ZONE_TIMEOUT_S = 0.15  # a round trip between regions takes 40 ms
+NOTICE_TIMEOUT_S = 0.5
+# How soon streams are told that began before there was a second version.
+CHECK_PERIOD_S = 0.5
+NOTICE_PERIOD_S = 0.05
+RETRY_PERIOD_S = 0.3
+MAX_NOTICE = 500
+MAX_NAME = 100
+
+
+class OriginExchange(Part, OriginSource):
+    """Tells the readers of all zones where streams began, and asks them.
+
+    A front tells the reader of its zone, which tells the readers of the other
+    zones; so the knowledge outlives the front, and the reader with it.  While a
+    service has one software version, nothing is told.
+
+    Attributes:
+        origins: what this front knows.
+        shared_store: tells who the reader of the zone is.
+        readers: links to the readers of other zones.
+        other_zones: names of the other availability zones.
+        untold: streams that were not passed on yet, by request id.
+        changed: set when there is one more.
+    """
+
+    def __init__(
+        self,
+        origins: StreamOrigins,
+        shared_store: SharedStore,
+        readers: ZoneReaders,
+        zones: Sequence[str],
+    ) -> None:
+        super().__init__()
+        self.origins = origins
+        self.shared_store = shared_store
+        self.readers = readers
+        self.other_zones = [zone for zone in zones if zone != readers.own_zone]
+        self.untold: OrderedDict[str, StreamOrigin] = OrderedDict()
+        self.changed = asyncio.Event()
+        origins.register.subscribers.append(self._pass_on_later)
+        shared_store.server.subscribe(OriginNotice, self._on_notice)
+        shared_store.server.subscribe(OriginQuestion, self._answer)
+
+    @property
+    def now(self) -> Callable[[], float]:
+        """Return the clock of the origins, monotonic seconds."""
+        return self.origins.now
+
+    def start(self) -> None:
+        """Start to pass streams on."""
+        super().start()
+        self.spawn(self._pass_on_repeatedly())
+
+    async def ask(self, request_id: str) -> StreamOrigin | None:
+        """Ask the reader of the zone, else the readers of the other zones."""
+        shared = self.shared_store
+        reader = shared.election.reader
+        if not shared.is_reader and reader and shared.client:
+            question = OriginQuestion(request_id, passed_on=False)
+            with contextlib.suppress(CelerywharfError):
+                reply = await shared.client.request(
+                    reader.address, question, READER_TIMEOUT_S
+                )
+                return self._learn_first(reply)
+        return await self._ask_zones(request_id)
+
+    async def _ask_zones(self, request_id: str) -> StreamOrigin | None:
+        await self.readers.ensure_known()
+        question = OriginQuestion(request_id, passed_on=True)
+        replies = await asyncio.gather(
+            *(
+                self.readers.request(zone, question, ZONE_TIMEOUT_S)
+                for zone in self.other_zones
+            ),
+            return_exceptions=True,
+        )
+        answers = (
+            self._learn_first(reply)
+            for reply in replies
+            if isinstance(reply, OriginAnswer)
+        )
+        return next(filter(None, answers), None)
+
+    async def _answer(
+        self, _: Sender, question: OriginQuestion
+    ) -> OriginAnswer:
+        """Answer another front of the zone, or another zone's reader."""
+        origin = self.origins.register.find(question.request_id, self.now())
+        may_ask = self.shared_store.is_reader and not question.passed_on
+        if origin is None and may_ask:
+            origin = await self._ask_zones(question.request_id)
+        return OriginAnswer([] if origin is None else [self._to_entry(origin)])
+
+    async def _on_notice(self, _: Sender, notice: OriginNotice) -> OriginAnswer:
+        for entry in notice.origins:
+            origin = self._from_entry(entry)
+            if origin is None:
+                continue
+            self.origins.register.learn(origin, self.now())
+            if self.shared_store.is_reader and not notice.passed_on:
+                self._pass_on_later(origin)
+        return OriginAnswer([])
+
+    def _pass_on_later(self, origin: StreamOrigin) -> None:
+        self.untold[origin.request_id] = origin
+        if len(self.untold) > MAX_ORIGINS:
+            self.untold.popitem(last=False)
+        self.changed.set()
+
+    async def _pass_on_repeatedly(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_PERIOD_S):
+                    await self.changed.wait()
+            self.changed.clear()
+            due = self._due()
+            if due and not await self._pass_on(due):
+                await asyncio.sleep(RETRY_PERIOD_S)
+            await asyncio.sleep(NOTICE_PERIOD_S)
+
+    def _due(self) -> list[StreamOrigin]:
+        """Return streams to be told; drop those that have expired."""
+        now_s = self.now()
+        expired = [
+            request_id
+            for request_id, origin in self.untold.items()
+            if origin.expires_s < now_s
+        ]
+        for request_id in expired:
+            self.untold.pop(request_id)
+        versions = self.origins.software_versions
+        services = {origin.service for origin in self.untold.values()}
+        mixed = {
+            service
+            for service in services
+            if len(versions.recent(service, now_s)) > 1
+        }
+        due = (
+            origin for origin in self.untold.values() if origin.service in mixed
+        )
+        return list(itertools.islice(due, MAX_NOTICE))
+
+    async def _pass_on(self, due: list[StreamOrigin]) -> bool:
+        """Tell where streams began; return whether somebody knows it now."""
+        entries = [self._to_entry(origin) for origin in due]
+        if self.shared_store.is_reader:
+            told = await self._tell_zones(OriginNotice(entries, passed_on=True))
+        else:
+            told = await self._tell_reader(
+                OriginNotice(entries, passed_on=False)
+            )
+        if told:
+            for origin in due:
+                self.untold.pop(origin.request_id, None)
+        if told and len(due) == MAX_NOTICE:
+            self.changed.set()
+        return told
+
+    async def _tell_reader(self, notice: OriginNotice) -> bool:
+        reader = self.shared_store.election.reader
+        client = self.shared_store.client
+        if reader is None or client is None:
+            return False
+        try:
+            await client.request(reader.address, notice, NOTICE_TIMEOUT_S)
+        except CelerywharfError as error:
+            logger.info(
+                'origins of streams not told', extra={'reason': error.message}
+            )
+            return False
+        return True
+
+    async def _tell_zones(self, notice: OriginNotice) -> bool:
+        """Tell the readers of all other zones; return whether one answered."""
+        if not self.other_zones:
+            return True
+        await self.readers.ensure_known()
+        replies = await asyncio.gather(
+            *(
+                self.readers.request(zone, notice, NOTICE_TIMEOUT_S)
+                for zone in self.other_zones
+            ),
+            return_exceptions=True,
+        )
+        return any(isinstance(reply, OriginAnswer) for reply in replies)
+
+    def _learn_first(self, reply: OriginAnswer) -> StreamOrigin | None:
+        for origin in filter(None, map(self._from_entry, reply.origins)):
+            self.origins.register.learn(origin, self.now())
+            return origin
+        return None
+
+    def _to_entry(self, origin: StreamOrigin) -> OriginEntry:
+        return OriginEntry(
+            origin.request_id,
+            origin.service,
+            origin.software_version,
+            max(origin.expires_s - self.now(), 0),
+        )
+
+    def _from_entry(self, entry: OriginEntry) -> StreamOrigin | None:
+        """Convert a message; None if it exceeds a bound."""
+        names = (entry.request_id, entry.service, entry.software_version)
+        if not math.isfinite(entry.lifetime_s) or any(
+            len(name) > MAX_NAME for name in names
+        ):
+            return None
+        lifetime_s = min(entry.lifetime_s, MAX_LIFETIME_S)
+        return StreamOrigin(*names, self.now() + lifetime_s)
--- a/celerywharf/sharing/_readers.py
+++ b/celerywharf/sharing/_readers.py
@@ -72,6 +72,14 @@
             self._look_up(MIN_LOOKUP_PERIOD_S)
             raise
 
+    async def ensure_known(self) -> None:
+        """Read the rows if no reader of another zone is known yet."""
+        if self.readers or self.zones == 1:
+            return
+        self._look_up(MIN_LOOKUP_PERIOD_S)
+        if self.lookup is not None:
+            await asyncio.wait({self.lookup})
+
     async def stop(self) -> None:
         """Stop the tasks and close all links."""
         await super().stop()
--- a/tests/backends/placement.feature
+++ b/tests/backends/placement.feature
@@ -58,3 +58,13 @@
     Then a1 has a record and a2 has none
     When the stream on a1 ends and stale records are evicted
     Then a1 has no record
+
+  Scenario: a stream that goes on is placed at servers of its software version
+    Given software version v2 at a3 b3 in near-2
+    Then a stream of software version v2 goes to one of a3 b3
+    And a stream of software version v3 is not placed
+    And a stream goes to one of a1 a2
+
+  Scenario: the backup copy of a run is placed at its software version
+    Given software version v2 at b3 in near-2
+    Then the backup of a stream of software version v2 on a1 is placed on one of b3
--- a/tests/backends/test_placement.py
+++ b/tests/backends/test_placement.py
@@ -1,6 +1,7 @@
 """Placement of streams and calls under given loads and failures."""
 
 import random
+from dataclasses import replace
 
 from pytest_bdd import given, parsers, scenarios, then, when
 
@@ -227,3 +228,42 @@
 def _a1_evicted(simulated_host):
     assert 'a1' not in simulated_host.loads.loads
     assert 'a1' not in simulated_host.health.outliers.records
+
+
+@given(parsers.parse('software version {version} at {names} in {zone}'))
+def _add_version(simulated_host, version, names, zone):
+    for name in names.split():
+        server = make_server(name, zone, software_version=version)
+        simulated_host.directory.update(server, simulated_host.now_s)
+
+
+@then(
+    parsers.parse(
+        'a stream of software version {version} goes to one of {names}'
+    )
+)
+def _version_goes_to(simulated_host, version, names):
+    demand = replace(STREAM, software_version=version)
+    assert simulated_host.chosen_names(demand) == set(names.split())
+
+
+@then(parsers.parse('a stream of software version {version} is not placed'))
+def _version_not_placed(simulated_host, version):
+    demand = replace(STREAM, software_version=version)
+    now_s = simulated_host.now_s
+    assert simulated_host.placement.choose(demand, now_s) is None
+
+
+@then(
+    parsers.parse(
+        'the backup of a stream of software version {version} on a1 is placed '
+        'on one of {names}'
+    )
+)
+def _version_backup(simulated_host, version, names):
+    server = simulated_host.directory.servers['a1']
+    demand = replace(STREAM, software_version=version)
+    backups = simulated_host.placement.backups(
+        server, demand, simulated_host.now_s
+    )
+    assert {backup.name for backup in backups} == set(names.split())
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -16,6 +16,7 @@
 from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.limits import Clocks, ServerLimiter, StatedLimits
 from celerywharf.metrics import Metrics
+from celerywharf.origins import StreamOrigins
 from celerywharf.platform import read_request_headers
 from celerywharf.quarantine import LossRegister, QuarantineGate
 from celerywharf.routing import ResumableStream, Route
@@ -80,6 +81,7 @@
             StatedLimits(), None, Clocks(time.monotonic, time.monotonic)
         ),
         quarantine=QuarantineGate(LossRegister(Random(1)), time.monotonic),
+        origins=StreamOrigins(directory.software_versions, time.monotonic),
         metrics=Metrics(),
         random=None,
     )
--- /dev/null
+++ b/tests/origins/origins.feature
@@ -0,0 +1,41 @@
+Feature: Where streams began
+  Background:
+    Given a host that knows engines of versions v1 and v2
+
+  Scenario: a stream that began here
+    When stream r1 begins at v2
+    Then r1 may have begun at v2
+    And r2 may have begun at v1 v2
+
+  Scenario: a stream that began at another host
+    When another host knows that r1 began at v1
+    Then r1 may have begun at v1
+    And r2 may have begun at v1 v2
+    And a stream of an unnamed request may have begun at v1 v2
+    And the other host was asked 2 times
+
+  Scenario: a host that reaches no other
+    When no other host answers
+    Then r1 may have begun at v1 v2
+
+  Scenario: other hosts are not asked while there is one version
+    When the engines of v2 have been gone for 300 s
+    Then r1 may have begun at v1
+    And the other host was asked 0 times
+
+  Scenario: a later report does not change where a stream began
+    When stream r1 begins at v2
+    And the host learns that r1 began at v1
+    Then r1 may have begun at v2
+
+  Scenario: streams are forgotten when their callers have given up
+    When stream r1 begins at v2
+    And 31 s pass
+    Then r1 may have begun at v1 v2
+
+  Scenario: any number of streams takes bounded memory
+    When 70000 streams begin
+    Then 65536 streams are known
+    When 31 s pass
+    And stream r1 begins at v2
+    Then 1 streams are known
