Ask other fronts where a stream began for two minutes after a start

Cause: a front that has just started and sees engines of one software version took it for the version of each stream; one that had gone shortly before was not considered. Before: tests/origins, 'a host that has just started', went on at v1 without asking. After: it asks; if nobody knows, the stream goes on at the only version.

--- a/celerywharf/backends/__init__.py
+++ b/celerywharf/backends/__init__.py
@@ -5,9 +5,13 @@
 from celerywharf.backends._loads import Loads
 from celerywharf.backends._placement import Demand, Placement
 from celerywharf.backends._servers import BackendServer, EngineReport
-from celerywharf.backends._software_versions import SoftwareVersions
+from celerywharf.backends._software_versions import (
+    VERSIONS_KEPT_S,
+    SoftwareVersions,
+)
 
 __all__ = (
+    'VERSIONS_KEPT_S',
     'BackendServer',
     'Demand',
     'Directory',
--- a/celerywharf/backends/_software_versions.py
+++ b/celerywharf/backends/_software_versions.py
@@ -7,7 +7,7 @@
 from celerywharf.backends._servers import BackendServer
 
 # Longer than callers wait for a stream.
-KEPT_S = 120.0
+VERSIONS_KEPT_S = 120.0
 
 
 class SoftwareVersions:
@@ -48,7 +48,7 @@
             gone_s = self.gone_s[key]
             if gone_s is None:
                 self.gone_s[key] = now_s
-            elif now_s - gone_s > KEPT_S:
+            elif now_s - gone_s > VERSIONS_KEPT_S:
                 self.gone_s.pop(key)
         kept = (version for name, version in self.gone_s if name == service)
         return frozenset(self.counts.get(service, ())).union(kept)
--- a/celerywharf/origins/_streams.py
+++ b/celerywharf/origins/_streams.py
@@ -5,7 +5,11 @@
 import abc
 from collections.abc import Callable
 
-from celerywharf.backends import BackendServer, SoftwareVersions
+from celerywharf.backends import (
+    VERSIONS_KEPT_S,
+    BackendServer,
+    SoftwareVersions,
+)
 from celerywharf.origins._register import (
     MAX_LIFETIME_S,
     OriginRegister,
@@ -30,6 +34,7 @@
         register: the streams that this host knows.
         software_versions: versions of the engines now and lately.
         now: returns monotonic seconds.
+        started_s: start of this host, on the same clock.
         source: other hosts; None if this host shares nothing with any.
     """
 
@@ -39,6 +44,7 @@
         self.register = OriginRegister()
         self.software_versions = software_versions
         self.now = now
+        self.started_s = now()
         self.source: OriginSource | None = None
 
     def began(
@@ -73,10 +79,11 @@
                 if the caller does not name it.
             service: name of the service.
         """
-        recent = self.software_versions.recent(service, self.now())
-        if len(recent) == 1:
+        now_s = self.now()
+        recent = self.software_versions.recent(service, now_s)
+        if len(recent) == 1 and now_s - self.started_s > VERSIONS_KEPT_S:
             return recent
-        origin = self.register.find(request_id, self.now())
+        origin = self.register.find(request_id, now_s)
         if origin is None and request_id and self.source is not None:
             origin = await self.source.ask(request_id)
         if origin is None:
--- a/tests/origins/origins.feature
+++ b/tests/origins/origins.feature
@@ -23,6 +23,12 @@
     Then r1 may have begun at v1
     And the other host was asked 0 times
 
+  Scenario: a host that has just started may not know a version that is gone
+    Given a host that has just started and knows engines of version v1
+    When another host knows that r1 began at v2
+    Then r1 may have begun at v2
+    And r2 may have begun at v1
+
   Scenario: a later report does not change where a stream began
     When stream r1 begins at v2
     And the host learns that r1 began at v1
--- a/tests/origins/test_origins.py
+++ b/tests/origins/test_origins.py
@@ -29,7 +29,7 @@
 class Host:
     """A host with a clock."""
 
-    def __init__(self):
+    def __init__(self, *versions):
         self.now_s = 100.0
         self.directory = Directory()
         self.origins = StreamOrigins(
@@ -37,7 +37,7 @@
         )
         self.other = OtherHost()
         self.origins.source = self.other
-        for version in ('v1', 'v2'):
+        for version in versions:
             server = make_server(f'e-{version}', software_version=version)
             self.directory.update(server, self.now_s)
 
@@ -53,7 +53,15 @@
 
 @given('a host that knows engines of versions v1 and v2', target_fixture='host')
 def _host():
-    return Host()
+    return Host('v1', 'v2')
+
+
+@given(
+    'a host that has just started and knows engines of version v1',
+    target_fixture='host',
+)
+def _new_host():
+    return Host('v1')
 
 
 @when(parsers.re(r'stream (?P<name>\w+) begins at (?P<version>\w+)'))
