Compare what the store says within its era

Callers saw (stand-in store): after the store had come back from an older copy, fronts missed changes whose versions were given out again, accepted a key that had been revoked, used a server that had left, dropped one whose entry the copy lacks, and zones lost the rows of their readers. Cause: a version of the store was taken for a point in its history; Store-Era was not read. Change: an era with each answer, table, question and reply; positions instead of versions; answers of ended eras are refused; a configuration that is newer than the copy's outlives it and is not confirmed meanwhile; removed entries stay removed; readers write their rows again, also while other fronts ask them.

--- a/celerywharf/backends/_directory.py
+++ b/celerywharf/backends/_directory.py
@@ -29,6 +29,8 @@
         accepting: servers that accept new requests, by service and name.
         departed: ``born_ms`` of the last incarnation that was draining or was
             replaced, by name.
+        last_removed: ``born_ms`` and sequence of the last entry that was
+            removed, by name; older entries come from an outdated copy.
         missing: names whose entries were removed around an outage.
         since_s: when the incarnation was first seen, by name.
         software_versions: those of the servers now and lately.
@@ -40,6 +42,7 @@
         self.servers: dict[str, BackendServer] = {}
         self.accepting: dict[str, dict[str, BackendServer]] = {}
         self.departed: dict[str, int] = {}
+        self.last_removed: dict[str, tuple[int, int]] = {}
         self.missing: set[str] = set()
         self.since_s: dict[str, float] = {}
         self.software_versions = SoftwareVersions()
@@ -50,6 +53,14 @@
         """Record that the store has become unavailable."""
         self.in_outage = True
 
+    def store_restored(self, now_s: float) -> None:
+        """Record that the store has come back from an older copy.
+
+        Servers whose entries it lacks write them again.
+        """
+        self.in_outage = False
+        self.outage_ended_s = now_s
+
     def restored(self, now_s: float) -> None:
         """Record that the store is available again."""
         if self.in_outage:
@@ -65,6 +76,11 @@
         known = self.servers.get(server.name)
         if known is not None and _is_older(server, known):
             return
+        last_removed = self.last_removed.get(server.name)
+        if known is None and last_removed is not None:
+            if (server.born_ms, server.sequence) <= last_removed:
+                return
+            self.last_removed.pop(server.name)
         self.missing.discard(server.name)
         if known is None or known.born_ms != server.born_ms:
             self.since_s[server.name] = now_s
@@ -97,7 +113,7 @@
         if name in self.servers and self._outage_recent(now_s):
             self.missing.add(name)
         else:
-            self.drop(name)
+            self._forget(name)
 
     def replace_all(
         self,
@@ -122,7 +138,7 @@
             return []
         expired = sorted(self.missing)
         for name in expired:
-            self.drop(name)
+            self._forget(name)
         return expired
 
     def drop(self, name: str) -> None:
@@ -138,6 +154,16 @@
         """Return the backend servers of a service that accept requests."""
         return list(self.accepting.get(service, {}).values())
 
+    def _forget(self, name: str) -> None:
+        """Drop a server whose entry was removed, and remember the entry."""
+        known = self.servers.get(name)
+        if known is not None:
+            self.last_removed.pop(name, None)
+            self.last_removed[name] = (known.born_ms, known.sequence)
+            if len(self.last_removed) > MAX_DEPARTED:
+                self.last_removed.pop(next(iter(self.last_removed)))
+        self.drop(name)
+
     def _mark_departed(self, server: BackendServer) -> None:
         self.departed.pop(server.name, None)
         self.departed[server.name] = server.born_ms
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -173,7 +173,7 @@
         """Return whether the load balancer should send connections here."""
         return (
             not self.gateway.admission.draining
-            and self.watchers[1].version is not None
+            and self.watchers[1].position is not None
             and self.quarantine_exchange.has_begun
             and self.configuration_cache.accepts_keys(boot_time_s())
         )
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -16,6 +16,7 @@
     CONFIGURATION_TABLE,
     SERVER_TABLE,
     HistoryGoneError,
+    Position,
     ReadResult,
     Row,
     StoreClient,
@@ -69,8 +70,8 @@
         table: name of the table; set by subclasses.
         poll_s: how long the store may wait for a change.
         batch_s: wait after changes, so that the next call gets several.
-        version: version of the last reading; None if the whole table must be
-            read.
+        position: position of the last reading; None if the whole table must
+            be read.
         failures: number of consecutive failed calls.
     """
 
@@ -82,7 +83,7 @@
         super().__init__()
         self.store = store
         self.random = random
-        self.version: int | None = None
+        self.position: Position | None = None
         self.failures = 0
 
     def start(self) -> None:
@@ -110,24 +111,24 @@
                 await self._poll_once()
             except HistoryGoneError:
                 logger.info('history gone', extra={'table': self.table})
-                self.version = None
+                self.position = None
             except CelerywharfError as error:
                 await self._back_off(error)
 
     async def _poll_once(self) -> None:
-        if self.version is None:
+        if self.position is None:
             reading = await self.store.read(self.table)
             self._record_answer()
             self.apply_all(reading)
         else:
             reading = await self.store.watch(
                 self.table,
-                self.version,
+                self.position,
                 self.poll_s,
             )
             self._record_answer()
             self.apply_changes(reading)
-        self.version = reading.version
+        self.position = reading.position
         if reading.rows and not reading.timing.relayed:
             await asyncio.sleep(self.batch_s)
 
@@ -153,7 +154,12 @@
 
 
 class ConfigurationWatcher(TableWatcher):
-    """Updates the configuration from its table."""
+    """Updates the configuration from its table.
+
+    Attributes:
+        stored_version: version of the configuration that the store has; None
+            before the first.
+    """
 
     table = CONFIGURATION_TABLE
     poll_s = CONFIGURATION_POLL_S
@@ -167,6 +173,7 @@
     ) -> None:
         super().__init__(store, random)
         self.configuration_cache = configuration_cache
+        self.stored_version: int | None = None
 
     def apply_all(self, reading: ReadResult) -> None:
         """Apply the configuration of a whole reading."""
@@ -175,13 +182,17 @@
     def apply_changes(self, reading: ReadResult) -> None:
         """Apply the configuration if it is among the rows.
 
-        Every reading confirms that the known configuration is current.
+        Every reading confirms that the known configuration is current, unless
+        the store has come back from a copy that is older.
         """
         for row in reading.rows:
             if row.key == CONFIGURATION_KEY and row.content is not None:
                 self._apply_configuration(row.content)
-        if self.configuration_cache.configuration is not None:
+        known = self.configuration_cache.configuration
+        if known is not None and self.stored_version == known.version:
             self.configuration_cache.confirm(reading.timing)
+        else:
+            self.configuration_cache.synchronize(reading.timing)
 
     def _apply_configuration(self, content: bytes) -> None:
         try:
@@ -192,6 +203,7 @@
                 extra={'reason': error.message},
             )
             return
+        self.stored_version = configuration.version
         if self.configuration_cache.offer(configuration):
             logger.info(
                 'configuration in force',
@@ -220,6 +232,7 @@
         self.health = health
         self.directory = health.directory
         self.timers = timers
+        store.era.subscribers.append(self.on_store_restored)
 
     def start(self) -> None:
         """Start to follow the table and to drop removed servers."""
@@ -263,6 +276,10 @@
             )
             self.directory.update(server, now_s)
 
+    def on_store_restored(self) -> None:
+        """Give servers whose entries the copy lacks time to write them."""
+        self.directory.store_restored(self.timers.now())
+
     def on_store_lost(self) -> None:
         """Keep entries that expire while the store does not answer."""
         self.directory.outage()
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -7,7 +7,9 @@
     decode_backend_server,
     decode_configuration,
     decode_report,
+    outlives_copy,
 )
+from celerywharf.platform._eras import Position, StoreEra
 from celerywharf.platform._events import Event, EventSplitter
 from celerywharf.platform._headers import (
     PROBE_PATH,
@@ -43,18 +45,21 @@
     'Event',
     'EventSplitter',
     'HistoryGoneError',
+    'Position',
     'ReadResult',
     'RequestHeaders',
     'Resumption',
     'Row',
     'RowChange',
     'StoreClient',
+    'StoreEra',
     'TransactionResult',
     'WriteResult',
     'boot_time_s',
     'decode_backend_server',
     'decode_configuration',
     'decode_report',
+    'outlives_copy',
     'read_answer_headers',
     'read_request_headers',
     'server_headers',
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -9,6 +9,7 @@
 
 from celerywharf.backends import BackendServer, EngineReport
 from celerywharf.exceptions import ProtocolError
+from celerywharf.platform._store import CONFIGURATION_KEY, Row
 from celerywharf.routing import (
     ClientLimits,
     Configuration,
@@ -134,6 +135,10 @@
     tenants: list[_Tenant] | None = None
 
 
+class _Versioned(_Document):
+    version: int
+
+
 class _BackendServer(_Document):
     model_config = ConfigDict(
         alias_generator=to_camel,
@@ -186,6 +191,25 @@
     )
 
 
+def outlives_copy(row: Row, copied: Row | None) -> bool:
+    """Return whether a known configuration is newer than that of a copy.
+
+    The operator writes again what an older copy of the store lacks.
+    """
+    if row.key != CONFIGURATION_KEY or row.content is None:
+        return False
+    if copied is None or copied.content is None:
+        return True
+    return _version(row.content) > _version(copied.content)
+
+
+def _version(text: bytes) -> int:
+    try:
+        return _Versioned.model_validate_json(text).version
+    except ValidationError:
+        return 0
+
+
 def decode_backend_server(name: str, text: bytes) -> BackendServer:
     """Decode the entry that a backend server keeps in the store.
 
--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -19,6 +19,7 @@
     Transport,
 )
 from celerywharf.exceptions import PlatformUnavailableError
+from celerywharf.platform._eras import Position, StoreEra, read_era
 from celerywharf.routing import AnswerTiming
 from celerywharf.structures import Address
 from celerywharf.units import DOCUMENT_BYTES
@@ -29,6 +30,7 @@
 MS_PER_S = 1000
 # 412: the precondition of a write failed; the body has the current rows.
 ACCEPTED_STATUSES = frozenset((HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED))
+ERA_HEADER = 'store-era'
 CALL_TIMEOUT_S = 1.0  # a healthy store answers in a few milliseconds
 # A long poll not answered this long after its wait time is given up.
 POLL_SLACK_S = 0.8
@@ -67,7 +69,7 @@
 
     Attributes:
         rows: the requested rows, or those changed since a version.
-        version: version of the table; pass it to ``watch`` for later changes.
+        version: version of the table.
         timing: when the store was called and answered.
     """
 
@@ -75,6 +77,11 @@
     version: int
     timing: AnswerTiming
 
+    @property
+    def position(self) -> Position:
+        """Return what to pass to ``watch`` for later changes."""
+        return Position(self.timing.era, self.version)
+
 
 @dataclass(frozen=True, slots=True)
 class WriteResult:
@@ -144,11 +151,16 @@
 
 
 class StoreClient:
-    """Reads, watches and writes tables of the metadata store."""
+    """Reads, watches and writes tables of the metadata store.
+
+    Attributes:
+        era: the newest era in an answer; answers of earlier ones are refused.
+    """
 
     def __init__(self, transport: Transport, address: Address) -> None:
         self.transport = transport
         self.address = address
+        self.era = StoreEra()
 
     async def read_row(self, table: str, key: str) -> ReadResult:
         """Read one row.
@@ -168,9 +180,15 @@
             PlatformUnavailableError: the store did not answer.
         """
         rows: list[Row] = []
+        era = None
         while True:
             query = {'table': table, 'part': '', 'from': first_key}
             answer, timing = await self._get('rows-get', query)
+            if era not in {None, timing.era}:
+                raise PlatformUnavailableError(
+                    'rows-get: the store was restored'
+                )
+            era = timing.era
             rows.extend(row.row() for row in answer.rows)
             if not answer.has_more or not answer.rows:
                 return ReadResult(tuple(rows), answer.api_version, timing)
@@ -181,7 +199,7 @@
     async def watch(
         self,
         table: str,
-        after: int,
+        after: Position,
         wait_s: float,
         slack_s: float = POLL_SLACK_S,
     ) -> ReadResult:
@@ -189,23 +207,27 @@
 
         Args:
             table: name of the table.
-            after: last known version.
+            after: last known position.
             wait_s: how long the store waits for the first change before it
                 answers with no rows.
             slack_s: time allowed beyond ``wait_s`` before the call times out.
 
         Raises:
-            HistoryGoneError: the store no longer has these changes; read the
-                whole table again.
+            HistoryGoneError: the store no longer has these changes, or has
+                come back from an older copy; read the whole table again.
             PlatformUnavailableError: the store did not answer.
         """
+        if after.era != self.era.current:
+            raise HistoryGoneError('the store has come back from a copy')
         query = {
             'table': table,
-            'after': str(after),
+            'after': str(after.version),
             'waitMs': str(int(wait_s * MS_PER_S)),
         }
         timeout_s = wait_s + slack_s
         answer, timing = await self._get('rows-feed', query, timeout_s)
+        if timing.era != after.era:
+            raise HistoryGoneError('the store has come back from a copy')
         rows = tuple(row.row() for row in answer.rows)
         return ReadResult(rows, answer.api_version, timing)
 
@@ -288,6 +310,8 @@
     ) -> tuple[HttpResponse, _Answer, AnswerTiming]:
         sent_s = boot_time_s()
         response = await self.transport.fetch(request)
+        era = read_era(response.headers.get(ERA_HEADER))
+        self.era.observe(era)
         if response.status == HTTPStatus.GONE:
             raise HistoryGoneError('the store no longer has these changes')
         if response.status not in ACCEPTED_STATUSES:
@@ -297,7 +321,8 @@
         except ValidationError as error:
             raise PlatformUnavailableError(f'{call}: {error}') from None
         store_s = answer.now_ms / MS_PER_S
-        return response, answer, AnswerTiming(sent_s, boot_time_s(), store_s)
+        timing = AnswerTiming(sent_s, boot_time_s(), store_s, era=era)
+        return response, answer, timing
 
 
 def boot_time_s() -> float:
--- a/celerywharf/routing/_configuration_cache.py
+++ b/celerywharf/routing/_configuration_cache.py
@@ -8,6 +8,11 @@
 
 # Covers the error of converting the store's clock to this host's clock.
 LEASE_MARGIN_S = 0.4
+# After the store has come back from an older copy, the operator has written
+# again what the copy lacks within this time.
+REWRITE_S = 2.0
+# Relayed answers are this old at most.
+MAX_RELAY_AGE_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +23,7 @@
         sent_s: when the call was sent, in seconds of CLOCK_BOOTTIME.
         received_s: when the answer was received, same clock.
         store_s: the store's monotonic clock as stated in the answer, seconds.
+        era: era of the store in which it answered; 0 if unknown.
         relayed: another host made the call and relayed the answer, so
             ``sent_s`` does not bound the age of the answer.
     """
@@ -26,6 +32,7 @@
     received_s: float
     store_s: float
     relayed: bool = False
+    era: int = 0
 
 
 class ConfigurationCache:
@@ -41,6 +48,11 @@
         configuration: None until one has been received.
         current_at_s: when the configuration was last known current, in seconds
             of CLOCK_BOOTTIME; None until confirmed.
+        era: era of the store in which the configuration was last confirmed.
+        unconfirmed_until_s: answers of the store before this time do not show
+            that a configuration is current, seconds of CLOCK_BOOTTIME.
+        confirmed_store_s: time of the store at which the configuration was
+            last known current, seconds.
         clock_offset_s: this host's clock minus the store's clock, estimated
             from the fastest answer; None until an answer was not relayed.
     """
@@ -49,6 +61,9 @@
         self.lease_s = lease_s
         self.configuration: Configuration | None = None
         self.current_at_s: float | None = None
+        self.era = 0
+        self.unconfirmed_until_s = float('-inf')
+        self.confirmed_store_s = float('-inf')
         self.clock_offset_s: float | None = None
 
     def synchronize(self, timing: AnswerTiming) -> None:
@@ -57,6 +72,7 @@
         Relayed answers are ignored: the time they spent at the other host is
         unknown.
         """
+        self._enter_era(timing)
         if timing.relayed:
             return
         offset_s = timing.received_s - timing.store_s
@@ -66,8 +82,11 @@
     def confirm(self, timing: AnswerTiming) -> None:
         """Record that the configuration was current as of a store's answer."""
         self.synchronize(timing)
+        if timing.received_s < self.unconfirmed_until_s:
+            return
         if self.clock_offset_s is None:
             return
+        self.confirmed_store_s = timing.store_s
         current_at_s = timing.store_s + self.clock_offset_s
         if not timing.relayed:
             current_at_s = max(current_at_s, timing.sent_s)
@@ -75,6 +94,19 @@
         if self.current_at_s is None or current_at_s > self.current_at_s:
             self.current_at_s = current_at_s
 
+    def _enter_era(self, timing: AnswerTiming) -> None:
+        if timing.era <= self.era:
+            return
+        if self.era:
+            self.unconfirmed_until_s = timing.received_s + REWRITE_S
+        self.era = timing.era
+        if self.clock_offset_s is None:
+            return
+        # The store's clock may have been set back with its rows.
+        age_s = self.store_time_s(timing.received_s) - timing.store_s
+        if not -LEASE_MARGIN_S <= age_s <= MAX_RELAY_AGE_S:
+            self.clock_offset_s = None
+
     def store_time_s(self, now_s: float) -> float:
         """Convert a time of this host to the store's clock, in seconds.
 
--- a/celerywharf/sharing/_answers.py
+++ b/celerywharf/sharing/_answers.py
@@ -48,6 +48,7 @@
     table: SharedTable,
     question: TableQuestion,
     now: Callable[[], float],
+    era: int = 0,
 ) -> TableAnswer:
     """Answer another front's request for a table or its changes.
 
@@ -59,6 +60,8 @@
         question: the version after which changes are requested, and how long
             to wait for them.
         now: the clock on which ``store_answer_s`` was taken, in seconds.
+        era: the newest era of the store that is known; a table of an earlier
+            one is not sent.
 
     Raises:
         PlatformUnavailableError: the store has not answered this front within
@@ -68,7 +71,7 @@
     """
     deadline_s = now() + question.wait_s
     while True:
-        reply = _current_answer(table, question)
+        reply = _current_answer(table, question, era)
         fresh_left_s = table.store_answer_s + MAX_STORE_ANSWER_AGE_S - now()
         wait_left_s = deadline_s - now()
         if (
@@ -94,18 +97,21 @@
 def _current_answer(
     table: SharedTable,
     question: TableQuestion,
+    era: int,
 ) -> TableAnswer | None:
     mirror = table.mirror
-    if mirror.version is None:
+    if mirror.version is None or mirror.era < era:
         return None
     if question.after == WHOLE_TABLE:
         rows = mirror.current_rows()
-    elif mirror.covers(question.after):
+    elif question.era == mirror.era and mirror.covers(question.after):
         rows = mirror.changes_since(question.after)
     else:
         raise HistoryGoneError('the reader no longer has these changes')
     version = max(question.after, mirror.version)
-    return TableAnswer(_encode_rows(rows), version, mirror.store_s)
+    return TableAnswer(
+        _encode_rows(rows), version, mirror.store_s, era=mirror.era
+    )
 
 
 def _encode_rows(rows: Iterable[Row]) -> list[SharedRow]:
--- a/celerywharf/sharing/_election.py
+++ b/celerywharf/sharing/_election.py
@@ -63,6 +63,8 @@
         reader: the front to request tables from; None while this front reads
             the store itself.
         failed_version: version of the row whose reader did not answer.
+        reclaims: this front is the reader, whatever an older copy of the store
+            says.
         next_check_s: when to read the row next; None while the reader answers.
         last_request_s: when another front last sent a request, or may have
             begun to rely on this front.
@@ -73,6 +75,7 @@
         self.random = random
         self.reader: Reader | None = None
         self.failed_version: int | None = None
+        self.reclaims = False
         self.next_check_s: float | None = 0
         self.last_request_s = float('-inf')
 
@@ -86,12 +89,16 @@
         # Others may have read the row already and send requests from now on.
         self.last_request_s = now_s
         self.next_check_s = now_s + IDLE_CHECK_PERIOD_S
+        reclaims = self.reclaims
+        self.reclaims = False
         if row is None or row.version == self.failed_version:
             return ElectionStep.take_over
         if row.address == self.candidate.address:
             # A different key: written by an earlier process on this host.
             same_process = row.key == self.candidate.key
             return ElectionStep.read if same_process else ElectionStep.take_over
+        if reclaims:
+            return ElectionStep.take_over
         self.reader = row
         self.next_check_s = None
         return ElectionStep.ask
@@ -111,6 +118,17 @@
         self.next_check_s = now_s + self.random.random() * CHECK_JITTER_S
         return True
 
+    def store_restored(self, now_s: float, *, is_reader: bool) -> None:
+        """Record that the store has come back from an older copy.
+
+        Versions of rows are given out again, and the zone's row may be lost or
+        name an earlier reader; the reader then writes it again.
+        """
+        self.failed_version = None
+        if is_reader:
+            self.reclaims = True
+            self.next_check_s = now_s
+
     def postpone_check(self, now_s: float) -> None:
         """Schedule the next check after the row could not be read."""
         self.next_check_s = now_s + CHECK_JITTER_S * (1 + self.random.random())
@@ -118,7 +136,7 @@
     def record_request(self, now_s: float) -> None:
         """Record a request from another front."""
         self.last_request_s = now_s
-        if self.next_check_s is not None:
+        if self.next_check_s is not None and not self.reclaims:
             self.next_check_s = max(
                 self.next_check_s,
                 now_s + FOLLOWER_TIMEOUT_S,
--- a/celerywharf/sharing/_quarantine_exchange.py
+++ b/celerywharf/sharing/_quarantine_exchange.py
@@ -12,7 +12,13 @@
 from random import Random
 
 from celerywharf.exceptions import CelerywharfError
-from celerywharf.platform import HistoryGoneError, Row, RowChange, StoreClient
+from celerywharf.platform import (
+    HistoryGoneError,
+    Position,
+    Row,
+    RowChange,
+    StoreClient,
+)
 from celerywharf.quarantine import LossRecord, LossRegister, is_request
 from celerywharf.sharing._quarantine_rows import (
     LOSS_TABLE,
@@ -78,7 +84,7 @@
         unsent: when each trait that upstream may not know is due to be sent,
             monotonic seconds.
         row_versions: versions of the store's rows, by trait.
-        version: version of the last reading of the store; None if the whole
+        position: position of the last reading of the store; None if the whole
             table must be read.
         serial: last change of the reader that this front has received.
         has_begun: the first exchange has succeeded or failed.
@@ -100,7 +106,7 @@
         self.upstream: _Reader | _Store | None = None
         self.unsent: dict[str, float] = {}
         self.row_versions: dict[str, int] = {}
-        self.version: int | None = None
+        self.position: Position | None = None
         self.serial = 0
         self.has_begun = False
         self.changed = asyncio.Event()
@@ -121,7 +127,7 @@
                 await exchange()
                 failures = 0
             except HistoryGoneError:
-                self.version = None
+                self.position = None
             except CelerywharfError as error:
                 self.has_begun = True
                 logger.info(
@@ -138,7 +144,7 @@
             case _Reader() as reader:
                 wait_s = READER_POLL_S if self.has_begun else 0
                 await self._ask_reader(reader, [], wait_s)
-            case _Store() if self.version is None:
+            case _Store() if self.position is None:
                 await self._read_rows()
             case _Store():
                 await self._watch_rows()
@@ -158,7 +164,7 @@
                 states = [to_state(record) for record in sent.values()]
                 await self._ask_reader(upstream, states, 0)
                 self._mark_sent(sent)
-            case _Store() if sent and self.version is not None:
+            case _Store() if sent and self.position is not None:
                 await self._write_rows(sent)
         await asyncio.sleep(PUSH_PERIOD_S)
 
@@ -175,7 +181,7 @@
         upstream = self._upstream_now()
         if upstream != self.upstream:
             self.upstream = upstream
-            self.version = None
+            self.position = None
             self.serial = 0
             self.unsent = dict.fromkeys(self.register.records, time.monotonic())
         return upstream
@@ -205,7 +211,7 @@
 
     async def _read_rows(self) -> None:
         reading = await self.store.read(LOSS_TABLE)
-        self.version = reading.version
+        self.position = reading.position
         self.row_versions = {}
         for row in reading.rows:
             self._apply_row(row)
@@ -214,10 +220,12 @@
                 self.unsent[trait] = time.monotonic()
 
     async def _watch_rows(self) -> None:
-        reading = await self.store.watch(LOSS_TABLE, self.version, STORE_POLL_S)
+        reading = await self.store.watch(
+            LOSS_TABLE, self.position, STORE_POLL_S
+        )
         for row in reading.rows:
             self._apply_row(row)
-        self.version = reading.version
+        self.position = reading.position
 
     def _apply_row(self, row: Row) -> None:
         if row.removed:
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -16,10 +16,14 @@
 from celerywharf.limits import StatedLimits
 from celerywharf.metrics import Metrics
 from celerywharf.platform import (
+    CONFIGURATION_TABLE,
     HistoryGoneError,
+    Position,
     ReadResult,
     StoreClient,
+    StoreEra,
     boot_time_s,
+    outlives_copy,
 )
 from celerywharf.routing import AnswerTiming, ConfigurationCache
 from celerywharf.sharing._answers import SharedTable, answer, decode_rows
@@ -31,6 +35,7 @@
 )
 from celerywharf.sharing._lending import Lending
 from celerywharf.sharing._limit_messages import from_message, to_message
+from celerywharf.sharing._replies import ReplyCheck
 from celerywharf.sharing._store_backoff import StoreBackoff
 from celerywharf.structures import HostIdentity
 from celerywharf.tasks import Part
@@ -52,9 +57,6 @@
 STORE_ANSWER_SLACK_S = 0.5  # answers normally take a few milliseconds
 CHECK_PERIOD_S = 0.1
 START_TIMEOUT_S = 0.6  # two round trips each to store and reader
-# Reordered calls differ by less than this; a larger decrease means that the
-# store's clock was restarted.
-MAX_CLOCK_DECREASE_S = 10.0
 
 
 class SharedStore(Part):
@@ -71,8 +73,7 @@
         backoff: spaces calls to a store that does not answer.
         reader_answers: the reader answered the last request, if only that it
             does not hear the store.
-        newest_store_s: the latest time of the store's clock in an answer of a
-            reader, seconds.
+        replies: checks the replies of readers.
         lending: lends retries to the fronts of the zone.
         configuration_cache: knows the store's clock.
         limits: request limits that servers have stated, shared in the zone.
@@ -99,16 +100,23 @@
         self.limits = limits
         self.metrics = metrics
         self.tables: dict[str, SharedTable] = defaultdict(SharedTable)
+        self.tables[CONFIGURATION_TABLE].mirror.outlives = outlives_copy
+        self.era.subscribers.append(self._on_store_restored)
         self.row_checked = asyncio.Event()
         self.store_reachable = True
         self.backoff = StoreBackoff(election.random)
         self.reader_answers = False
-        self.newest_store_s = float('-inf')
+        self.replies = ReplyCheck(store.era)
         self.server = self._create_link_service(election.candidate.key)
         self.server.subscribe(TableQuestion, self._answer_front)
         self.server.subscribe(RetryQuestion, lending.answer)
         self.client: LinkService | None = None
 
+    @property
+    def era(self) -> StoreEra:
+        """Return the newest era of the store that this front knows."""
+        return self.store.era
+
     def start(self) -> None:
         """Start to check the zone's row periodically."""
         super().start()
@@ -129,7 +137,8 @@
         """
         await self._wait_for_first_check()
         reader = self.election.reader
-        reading = await self._read_from_reader(table, WHOLE_TABLE)
+        whole = Position(self.era.current, WHOLE_TABLE)
+        reading = await self._read_from_reader(table, whole)
         if reading is None:
             self._check_call_due()
             reading = await self._read_from_store(
@@ -139,12 +148,15 @@
         self.tables[table].notify()
         return reading
 
-    async def watch(self, table: str, after: int, wait_s: float) -> ReadResult:
-        """Wait for changes of a table after a version.
+    async def watch(
+        self, table: str, after: Position, wait_s: float
+    ) -> ReadResult:
+        """Wait for changes of a table after a position.
 
         Raises:
-            HistoryGoneError: the changes after the version are not kept any
-                more; the whole table must be read.
+            HistoryGoneError: the changes after it are not kept any more, or
+                the store has come back from an older copy; the whole table
+                must be read.
             PlatformUnavailableError: neither the reader nor the store answered.
         """
         reader = self.election.reader
@@ -156,6 +168,8 @@
                 self._watch_store(table, after, wait_s),
                 reader,
             )
+        if reading.timing.era != self.tables[table].mirror.era:
+            raise HistoryGoneError('the store has come back from a copy')
         self.tables[table].mirror.update(reading)
         self.tables[table].notify()
         return reading
@@ -170,7 +184,7 @@
     async def _watch_store(
         self,
         table: str,
-        after: int,
+        after: Position,
         wait_s: float,
     ) -> ReadResult:
         if not self.election.has_followers(boot_time_s()):
@@ -231,7 +245,7 @@
         return reading
 
     async def _read_from_reader(
-        self, table: str, after: int
+        self, table: str, after: Position
     ) -> ReadResult | None:
         """Return the reader's answer; None without a reader or an answer."""
         reader = self.election.reader
@@ -241,10 +255,10 @@
         try:
             reply = await self.client.request(
                 reader.address,
-                TableQuestion(table, after, READER_WAIT_S),
+                TableQuestion(table, after.version, READER_WAIT_S, after.era),
                 READER_WAIT_S + READER_ANSWER_SLACK_S,
             )
-            self._check_clock(reply)
+            self.replies.check(reply)
         except HistoryGoneError:
             raise
         except CelerywharfError as error:
@@ -259,16 +273,10 @@
         self._learn_limits(reply)
         self.metrics.count('table_readings', source='reader')
         timing = AnswerTiming(
-            sent_s, boot_time_s(), reply.store_s, relayed=True
+            sent_s, boot_time_s(), reply.store_s, relayed=True, era=reply.era
         )
         return ReadResult(decode_rows(reply), reply.version, timing)
 
-    def _check_clock(self, reply: TableAnswer) -> None:
-        if reply.store_s < self.newest_store_s - MAX_CLOCK_DECREASE_S:
-            self.newest_store_s = float('-inf')
-            raise PeerUnreachableError("the store's clock was restarted")
-        self.newest_store_s = max(self.newest_store_s, reply.store_s)
-
     def _report_reader_failure(
         self,
         reader: Reader,
@@ -292,7 +300,13 @@
     ) -> TableAnswer:
         self.lending.record_host(sender.host)
         self.election.record_request(boot_time_s())
-        reply = await answer(self.tables[question.table], question, boot_time_s)
+        if question.era > self.era.current:
+            self.era.observe(question.era)
+        table = self.tables[question.table]
+        reply = await answer(table, question, boot_time_s, self.era.current)
+        if question.table == CONFIGURATION_TABLE:
+            confirmed_s = self.configuration_cache.confirmed_store_s
+            reply = replace(reply, store_s=confirmed_s)
         now_s = self.configuration_cache.store_time_s(boot_time_s())
         return replace(
             reply,
@@ -306,6 +320,9 @@
             if statement is not None:
                 self.limits.merge(statement)
 
+    def _on_store_restored(self) -> None:
+        self.election.store_restored(boot_time_s(), is_reader=self.is_reader)
+
     async def _check_periodically(self) -> None:
         while True:
             if self.store_reachable and self.election.check_due(boot_time_s()):
--- a/celerywharf/wire/schemas/sharing.capnp
+++ b/celerywharf/wire/schemas/sharing.capnp
@@ -4,6 +4,7 @@
   table @0 :Text;
   after @1 :Int64;
   waitS @2 :Float64;
+  era @3 :Int64;
 }
 
 struct SharedRow {
@@ -32,6 +33,7 @@
   storeS @2 :Float64;
   zoneHosts @3 :Int64;
   limits @4 :List(ServerLimit);
+  era @5 :Int64;
 }
 
 struct ServerLimit {
--- a/celerywharf/wire/sharing.py
+++ b/celerywharf/wire/sharing.py
@@ -34,11 +34,13 @@
         table: name of the table.
         after: version after which changes are requested, or ``WHOLE_TABLE``.
         wait_s: longest wait for the first change, seconds.
+        era: era of the store of that version; 0 if unknown.
     """
 
     table: str
     after: int
     wait_s: float
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +73,7 @@
         zone_hosts: number of hosts that read from this reader, itself
             included; 0 if unknown.
         limits: the request limits that servers have stated lately.
+        era: era of the store in which the rows were read; 0 if unknown.
     """
 
     rows: list[SharedRow]
@@ -78,6 +81,7 @@
     store_s: float
     zone_hosts: int = 0
     limits: list[ServerLimit] = field(default_factory=list)
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/stores.py
+++ b/standins/stores.py
@@ -23,10 +23,13 @@
     """Failure switches of the store.
 
     `forget` drops the history once: polls for the changes after an earlier
-    version are then answered with 410. `freeze` also holds running polls.
+    version are then answered with 410. `restore_to` replaces all rows once by a
+    copy as of that version, and gives later versions out again. `freeze` also
+    holds running polls.
     """
 
     forget: bool = False
+    restore_to: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +59,7 @@
 
     Attributes:
         version: version of the last write.
+        era: how often the rows were replaced by an older copy, from 1 on.
         changes: all writes in order.
         history_start: lowest version after which changes can be polled.
         calls: how many calls were received.
@@ -64,6 +68,7 @@
     def __init__(self) -> None:
         super().__init__(StoreSwitches())
         self.version = 0
+        self.era = 1
         self.changes: list[Change] = []
         self.history_start = 0
         self.calls = 0
@@ -128,14 +133,36 @@
         }
 
     def record(self) -> dict[str, Any]:
-        """Return the version and the number of calls."""
-        return {'version': self.version, 'calls': self.calls}
+        """Return the version, the era and the number of calls."""
+        return {
+            'version': self.version,
+            'era': self.era,
+            'calls': self.calls,
+        }
 
     def on_switches_changed(self) -> None:
         """Drop the history if `forget` is set, and clear it."""
         if self.switches.forget:
             self.switches.forget = False
             self.history_start = self.version
+        if self.switches.restore_to is not None:
+            self.version = self.switches.restore_to
+            self.switches.restore_to = None
+            self.era += 1
+            self.changes = [
+                change
+                for change in self.changes
+                if change.version <= self.version
+            ]
+
+
+class _CallHandler(control.ProtocolHandler):
+    """A call of the system, answered with the era."""
+
+    def answer(self, status: int, body: dict[str, Any]) -> None:
+        """Finish with a status and a JSON object."""
+        self.set_header('Store-Era', str(self.standin.era))
+        super().answer(status, body)
 
 
 class _RowsHandler(control.JsonHandler):
@@ -145,7 +172,7 @@
         self.answer(OK, {'version': version})
 
 
-class _GetHandler(control.ProtocolHandler):
+class _GetHandler(_CallHandler):
     def get(self) -> None:
         self.standin.calls += 1
         first = self.get_argument('from', '')
@@ -159,7 +186,7 @@
         self.answer(OK, self.standin.answer(rows))
 
 
-class _TransactionHandler(control.ProtocolHandler):
+class _TransactionHandler(_CallHandler):
     """Changes rows if all of them have the expected versions."""
 
     def post(self) -> None:
@@ -204,12 +231,12 @@
     ]
 
 
-class _FeedHandler(control.ProtocolHandler):
+class _FeedHandler(_CallHandler):
     async def get(self) -> None:
         store = self.standin
         store.calls += 1
         after = int(self.get_argument('after'))
-        if after < store.history_start:
+        if not store.history_start <= after <= store.version:
             self.answer(GONE, {})
             return
         table = self.get_argument('table')
@@ -224,6 +251,9 @@
             await asyncio.wait(
                 [asyncio.ensure_future(waiting)], timeout=remaining_s
             )
+            if after > store.version:
+                self.answer(GONE, {})
+                return
         while store.switches.freeze:
             await store.changed.wait()
         self.answer(OK, store.answer(store.changes_since(table, after)))
