--- a/celerywharf/quarantine/_register.py
+++ b/celerywharf/quarantine/_register.py
@@ -13,7 +13,7 @@
 
 MAX_RECORDS = 1024
 MAX_PROVEN = 4096
-MAX_PARTS_PER_LOSS = 32
+MAX_TRAITS_PER_LOSS = 32
 # Waits before a quarantined trait is tried again; the last one doubles.  The
 # first two are for parts that may be suspect only for what other parts do.
 AMBIGUOUS_TRIAL_WAITS_S = (5.0, 30.0)
@@ -218,12 +218,12 @@
 
     def _pick(self, suspects: list[str]) -> list[str]:
         """Return all suspects, or a limited number with those known before."""
-        if len(suspects) <= MAX_PARTS_PER_LOSS:
+        if len(suspects) <= MAX_TRAITS_PER_LOSS:
             return suspects
         known = [trait for trait in suspects if trait in self.records]
-        known = known[-MAX_PARTS_PER_LOSS:]
+        known = known[-MAX_TRAITS_PER_LOSS:]
         new = [trait for trait in suspects if trait not in self.records]
-        count = min(MAX_PARTS_PER_LOSS - len(known), len(new))
+        count = min(MAX_TRAITS_PER_LOSS - len(known), len(new))
         return known + self.random.sample(new, count)
 
     def _store(self, record: LossRecord) -> None:
