Give no port of a test run out twice before it is used

The kept settings have health and peers at one port, 29019: the locks of a process do not refuse its own ports, so find_free_port returned it twice. Before: the new test in tests/standins/test_ports.py fails; after: it passes.

--- a/standins/launching.py
+++ b/standins/launching.py
@@ -13,6 +13,7 @@
 import subprocess
 import tempfile
 import time
+from collections import deque
 from collections.abc import Callable, Mapping
 from configparser import ConfigParser
 from http import HTTPStatus
@@ -28,6 +29,8 @@
 FIRST_PORT = 15_000
 LAST_PORT = 32_000
 PORT_TRIES = 100
+# More than the processes of one test listen on.
+RECENT_PORTS = 1000
 RESERVATIONS = Path(tempfile.gettempdir()) / 'celerywharf-test-ports'
 
 SettingsMapping = Mapping[str, Mapping[str, Any]]
@@ -297,19 +300,28 @@
 def _reserve_port(port: int) -> bool:
     """Reserve a port among the test runs of this machine.
 
-    Between the check of a port and its use by a started process another run
-    could choose it.  The reservation ends with this process.
+    Between the check of a port and its use by a started process another run,
+    or this one, could choose it.  The reservation ends with this process.
 
     Returns:
         False if the port is reserved.
     """
+    if port in _recent_ports():
+        return False
     try:
         fcntl.lockf(_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
     except OSError:
         return False
+    _recent_ports().append(port)
     return True
 
 
+@functools.cache
+def _recent_ports() -> deque[int]:
+    """Return ports given out lately, which this process may lock again."""
+    return deque(maxlen=RECENT_PORTS)
+
+
 @functools.cache
 def _reservations() -> TextIO:
     """Return the file in which the byte at each reserved port is locked."""
--- a/tests/standins/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -30,6 +30,19 @@
     assert not chosen.intersection(map(int, printed.split()))
 
 
+def test_a_run_is_not_given_a_port_twice_before_it_is_used():
+    command = (
+        'from standins import launching;'
+        'launching.LAST_PORT = launching.FIRST_PORT + 1000;'
+        'print(*(launching.find_free_port() for _ in range(100)))'
+    )
+    printed = subprocess.check_output(
+        [sys.executable, '-c', command], cwd=ROOT, text=True
+    )
+    ports = printed.split()
+    assert len(set(ports)) == len(ports)
+
+
 def test_a_port_in_use_is_not_returned():
     ports = set()
     held = []
