Let the row of a quarantined part be written before it is listed

Kept logs: f1 quarantined the part at 802.172 s and refused a stream at 802.285; f3, which learns it through the store, at 802.377. The list was read in between; a front writes its records at most five times a second, and nothing promises the row earlier. Change: the list has to show the part within 1 s; what it must show is the same.

--- a/tests/fronts/crashing_parts.feature
+++ b/tests/fronts/crashing_parts.feature
@@ -34,6 +34,6 @@
     Given fronts f1, f2 in north-1 and f3, f4 in north-2
     When a sound stream has been served at f1
     And streams with the part come at f1 until it is quarantined there
-    Then the command line lists the part as quarantined
+    Then within 1 s the command line lists the part as quarantined
     When the engines are mended and the command line releases the part
     Then within 2 s a stream with the part is served at each front
--- a/tests/fronts/test_crashing_parts.py
+++ b/tests/fronts/test_crashing_parts.py
@@ -149,10 +149,19 @@
     time.sleep(STABLE_S / 2)  # until the fronts have noticed
 
 
-@then('the command line lists the part as quarantined')
-def _listed(rig, capsys):
-    assert main(['quarantine', 'list', '--store', rig.store, '--json']) == 0
-    (part,) = json.loads(capsys.readouterr().out)
+@then(
+    parsers.parse(
+        'within {span:g} s the command line lists the part as quarantined'
+    )
+)
+def _listed(rig, capsys, span):
+    listing = ['quarantine', 'list', '--store', rig.store, '--json']
+    ends_s = time.monotonic() + span
+    parts = []
+    while not parts and time.monotonic() < ends_s:
+        assert main(listing) == 0
+        parts = json.loads(capsys.readouterr().out)
+    (part,) = parts
     assert part['name'] == CRASHING_PART
     assert part['kind'] == 'prompt part'
     assert part['quarantined']
