Break off streams of the stand-in whose events it did not send

Kept logs: engine e3-3 ran the stream for 0.37 s and recorded six events and a normal end, the front saw headers and a complete body without an event, and another stream at e3-3 was lost by silence at that time. The switch 'silent' holds a stream with all events unsent; when the fault ended, the stand-in closed the stream as complete. The front passed on what the server said; no sound server says that. Change: such a stream is reset when the silence ends.

--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -403,11 +403,19 @@
             await self.send_event(number)
             if backup:
                 await self.standin.copy(backup, run)
-        while switches.silent:
-            await self.standin.changed.wait()
+        if switches.silent:
+            await self.break_off_when_changed(run)
         if run.state == 'running':
             run.state = 'ended'
 
+    async def break_off_when_changed(self, run: ServedRun) -> None:
+        """Break off a stream whose events were not sent, after the silence."""
+        while self.standin.switches.silent:
+            await self.standin.changed.wait()
+        if run.state == 'running':
+            run.state = 'broken'
+            self.drop_connection()
+
     async def send_event(self, number: int) -> None:
         """Send one event, unless `silent` is set.
 
