Show that servers that leave or want a pause get requests, known red

The test of an absurd pause expected that pauses end after a minute. The test of bounded memory fixed 1,024 entries, fewer than the servers of the planned size; now 100,000 pauses must fit in 12,000.

--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -63,7 +63,11 @@
         limit_per_s: state this request limit in each answer.
         unframed: answer without a length or chunks and close the connection.
         leaving: state in each answer that the server leaves.
-        retry_after: state this wait in each refusal; empty for none.
+        retry_after: state this wait in each refusal; empty for none.  Of
+            several waits with commas between, each refusal states the next.
+        refusal_ms: time that a refusal takes.
+        unstated: omit from refusals that the request has not run.
+        stale_refusal: id of another request that refusals state.
         brittle: state in each answer that refusing more requests than this in
             a second makes the server fall over.
         crash_on: name of a prompt part; the process ends as soon as it begins
@@ -90,6 +94,9 @@
     unframed: bool = False
     leaving: bool = False
     retry_after: str = ''
+    refusal_ms: float = 0
+    unstated: bool = False
+    stale_refusal: str = ''
     brittle: float | None = None
     crash_on: str = ''
     crash_request: str = ''
@@ -235,13 +242,7 @@
             self.set_header('Server-Brittle', brittle)
         refusal_status = self.refusal_status()
         if refusal_status:
-            self.standin.refused_s.append(time.monotonic())
-            self.set_header('Not-Run', '1')
-            if self.standin.switches.retry_after:
-                wait = self.standin.switches.retry_after
-                self.set_header('Retry-After', wait)
-            self.set_header('Instance-Id', self.standin.name)
-            self.answer(refusal_status, {})
+            await self.refuse(refusal_status)
             return
         self.served_run = self.start_run()
         await self.crash_if_requested(self.served_run)
@@ -253,6 +254,23 @@
             self.served_run.ended_s = time.monotonic()
             self.standin.write_record('end', self.served_run)
 
+    async def refuse(self, status: int) -> None:
+        """Answer that the request does not run."""
+        switches = self.standin.switches
+        refused_s = self.standin.refused_s
+        refused_s.append(time.monotonic())
+        if switches.retry_after:
+            waits = switches.retry_after.split(',')
+            wait = waits[min(len(refused_s), len(waits)) - 1]
+            self.set_header('Retry-After', wait)
+        if not switches.unstated:
+            self.set_header('Not-Run', '1')
+        if switches.stale_refusal:
+            self.set_header('Attempt-Id', switches.stale_refusal)
+        self.set_header('Instance-Id', self.standin.name)
+        await asyncio.sleep(switches.refusal_ms / control.MS_PER_S)
+        self.answer(status, {})
+
     def on_connection_close(self) -> None:
         """Mark the run as abandoned by its caller."""
         if self.served_run is not None and self.served_run.state == 'running':
@@ -404,6 +422,7 @@
         answer = (
             f'HTTP/1.1 200 OK\r\nAttempt-Id: {run.request_id}\r\n'
             f'Server-Stamp: stamp\r\nContent-Length: {len(body) + short}\r\n'
+            f'Server-Leaving: {int(self.standin.switches.leaving)}\r\n'
             f'\r\n{body}'
         )
         if self.standin.switches.twice:
--- /dev/null
+++ b/tests/forwarding/test_late_statements.py
@@ -0,0 +1,127 @@
+"""Servers that say something between the choice of a server and the send."""
+
+import asyncio
+from dataclasses import replace
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+
+from celerywharf.backends import Placement
+from celerywharf.exceptions import TransportError
+from celerywharf.forwarding._streams import StreamForwarding
+from celerywharf.routing import EngineMemory, Service
+from celerywharf.structures import Address, Verdict
+from tests.backends.test_directory import SERVICE, make_server
+from tests.forwarding.test_relays import (
+    RecordingCaller,
+    _make_context,
+    _make_request,
+)
+
+FIRST = make_server('e1', address=Address('127.0.0.1', 1))
+SECOND = make_server('e2', 'north-2', address=Address('127.0.0.1', 2))
+STATEMENTS = {
+    'leaves': lambda context: context.health.leaving(FIRST),
+    'wants a pause': lambda context: context.limits.pause(
+        FIRST.incarnation, 60
+    ),
+    'is removed': lambda context: context.health.directory.removed('e1', 0),
+}
+
+
+class Transport:
+    """Records where requests are sent and refuses all connections."""
+
+    def __init__(self):
+        self.urls = []
+
+    def stream(self, request, sink):
+        """Record a request and end it."""
+        self.urls.append(request.url)
+        error = TransportError('refused', verdict=Verdict.not_run)
+        asyncio.get_running_loop().call_soon(sink.on_end, error)
+        return SimpleNamespace(cancel=lambda: None)
+
+
+class Reports:
+    """Chooses the best server; the first says something before the second."""
+
+    def __init__(self, said=None):
+        self.said = said
+        self.calls = 0
+
+    async def best(self, rank, candidates):
+        """Return the best ranked server."""
+        self.calls += 1
+        if self.calls == 2 and self.said is not None:
+            self.said()
+        return next(iter(rank()), None)
+
+
+class Log:
+    """Takes the place of the request log."""
+
+    def log_send(self, *_, **__):
+        """Do nothing."""
+
+
+def build_context(transport, reports):
+    """Return a context with two engines, of which the first is nearer."""
+    context = _make_context()
+    directory = context.health.directory
+    directory.update(FIRST, 0)
+    directory.update(SECOND, 0)
+    service = Service(SERVICE, '/', EngineMemory(88_000, backups=True))
+    configuration = SimpleNamespace(services={SERVICE: service})
+    return replace(
+        context,
+        transport=transport,
+        reports=reports,
+        configuration_cache=SimpleNamespace(configuration=configuration),
+        placement=Placement(
+            directory, context.loads, context.health, 'north-1', {}, Random(1)
+        ),
+        random=Random(1),
+    )
+
+
+async def send_once(transport, reports, prepare):
+    """Send a stream once, after a preparation."""
+    context = build_context(transport, reports)
+    request = _make_request()
+    headers = replace(request.headers, prompt_tokens=60, output_tokens=70)
+    request = replace(request, headers=headers, arrived_s=context.timers.now())
+    forwarding = StreamForwarding(
+        context, request, SERVICE, Log(), RecordingCaller()
+    )
+    prepare(context, forwarding)
+    await forwarding.send()
+
+
+@pytest.mark.parametrize('statement', STATEMENTS)
+def test_nothing_is_sent_to_a_server_that_has_spoken_since_it_was_chosen(
+    statement,
+):
+    transport = Transport()
+    reports = Reports()
+
+    def prepare(context, _):
+        reports.said = lambda: STATEMENTS[statement](context)
+
+    asyncio.run(send_once(transport, reports, prepare))
+    assert transport.urls == [f'http://{SECOND.address}/']
+
+
+@pytest.mark.parametrize('statement', STATEMENTS)
+def test_a_stream_does_not_go_on_where_its_copy_is_if_that_server_has_spoken(
+    statement,
+):
+    transport = Transport()
+
+    def prepare(context, forwarding):
+        forwarding.placer.copy_holder = FIRST
+        STATEMENTS[statement](context)
+
+    asyncio.run(send_once(transport, Reports(), prepare))
+    assert transport.urls == [f'http://{SECOND.address}/']
--- a/tests/fronts/passing_on.feature
+++ b/tests/fronts/passing_on.feature
@@ -76,3 +76,13 @@
     When f1, f2 lose all servers, whose connections hang
     And callers send 40 streams of 10 events to f1, f2
     Then all streams are complete within 4 s
+
+  Scenario: a server says through another front that it leaves
+    When f1 loses all servers, whose connections are refused
+    And desk-0 says in its answers that it leaves
+    And a caller sends 12 lookups with a query, a header and a body to f1
+    And desk-0 has answered f1 through another front
+    And f1 has its paths back for 2 s
+    And a caller sends 30 lookups to f1
+    Then 30 of them are served
+    And desk-0 got none of them
--- a/tests/fronts/server_statements.feature
+++ b/tests/fronts/server_statements.feature
@@ -36,3 +36,69 @@
     And callers send lookups for 6 s
     Then from 2 s on d1 refused at most 4 requests in any 1 s
     And all requests were served
+
+  Scenario Outline: a server that leaves says so in answers that are no good
+    When d1, d2, d3 answer <answers>
+    And d1 says in its answers that it leaves
+    And 3 callers of the nearest front send lookups for 4 s
+    Then from 1 s after its first answer d1 got no request and no probe
+
+    Examples:
+      | answers                        |
+      | with 500                       |
+      | with 503                       |
+      | without signature              |
+      | with the id of another request |
+      | with an encoded body           |
+      | with less than they announce   |
+
+  Scenario Outline: an engine that leaves says so in heads that are no good
+    When e1, e2, e3 answer <answers>
+    And e1 says in its answers that it leaves
+    And 3 callers of the nearest front send streams for 4 s
+    Then from 1 s after its first answer e1 got no request and no probe
+
+    Examples:
+      | answers                        |
+      | with 503                       |
+      | without signature              |
+      | with the id of another request |
+      | with an encoded body           |
+
+  Scenario: a server that leaves refuses requests with the id of another one
+    When d1, d2, d3 refuse with the id of another request
+    And d1 says in its answers that it leaves
+    And 3 callers of the nearest front send lookups for 4 s
+    Then from 1 s after its first answer d1 got no request and no probe
+
+  Scenario Outline: a pause stated without a word that the request has not run
+    When <servers> answer with 503
+    And <servers> refuse requests and want nothing for 5 s
+    And callers send <requests> for 4 s
+    Then <server> got at most 2 requests or probes of each front from 0.5 s after a refusal
+
+    Examples:
+      | servers    | server | requests |
+      | d1, d2, d3 | d1     | lookups  |
+      | e1, e2, e3 | e1     | streams  |
+
+  Scenario Outline: a shorter pause does not end a longer one
+    When <servers> take 0.1 s for a refusal and want nothing for 6, then for 1 s
+    And 8 callers of the nearest front send <requests> for 5 s
+    Then from 0.6 s on <server> got at most 2 requests or probes
+
+    Examples:
+      | servers    | server | requests |
+      | d1, d2, d3 | d1     | lookups  |
+      | e1, e2, e3 | e1     | streams  |
+
+  Scenario: brittle servers that want nothing for a while get nothing
+    When d1, d2, d3 are full and fall over if they refuse more than 400 requests a second
+    And d1, d2, d3 refuse requests and want nothing for 12 s
+    And 8 callers of the nearest front send lookups for 11 s
+    Then from 0.6 s on d1 got at most 2 requests or probes
+
+  Scenario: a refusal that names another request is none
+    When d1, d2, d3 refuse with the id of another request
+    And callers send purchases for 1 s
+    Then no caller is told that its request has not run
--- a/tests/fronts/test_passing_on.py
+++ b/tests/fronts/test_passing_on.py
@@ -167,6 +167,23 @@
     scene.logged = _passed_on(fleet)
 
 
+@when('desk-0 says in its answers that it leaves')
+def _leaves(fleet):
+    fleet.control('desk-0', leaving=True)
+
+
+@when('desk-0 has answered f1 through another front')
+def _has_answered(rig, scene):
+    answered = {run['request_id'] for run in rig.runs('desk-0')}
+    assert answered & {request.request_id for request in scene.sent}
+
+
+@then('desk-0 got none of them')
+def _got_none(rig, scene):
+    ran = {run['request_id'] for run in rig.runs('desk-0')}
+    assert not ran & {request.request_id for request in scene.sent}
+
+
 @when('the store is away')
 def _store_away(fleet):
     fleet.control('store-link', cut=True)
--- a/tests/fronts/test_server_statements.py
+++ b/tests/fronts/test_server_statements.py
@@ -25,9 +25,20 @@
     'streams': STREAM_PATH,
 }
 CALLERS = 3  # of each front
+FAULTS = {
+    'with 500': {'status': 500},
+    'with 503': {'full': True, 'unstated': True},
+    'without signature': {'unsigned': True},
+    'with the id of another request': {'other_id': True},
+    'with an encoded body': {'encoded': True},
+    'with less than they announce': {'shorten': True},
+}
 SETTLES_S = 0.5
 OK = 200
 REFUSED = 503
+PROMISES = {408, 421, 429, 503}  # each states that the request has not run
+OTHER_ID = 'ffffffffffffffff'
+REFUSAL_S = 0.1
 LENIENCE_S = 0.5
 REFUSED_WITHIN_S = 0.3
 SILENT_AFTER_S = 1.0
@@ -44,13 +55,16 @@
         self.started_s = 0
         self.went_on_s = {}
 
-    def send(self, path, span_s):
-        """Send requests to all fronts for a while."""
+    def send(self, path, span_s, fronts=None, callers=CALLERS):
+        """Send requests to fronts, by default all, for a while."""
         self.started_s = time.monotonic()
         threads = [
-            threading.Thread(target=self._send, args=(address, path, span_s))
-            for address in self.rig.fronts.values()
-            for _ in range(CALLERS)
+            threading.Thread(
+                target=self._send,
+                args=(self.rig.fronts[name], path, span_s),
+            )
+            for name in fronts or self.rig.fronts
+            for _ in range(callers)
         ]
         for thread in threads:
             thread.start()
@@ -127,9 +141,75 @@
         fleet.control(name, full=True, retry_after=wait)
 
 
-@when('d1 is full and falls over if it refuses more than 4 requests a second')
-def _brittle(fleet):
-    fleet.control('d1', full=True, brittle=4)
+@when(
+    parsers.re(
+        r'(?P<servers>d1(, d2, d3)?) (is|are) full and falls? over if (it|they)'
+        r' refuses? more than (?P<most>\d+) requests a second'
+    )
+)
+def _brittle(fleet, servers, most):
+    for name in servers.split(', '):
+        fleet.control(name, full=True, brittle=int(most))
+
+
+@when(parsers.re(r'(?P<servers>[de]1, [de]2, [de]3) answer (?P<answers>.*)'))
+def _answer_badly(fleet, servers, answers):
+    for name in servers.split(', '):
+        fleet.control(name, **FAULTS[answers])
+
+
+@when('d1, d2, d3 refuse with the id of another request')
+def _refuse_another(fleet):
+    for name in ('d1', 'd2', 'd3'):
+        fleet.control(name, full=True, stale_refusal=OTHER_ID)
+
+
+@when(
+    parsers.parse(
+        '{servers} take 0.1 s for a refusal and want nothing for 6, then for '
+        '1 s'
+    )
+)
+def _shorter_waits(fleet, servers):
+    for name in servers.split(', '):
+        fleet.control(name, full=True, refusal_ms=100, retry_after='6,1')
+
+
+@when(
+    parsers.parse(
+        '{callers:d} callers of the nearest front send {requests} for '
+        '{span:g} s'
+    )
+)
+def _send_to_one(scene, requests, span, callers):
+    scene.send(PATHS[requests], span, ['f1'], callers)
+
+
+@then(
+    parsers.parse(
+        'from 1 s after its first answer {server} got no request and no probe'
+    )
+)
+def _left_alone_once_told(scene, server):
+    arrivals = scene.arrivals(server, scene.started_s)
+    late = [at_s for at_s in arrivals if at_s > arrivals[0] + 1]
+    assert not late, (len(late), len(arrivals))
+
+
+@then(parsers.parse('from 0.6 s on {server} got at most 2 requests or probes'))
+def _left_alone_by_one(scene, server):
+    late = scene.arrivals(server, scene.started_s + REFUSAL_S + LENIENCE_S)
+    assert scene.rig.fleet.record(server)['refused_s']
+    assert len(late) <= 2, len(late)
+
+
+@then('no caller is told that its request has not run')
+def _not_told(scene):
+    promises = [
+        answer for _, answer in scene.answers if answer.status in PROMISES
+    ]
+    assert scene.answers
+    assert not promises, (len(promises), len(scene.answers))
 
 
 @when(parsers.parse('callers send {requests} for {span:g} s'))
--- a/tests/limits/test_pauses.py
+++ b/tests/limits/test_pauses.py
@@ -6,11 +6,18 @@
 import pytest
 
 from celerywharf.backends import Directory
-from celerywharf.limits import Clocks, ServerLimiter, StatedLimits
+from celerywharf.limits import (
+    Clocks,
+    Grant,
+    LimitLender,
+    ServerLimiter,
+    StatedLimits,
+)
 from celerywharf.platform import read_answer_headers
 from tests.backends.test_directory import SERVICE, make_server
 
 NAME = 's1/1'
+MAX_SERVERS = 12_000
 
 
 class Clock:
@@ -61,15 +68,70 @@
     assert len(ends_s) > 10
 
 
-def test_an_absurd_pause_is_cut(limiter):
-    limiter.pause(NAME, 1e300)
-    assert limiter.wait_s(NAME) <= 72
+@pytest.mark.parametrize('pause_s', [300, 86400, 1e300])
+def test_a_long_pause_is_kept_to_its_end(limiter, clock, pause_s):
+    limiter.pause(NAME, pause_s)
+    clock.now_s = 0.999 * pause_s
+    assert not may_send(limiter)
+
+
+@pytest.mark.parametrize('first_s', [6, 300])
+@pytest.mark.parametrize('second_s', [0, 1, 5.9])
+def test_a_shorter_pause_does_not_end_a_longer_one(
+    limiter, clock, first_s, second_s
+):
+    limiter.pause(NAME, first_s)
+    clock.now_s = 0.1
+    limiter.pause(NAME, second_s)
+    clock.now_s = first_s - 0.01
+    assert not may_send(limiter)
 
 
 def test_any_number_of_pauses_takes_bounded_memory(limiter):
-    for number in range(5000):
+    for number in range(100_000):
         limiter.pause(f's{number}/1', 5)
-    assert len(limiter.pauses) == 1024
+    assert len(limiter.pauses) <= MAX_SERVERS
+
+
+def test_pauses_of_all_servers_of_a_large_system_are_kept(limiter, clock):
+    names = [f's{number}/1' for number in range(MAX_SERVERS)]
+    for name in names:
+        limiter.pause(name, 60)
+    clock.now_s = 59
+    assert all(limiter.is_paused(name) for name in names)
+
+
+def test_pauses_that_have_ended_make_room_first(limiter, clock):
+    limiter.pause(NAME, 300)
+    for number in range(MAX_SERVERS):
+        limiter.pause(f's{number}/1', 1)
+    clock.now_s = 2
+    limiter.pause('new/1', 300)
+    assert limiter.is_paused(NAME)
+    assert limiter.is_paused('new/1')
+
+
+class SlowLender(LimitLender):
+    """Grants a request after the server has asked for a pause."""
+
+    limiter = None
+
+    async def ask(self, statement, *, in_progress):
+        """Grant the request, late."""
+        self.limiter.pause(NAME, 5)
+        return Grant(granted=True)
+
+    def tell(self, statement):
+        """Do nothing."""
+
+
+@pytest.mark.parametrize('in_progress', [False, True])
+def test_a_pause_stops_requests_that_wait_for_a_grant(clock, in_progress):
+    lender = SlowLender()
+    limiter = ServerLimiter(StatedLimits(), lender, Clocks(clock, clock))
+    lender.limiter = limiter
+    limiter.record_answer(NAME, 'z1', 4, 0)
+    assert not may_send(limiter, in_progress=in_progress)
 
 
 @pytest.mark.parametrize(
