Log the pauses that servers ask for

A pause was neither logged when it was stated nor when another one replaced it, so the logs could not tell a forgotten pause from one that was never heard. The line has what was stated and what was left of the pause known before.

--- a/celerywharf/limits/_limiter.py
+++ b/celerywharf/limits/_limiter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -9,6 +10,8 @@
 from celerywharf.limits._lender import LimitLender
 from celerywharf.limits._statements import LimitStatement, StatedLimits
 
+logger = logging.getLogger(__name__)
+
 MAX_WAITS = 1024
 # A server that asks for more is asked again sooner; it may have meant a date.
 MAX_PAUSE_S = 60.0
@@ -104,6 +107,14 @@
         """
         spread = 1 + PAUSE_SPREAD * self.random.random()
         until_s = self.clocks.now() + min(pause_s, MAX_PAUSE_S) * spread
+        logger.info(
+            'pause requested',
+            extra={
+                'backend_server': incarnation,
+                'pause_s': pause_s,
+                'known_s': round(self.wait_s(incarnation), 3),
+            },
+        )
         self.pauses.pop(incarnation, None)
         self.pauses[incarnation] = until_s
         if len(self.pauses) > MAX_WAITS:
--- a/tests/forwarding/test_late_statements.py
+++ b/tests/forwarding/test_late_statements.py
@@ -62,7 +62,7 @@
 class Log:
     """Takes the place of the request log."""
 
-    def log_send(self, *_, **__):
+    def log_send(self, *_, **_fields):
         """Do nothing."""
 
 
