Keep the longest pause that a server has stated, for as long as it lasts

Callers' requests reached servers that had asked for rest (BUDGET): a pause replaced the one before, so 6 s, then 1 s left 1.2 s, and the second of rest that a host gives a brittle server ended its stated 12 s. Any pause ended after a minute, more than 1,024 pushed out one that lasted, and a request that waited for a grant was sent into a pause that had begun meanwhile.

A pause is now a maximum over all that was stated. The table holds a system of the planned size and forgets pauses that have ended first; a grant is checked once more. Callers are told to wait for at most an hour, however long the pause.

--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -37,6 +37,7 @@
 # Servers at their limits that are passed over for one request.
 MAX_LIMITED = 16
 MIN_RETRY_AFTER_S = 0.2
+MAX_RETRY_AFTER_S = 3600.0
 # Those who are refused together return at different times.
 RETRY_AFTER_JITTER = 1.0
 
@@ -230,9 +231,10 @@
         if math.isinf(self.limit_wait_s):
             return self.plan.give_up('no backend server available')
         spread = 1 + RETRY_AFTER_JITTER * self.context.random.random()
+        wait_s = max(self.limit_wait_s, MIN_RETRY_AFTER_S)
         return self.plan.give_up(
             'backend servers are at their limits',
-            max(self.limit_wait_s, MIN_RETRY_AFTER_S) * spread,
+            min(wait_s, MAX_RETRY_AFTER_S) * spread,
         )
 
     async def _may_repeat(self) -> bool:
--- a/celerywharf/limits/_limiter.py
+++ b/celerywharf/limits/_limiter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,8 +14,7 @@
 logger = logging.getLogger(__name__)
 
 MAX_WAITS = 1024
-# A server that asks for more is asked again sooner; it may have meant a date.
-MAX_PAUSE_S = 60.0
+MAX_PAUSES = 12_000  # servers of a system of the planned size
 # Hosts that were refused together return at different times.
 PAUSE_SPREAD = 0.2
 
@@ -101,12 +101,16 @@
     def pause(self, incarnation: str, pause_s: float) -> None:
         """Record that a server wants nothing from this host for a while.
 
+        A shorter pause does not end a longer one: refusals of several requests
+        may arrive in any order.
+
         Args:
             incarnation: the incarnation of the server.
-            pause_s: for how long, seconds; at most ``MAX_PAUSE_S`` count.
+            pause_s: for how long, seconds.
         """
+        now_s = self.clocks.now()
         spread = 1 + PAUSE_SPREAD * self.random.random()
-        until_s = self.clocks.now() + min(pause_s, MAX_PAUSE_S) * spread
+        until_s = now_s + pause_s * spread
         logger.info(
             'pause requested',
             extra={
@@ -115,10 +119,11 @@
                 'known_s': round(self.wait_s(incarnation), 3),
             },
         )
-        self.pauses.pop(incarnation, None)
-        self.pauses[incarnation] = until_s
-        if len(self.pauses) > MAX_WAITS:
-            self.pauses.pop(next(iter(self.pauses)))
+        self.pauses[incarnation] = max(
+            until_s, self.pauses.get(incarnation, until_s)
+        )
+        if len(self.pauses) > MAX_PAUSES:
+            self._make_room(now_s)
 
     def is_paused(self, incarnation: str) -> bool:
         """Return whether a server wants nothing from this host now."""
@@ -143,7 +148,8 @@
         grant = await self.lender.ask(statement, in_progress=in_progress)
         if not grant.granted:
             self._wait(incarnation, grant.wait_s)
-        return grant.granted
+        # The server may have asked for a pause in the meantime.
+        return grant.granted and not self.is_paused(incarnation)
 
     def _statement(self, incarnation: str) -> LimitStatement | None:
         if not self.stated.statements:
@@ -155,3 +161,15 @@
         self.waits[incarnation] = self.clocks.now() + wait_s
         if len(self.waits) > MAX_WAITS:
             self.waits.pop(next(iter(self.waits)))
+
+    def _make_room(self, now_s: float) -> None:
+        """Forget pauses that have ended, else those that end first."""
+        ended = [
+            incarnation
+            for incarnation, until_s in self.pauses.items()
+            if until_s <= now_s
+        ]
+        for incarnation in ended or heapq.nsmallest(
+            MAX_PAUSES // 8, self.pauses, key=self.pauses.get
+        ):
+            self.pauses.pop(incarnation)
--- a/tests/forwarding/test_late_statements.py
+++ b/tests/forwarding/test_late_statements.py
@@ -125,3 +125,19 @@
 
     asyncio.run(send_once(transport, Reports(), prepare))
     assert transport.urls == [f'http://{SECOND.address}/']
+
+
+@pytest.mark.parametrize('pause_s', [300, 1e300])
+def test_callers_are_told_to_wait_for_the_end_of_a_pause_or_an_hour(pause_s):
+    context = build_context(Transport(), Reports())
+    for server in (FIRST, SECOND):
+        context.limits.pause(server.incarnation, pause_s)
+
+    async def send():
+        request = replace(_make_request(), arrived_s=context.timers.now())
+        return await StreamForwarding(
+            context, request, SERVICE, Log(), RecordingCaller()
+        ).send()
+
+    step = asyncio.run(send())
+    assert min(pause_s, 3600) <= step.retry_after_s <= 2 * 3600
