Remember each incarnation that leaves, not one for each name

A server that had said that it leaves could get requests again: the statement of another incarnation of the same id took its place in the table, and once the table of 10,000 was full, the next heartbeat that still said ready brought back a server that the host listed as leaving. The table is keyed by incarnation, and an entry that is known as leaving stays so whatever the table has forgotten.

--- a/celerywharf/backends/_directory.py
+++ b/celerywharf/backends/_directory.py
@@ -27,8 +27,8 @@
     Attributes:
         servers: all entries, by name.
         accepting: servers that accept new requests, by service and name.
-        departed: ``born_ms`` of the last incarnation that was draining or was
-            replaced, by name.
+        departed: incarnations that were draining or were replaced, the latest
+            last.
         last_removed: ``born_ms`` and sequence of the last entry that was
             removed, by name; older entries come from an outdated copy.
         missing: names whose entries were removed around an outage.
@@ -41,7 +41,7 @@
     def __init__(self) -> None:
         self.servers: dict[str, BackendServer] = {}
         self.accepting: dict[str, dict[str, BackendServer]] = {}
-        self.departed: dict[str, int] = {}
+        self.departed: dict[str, None] = {}
         self.last_removed: dict[str, tuple[int, int]] = {}
         self.missing: set[str] = set()
         self.since_s: dict[str, float] = {}
@@ -85,8 +85,8 @@
         if known is None or known.born_ms != server.born_ms:
             self.since_s[server.name] = now_s
         if server.draining:
-            self._mark_departed(server)
-        elif self.departed.get(server.name) == server.born_ms:
+            self._mark_departed(server.incarnation)
+        elif self._has_departed(server):
             server = replace(server, draining=True)
         if known is not None:
             self._stop_accepting(known)
@@ -101,7 +101,7 @@
 
         Later entries of the same incarnation do not make it usable again.
         """
-        self._mark_departed(server)
+        self._mark_departed(server.incarnation)
         self.drop(server.name)
 
     def leaving(self, server: BackendServer) -> None:
@@ -109,9 +109,9 @@
 
         Later entries of the same incarnation do not make it usable again.
         """
-        self._mark_departed(server)
+        self._mark_departed(server.incarnation)
         known = self.servers.get(server.name)
-        if known is not None and known.born_ms == server.born_ms:
+        if known is not None and known.incarnation == server.incarnation:
             self.servers[server.name] = replace(known, draining=True)
             self._stop_accepting(known)
 
@@ -175,9 +175,15 @@
                 self.last_removed.pop(next(iter(self.last_removed)))
         self.drop(name)
 
-    def _mark_departed(self, server: BackendServer) -> None:
-        self.departed.pop(server.name, None)
-        self.departed[server.name] = server.born_ms
+    def _has_departed(self, server: BackendServer) -> bool:
+        known = self.servers.get(server.name)
+        if known is not None and known.incarnation == server.incarnation:
+            return known.draining or server.incarnation in self.departed
+        return server.incarnation in self.departed
+
+    def _mark_departed(self, incarnation: str) -> None:
+        self.departed.pop(incarnation, None)
+        self.departed[incarnation] = None
         if len(self.departed) > MAX_DEPARTED:
             self.departed.pop(next(iter(self.departed)))
 
