Hear that a server leaves or wants a pause in the head of any answer

Callers' requests went on to reach servers that had said that they leave (DRAIN) or want nothing for a while (BUDGET), as long as their answers were no good: without signature, of another id, encoded, broken off, timed out after the head, 503 without Not-Run, a report that cannot be read. The statement was recorded after an answer had been classified, and only for good ones.

It is now recorded when the head arrives, in one place for calls, streams and reports; load and limits still need an identified server. A 421 comes from another server and counts for neither.

--- a/celerywharf/adapters/_responses.py
+++ b/celerywharf/adapters/_responses.py
@@ -60,6 +60,7 @@
         pool: ResponsePool,
     ) -> None:
         self.done = done
+        self.request = request
         self.max_body_bytes = request.max_body_bytes
         self.pool = pool if request.pooled else None
         self.status = 0
@@ -71,6 +72,8 @@
         """Store status and headers."""
         self.status = status
         self.headers = headers
+        if self.request.on_headers is not None:
+            self.request.on_headers(status, headers)
 
     def on_chunk(self, chunk: bytes) -> None:
         """Store a part of the body, or fail if the body is too large."""
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -60,6 +60,8 @@
             the response has status 0.
         pooled: count the body against the limit for all unfinished responses
             of the transport; for servers that are not trusted to be sound.
+        on_headers: called by ``fetch`` with status and headers, names in lower
+            case, when the head of the response has arrived.
     """
 
     method: str
@@ -74,6 +76,7 @@
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
     pooled: bool = True
     connect_only: bool = False
+    on_headers: Callable[[int, Mapping[str, str]], None] | None = None
 
     @classmethod
     def with_json(
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -24,10 +24,11 @@
     failed_send,
     invalid_answer,
     is_from_server,
-    record_statements,
+    record_load,
     refusal,
 )
 from celerywharf.forwarding._silence import SilenceDetector
+from celerywharf.forwarding._statements import record_availability
 from celerywharf.peers import PeerHost
 from celerywharf.platform import (
     AnswerHeaders,
@@ -152,9 +153,16 @@
             status,
             self.headers,
         )
+        record_availability(
+            self.context.health,
+            self.context.limits,
+            self.server,
+            status,
+            self.headers,
+        )
         if outcome is None or is_from_server(outcome):
             sent_s = self.detector.started_s
-            record_statements(self.context, self.server, self.headers, sent_s)
+            record_load(self.context, self.server, self.headers, sent_s)
         if outcome is not None:
             self.settle(outcome)
         elif status == HTTPStatus.OK:
--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -6,11 +6,7 @@
 import logging
 from collections.abc import Callable
 
-from celerywharf.adapters.transports import (
-    HttpRequest,
-    HttpResponse,
-    Transport,
-)
+from celerywharf.adapters.transports import HttpRequest, Transport
 from celerywharf.backends import (
     BackendServer,
     EngineReport,
@@ -18,12 +14,9 @@
     ServerHealth,
 )
 from celerywharf.exceptions import ProtocolError, TransportError
+from celerywharf.forwarding._statements import availability_recorder
 from celerywharf.limits import ServerLimiter
-from celerywharf.platform import (
-    PROBE_PATH,
-    decode_report,
-    read_answer_headers,
-)
+from celerywharf.platform import PROBE_PATH, decode_report
 from celerywharf.timers import TimerService
 from celerywharf.units import SMALL_MESSAGE_BYTES
 
@@ -136,23 +129,17 @@
             timeout_s=REPORT_TIMEOUT_S,
             connect_timeout_s=REPORT_TIMEOUT_S,
             max_body_bytes=MAX_REPORT_BYTES,
+            on_headers=availability_recorder(self.health, self.limits, server),
         )
         for _ in range(MAX_PROBES - 1):
             try:
-                return self._read(server, await self.transport.fetch(request))
+                response = await self.transport.fetch(request)
+                return decode_report(response.body)
             except TransportError as error:
                 if not error.late:
                     raise
-        return self._read(server, await self.transport.fetch(request))
-
-    def _read(
-        self, server: BackendServer, response: HttpResponse
-    ) -> EngineReport:
-        report = decode_report(response.body)
-        is_meant = report.born_ms in {0, server.born_ms}
-        if is_meant and read_answer_headers(response.headers).leaving:
-            self.health.leaving(server)
-        return report
+        response = await self.transport.fetch(request)
+        return decode_report(response.body)
 
     def _is_stale(self, server: BackendServer) -> bool:
         """Return whether a server should be probed.
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -19,6 +19,7 @@
     Refused,
 )
 from celerywharf.forwarding._requests import IncomingRequest
+from celerywharf.forwarding._statements import availability_recorder
 from celerywharf.platform import (
     AnswerHeaders,
     Resumption,
@@ -100,13 +101,13 @@
             return False
 
 
-def record_statements(
+def record_load(
     context: ForwardingContext,
     server: BackendServer,
     headers: AnswerHeaders,
     sent_s: float,
 ) -> None:
-    """Record what a server says of itself in the headers of an answer.
+    """Record the load and the limit that a server states.
 
     Args:
         context: components of the host.
@@ -114,12 +115,8 @@
         headers: headers of its answer.
         sent_s: when the request was sent, monotonic seconds.
     """
-    now_s = context.timers.now()
-    if headers.leaving:
-        context.health.leaving(server)
-    if headers.not_run and headers.pause_s is not None:
-        context.limits.pause(server.incarnation, headers.pause_s)
     if headers.load is not None:
+        now_s = context.timers.now()
         context.loads.reported(server.name, headers.load, now_s)
     limit_per_s = headers.limit_per_s
     if headers.has_limit and limit_per_s is None:
@@ -179,7 +176,12 @@
     try:
         outcome = await _fetch(
             context,
-            build_request(request, server, remaining_s),
+            replace(
+                build_request(request, server, remaining_s),
+                on_headers=availability_recorder(
+                    context.health, context.limits, server
+                ),
+            ),
             answer_timeout_s,
         )
     finally:
@@ -263,5 +265,5 @@
         or Answered(response, headers)
     )
     if is_from_server(outcome):
-        record_statements(context, server, headers, sent_s)
+        record_load(context, server, headers, sent_s)
     return outcome
--- /dev/null
+++ b/celerywharf/forwarding/_statements.py
@@ -0,0 +1,64 @@
+"""Records what backend servers say of themselves in the heads of answers."""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+
+from celerywharf.backends import BackendServer, ServerHealth
+from celerywharf.limits import ServerLimiter
+from celerywharf.platform import AnswerHeaders, read_answer_headers
+
+# Statuses with which a server turns requests away.
+OVERLOADED_STATUSES = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
+
+OnHeaders = Callable[[int, Mapping[str, str]], None]
+
+
+def record_availability(
+    health: ServerHealth,
+    limits: ServerLimiter,
+    server: BackendServer,
+    status: int,
+    headers: AnswerHeaders,
+) -> None:
+    """Record that a server leaves, or wants nothing for a while.
+
+    This counts as soon as the head of an answer has arrived, whatever becomes
+    of the answer: it may be broken off, or be no answer to the request.
+
+    Args:
+        health: health of the backend servers.
+        limits: limits and pauses of the backend servers.
+        server: the backend server that the request was sent to.
+        status: HTTP status of the answer.
+        headers: headers of the answer.
+    """
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return  # another server answers at the address
+    if headers.leaving:
+        health.leaving(server)
+    refused = headers.not_run or status in OVERLOADED_STATUSES
+    if refused and headers.pause_s is not None:
+        limits.pause(server.incarnation, headers.pause_s)
+
+
+def availability_recorder(
+    health: ServerHealth, limits: ServerLimiter, server: BackendServer
+) -> OnHeaders:
+    """Return a function that passes the head of an answer on to be recorded."""
+    return functools.partial(_record_head, health, limits, server)
+
+
+def _record_head(
+    health: ServerHealth,
+    limits: ServerLimiter,
+    server: BackendServer,
+    status: int,
+    headers: Mapping[str, str],
+) -> None:
+    parsed = read_answer_headers(headers)
+    record_availability(health, limits, server, status, parsed)
