Believe no refusal that names another request

A faulty server that wrote an earlier refusal made callers be told that their purchase had not run, though it may have: 324 of 324 purchases were answered 503. The refusal was taken before Attempt-Id was compared.

--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -148,10 +148,8 @@
         self.status = status
         self.framed = not FRAMING_HEADERS.isdisjoint(headers)
         self.headers = read_answer_headers(headers)
-        outcome = refusal(status, self.headers) or invalid_answer(
-            self.request,
-            status,
-            self.headers,
+        outcome = refusal(self.request, status, self.headers) or invalid_answer(
+            self.request, status, self.headers
         )
         record_availability(
             self.context.health,
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -79,10 +79,16 @@
 
 
 def refusal(
+    request: IncomingRequest,
     status: int,
     headers: AnswerHeaders,
 ) -> Refused | None:
-    """Return the outcome if the answer states that the request did not run."""
+    """Return the outcome if the answer states that the request did not run.
+
+    A refusal that names another request says nothing about this one.
+    """
+    if headers.request_id not in {None, request.headers.request_id}:
+        return None
     replaced = status == HTTPStatus.MISDIRECTED_REQUEST
     if headers.not_run or replaced:
         reason = f'backend server refused with {status}'
@@ -260,7 +266,7 @@
 ) -> Outcome:
     headers = read_answer_headers(response.headers)
     outcome = (
-        refusal(response.status, headers)
+        refusal(request, response.status, headers)
         or invalid_answer(request, response.status, headers)
         or Answered(response, headers)
     )
--- a/tests/forwarding/relays.feature
+++ b/tests/forwarding/relays.feature
@@ -74,9 +74,12 @@
     And the send is <outcome>
 
     Examples:
-      | fault                  | outcome |
-      | of another request     | lost    |
-      | without signature      | lost    |
-      | of an encoded body     | lost    |
-      | of a refusal           | refused |
-      | of another incarnation | refused |
+      | fault                           | outcome |
+      | of another request              | lost    |
+      | without signature               | lost    |
+      | of an encoded body              | lost    |
+      | of a refusal                    | refused |
+      | of a refusal that names it      | refused |
+      | of a refusal of another request | lost    |
+      | of another incarnation          | refused |
+      | of another one's 421            | lost    |
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -36,6 +36,15 @@
     'without signature': (200, {'attempt-id': REQUEST_ID}),
     'of an encoded body': (200, {**VALID_HEADERS, 'content-encoding': 'gzip'}),
     'of a refusal': (503, {'not-run': '1'}),
+    'of a refusal that names it': (
+        503,
+        {'not-run': '1', 'attempt-id': REQUEST_ID},
+    ),
+    'of a refusal of another request': (
+        503,
+        {'not-run': '1', 'attempt-id': 'r2'},
+    ),
+    "of another one's 421": (421, {'attempt-id': 'r2'}),
     'of another incarnation': (421, {'instance-id': 'i-2'}),
 }
 OUTCOMES = {'finished': Finished, 'lost': Lost, 'refused': Refused}
