Tell a host through which other one answers come that the server leaves

A host that was cut off from the servers passed on answers that said that a desk leaves, and sent the desk lookups as soon as it had its paths back (DRAIN): only the host in between had heard it. The report on a passed-on request now names the incarnation that answers, if it leaves; a report without the field, from a host of an earlier release, says nothing of it, and earlier releases ignore the field.

Red before: several of 30 lookups of f1 reach desk-0; none after. The step that checks that the desk has answered waited for no answers and could fail by itself; it now does, and the test was seen red once more on the commit before.

--- a/celerywharf/backends/_directory.py
+++ b/celerywharf/backends/_directory.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from celerywharf.backends._servers import BackendServer
+from celerywharf.backends._servers import BackendServer, server_name
 from celerywharf.backends._software_versions import SoftwareVersions
 
 # Servers whose entries expired during an outage of the store publish them again
@@ -86,7 +86,7 @@
             self.since_s[server.name] = now_s
         if server.draining:
             self._mark_departed(server.incarnation)
-        elif self._has_departed(server):
+        elif self.has_departed(server.incarnation):
             server = replace(server, draining=True)
         if known is not None:
             self._stop_accepting(known)
@@ -104,15 +104,15 @@
         self._mark_departed(server.incarnation)
         self.drop(server.name)
 
-    def leaving(self, server: BackendServer) -> None:
+    def leaving(self, incarnation: str) -> None:
         """Stop to use an incarnation that says that it leaves.
 
         Later entries of the same incarnation do not make it usable again.
         """
-        self._mark_departed(server.incarnation)
-        known = self.servers.get(server.name)
-        if known is not None and known.incarnation == server.incarnation:
-            self.servers[server.name] = replace(known, draining=True)
+        self._mark_departed(incarnation)
+        known = self.servers.get(server_name(incarnation))
+        if known is not None and known.incarnation == incarnation:
+            self.servers[known.name] = replace(known, draining=True)
             self._stop_accepting(known)
 
     def unreadable(self, name: str) -> None:
@@ -161,6 +161,15 @@
             self._stop_accepting(known)
             self.software_versions.removed(known)
 
+    def has_departed(self, incarnation: str) -> bool:
+        """Return whether an incarnation leaves or was replaced."""
+        if incarnation in self.departed:
+            return True
+        known = self.servers.get(server_name(incarnation))
+        if known is None or known.incarnation != incarnation:
+            return False
+        return known.draining
+
     def accepts(self, server: BackendServer) -> bool:
         """Return whether an incarnation accepts requests."""
         known = self.accepting.get(server.service, {}).get(server.name)
@@ -180,12 +189,6 @@
                 self.last_removed.pop(next(iter(self.last_removed)))
         self.drop(name)
 
-    def _has_departed(self, server: BackendServer) -> bool:
-        known = self.servers.get(server.name)
-        if known is not None and known.incarnation == server.incarnation:
-            return known.draining or server.incarnation in self.departed
-        return server.incarnation in self.departed
-
     def _mark_departed(self, incarnation: str) -> None:
         self.departed.pop(incarnation, None)
         self.departed[incarnation] = None
--- a/celerywharf/backends/_health.py
+++ b/celerywharf/backends/_health.py
@@ -65,13 +65,12 @@
         self.reachability.unreachable(server)
         self._record_zone_failure(server, now_s)
 
-    def leaving(self, server: BackendServer) -> None:
-        """Record that a server says that it leaves."""
-        known = self.directory.servers.get(server.name)
-        if known is None or known.draining:
+    def leaving(self, incarnation: str) -> None:
+        """Record that an incarnation of a server says that it leaves."""
+        if self.directory.has_departed(incarnation):
             return
-        logger.info('leaving', extra={'backend_server': server.name})
-        self.directory.leaving(server)
+        logger.info('leaving', extra={'backend_server': incarnation})
+        self.directory.leaving(incarnation)
 
     def replaced(self, server: BackendServer, now_s: float) -> None:
         """Record that another server now uses a server's address."""
--- a/celerywharf/backends/_servers.py
+++ b/celerywharf/backends/_servers.py
@@ -42,6 +42,11 @@
         return f'{self.name}/{self.born_ms}'
 
 
+def server_name(incarnation: str) -> str:
+    """Return the name of the server that an incarnation belongs to."""
+    return incarnation.rpartition('/')[0]
+
+
 @dataclass(frozen=True, slots=True)
 class EngineReport:
     """Load of an engine as it was some hundred milliseconds ago.
--- a/celerywharf/forwarding/_caller.py
+++ b/celerywharf/forwarding/_caller.py
@@ -19,6 +19,8 @@
             nobody waits for it.
         software_version: of the engine that sends the stream; None before its
             first event and for plain calls.
+        leaving: incarnation of the backend server that answers, if it says
+            that it leaves; else empty.
     """
 
     disconnected: bool = False
@@ -26,6 +28,7 @@
     congested: bool = False
     on_drained: Callable[[], None] | None = None
     software_version: str | None = None
+    leaving: str = ''
 
     @abc.abstractmethod
     def answer(
--- a/celerywharf/forwarding/_forwarder.py
+++ b/celerywharf/forwarding/_forwarder.py
@@ -71,6 +71,7 @@
     def _answer(self, step: PassOn | Fail | Done, caller: Caller) -> None:
         match step:
             case PassOn():
+                caller.leaving = step.leaving
                 caller.answer(
                     step.response.status,
                     step.headers.forwarded,
--- a/celerywharf/forwarding/_outcomes.py
+++ b/celerywharf/forwarding/_outcomes.py
@@ -11,10 +11,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The backend server ran the request and answered completely."""
+    """The backend server ran the request and answered completely.
+
+    Attributes:
+        response: its answer.
+        headers: the parsed headers.
+        leaving: its incarnation, if it says that it leaves; else empty.
+    """
 
     response: HttpResponse
     headers: AnswerHeaders
+    leaving: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/forwarding/_peer_sends.py
+++ b/celerywharf/forwarding/_peer_sends.py
@@ -26,6 +26,7 @@
     RELAY_HEADER,
     PeerHost,
     Relay,
+    RelayReport,
     RelayResult,
     key_digest,
     read_report,
@@ -116,11 +117,13 @@
         return failed_send(error)
     finally:
         context.peers.ended(peer)
-    return _outcome_of_call(request, response)
+    return _outcome_of_call(context, request, response)
 
 
 def _outcome_of_call(
-    request: IncomingRequest, response: HttpResponse
+    context: ForwardingContext,
+    request: IncomingRequest,
+    response: HttpResponse,
 ) -> Outcome:
     failure = _failure(response.status, response.headers)
     if failure is not None:
@@ -128,9 +131,16 @@
     headers = _answer_headers(response.headers)
     if headers.request_id != request.headers.request_id:
         return Lost('answer to another request')
+    _record_leaving(context, read_report(response.headers))
     return PeerAnswered(response, headers)
 
 
+def _record_leaving(context: ForwardingContext, report: RelayReport) -> None:
+    """Record that the server leaves whose answer another host passes on."""
+    if report.leaving:
+        context.health.leaving(report.leaving)
+
+
 def _failure(status: int, headers: Mapping[str, str]) -> Outcome | None:
     """Return the outcome unless the answer is a backend server's."""
     report = read_report(headers)
@@ -178,7 +188,8 @@
 class PeerStreamRelay(StreamRelay):
     """Receives a stream from another host, which has checked its engine.
 
-    What the engine states of itself is recorded there.
+    What the engine states of itself is recorded there, and here only that it
+    leaves.
 
     Attributes:
         software_version: of the engine, as the other host states it.
@@ -202,9 +213,12 @@
             outcome = Lost('answer to another request')
         if outcome is not None:
             self.settle(outcome)
-        elif status == HTTPStatus.OK:
+            return
+        report = read_report(headers)
+        _record_leaving(self.context, report)
+        if status == HTTPStatus.OK:
             self.begun_at_s = self.context.timers.now()
-            self.software_version = read_report(headers).software_version
+            self.software_version = report.software_version
 
     def _final_outcome(self, error: TransportError | None) -> Outcome:
         outcome = super()._final_outcome(error)
@@ -224,5 +238,8 @@
         if self.progress.software_version is None:
             self.progress.software_version = self.software_version
 
+    def _leaving(self) -> str:
+        return ''
+
     def _record_progress(self, now_s: float) -> None:
         """Leave the proof that the prompt is harmless to the other host."""
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -44,10 +44,18 @@
 
 @dataclass(frozen=True, slots=True)
 class PassOn:
-    """The caller receives the backend server's own answer."""
+    """The caller receives the backend server's own answer.
+
+    Attributes:
+        response: the answer.
+        headers: the parsed headers.
+        leaving: incarnation of the server, if it says that it leaves; else
+            empty.
+    """
 
     response: HttpResponse
     headers: AnswerHeaders
+    leaving: str = ''
 
     @property
     def status(self) -> int:
@@ -208,7 +216,7 @@
     def _after_answer(self, outcome: Answered, remaining_s: float) -> Step:
         self.sends += 1
         self.may_have_run = True
-        self.answer = PassOn(outcome.response, outcome.headers)
+        self.answer = PassOn(outcome.response, outcome.headers, outcome.leaving)
         failed = outcome.response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if failed and self.repeatable and self._may_send(remaining_s):
             return SendAgain()
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -24,6 +24,7 @@
     failed_send,
     invalid_answer,
     is_from_server,
+    leaving_incarnation,
     record_load,
     refusal,
 )
@@ -206,13 +207,20 @@
             return self._ended_early('stream ended inside an event')
         if self.status != HTTPStatus.OK:
             response = HttpResponse(self.status, {}, bytes(self.body))
-            return Answered(response, self.headers)
+            return Answered(response, self.headers, self._leaving())
         if not self.framed and not self.events:
             return self._ended_early('stream ended without an event')
         if not self.caller.started:
-            self.caller.begin(self.status, self.headers.forwarded)
+            self._begin_answer()
         return Finished()
 
+    def _begin_answer(self) -> None:
+        self.caller.leaving = self._leaving()
+        self.caller.begin(self.status, self.headers.forwarded)
+
+    def _leaving(self) -> str:
+        return leaving_incarnation(self.server, self.headers)
+
     def _ended_early(self, reason: str) -> Lost:
         """Return the outcome of a stream that ended in an impossible place.
 
@@ -247,7 +255,7 @@
         self._record_origin()
         if not self.caller.started:
             self.caller.software_version = self.progress.software_version
-            self.caller.begin(self.status, self.headers.forwarded)
+            self._begin_answer()
         self._observe_latency(now_s)
         self.progress.record_event(now_s)
         self.progress.last_event = event.number
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -107,6 +107,11 @@
             return False
 
 
+def leaving_incarnation(server: BackendServer, headers: AnswerHeaders) -> str:
+    """Return the incarnation of a server that leaves; empty if it does not."""
+    return server.incarnation if headers.leaving else ''
+
+
 def record_load(
     context: ForwardingContext,
     server: BackendServer,
@@ -268,7 +273,7 @@
     outcome = (
         refusal(request, response.status, headers)
         or invalid_answer(request, response.status, headers)
-        or Answered(response, headers)
+        or Answered(response, headers, leaving_incarnation(server, headers))
     )
     if is_from_server(outcome):
         record_load(context, server, headers, sent_s)
--- a/celerywharf/forwarding/_statements.py
+++ b/celerywharf/forwarding/_statements.py
@@ -40,7 +40,7 @@
     if status == HTTPStatus.MISDIRECTED_REQUEST:
         return  # another server answers at the address
     if headers.leaving:
-        health.leaving(server)
+        health.leaving(server.incarnation)
     refused = headers.not_run or status in OVERLOADED_STATUSES
     if refused and headers.pause_s is not None:
         limits.pause(server.incarnation, headers.pause_s)
--- a/celerywharf/fronts/_relay_gateway.py
+++ b/celerywharf/fronts/_relay_gateway.py
@@ -99,7 +99,9 @@
 
     def _reported(self, headers: Mapping[str, str]) -> dict[str, str]:
         report = self.failure or RelayReport(
-            RelayResult.served, software_version=self.software_version or ''
+            RelayResult.served,
+            software_version=self.software_version or '',
+            leaving=self.leaving,
         )
         return {**headers, RELAY_HEADER: write_report(report)}
 
--- a/celerywharf/peers/_relays.py
+++ b/celerywharf/peers/_relays.py
@@ -72,12 +72,15 @@
         retry_after_s: when the caller may try again; 0 if that is not known.
         software_version: of the server that answers a stream; empty if it
             states none.
+        leaving: incarnation of the server that answers, if it says that it
+            leaves; else empty.
     """
 
     result: RelayResult
     reason: str = ''
     retry_after_s: float = 0
     software_version: str = ''
+    leaving: str = ''
 
 
 class _Relay(BaseModel):
@@ -101,6 +104,7 @@
     reason: str = ''
     retry_after_s: float = Field(default=0, ge=0)
     software_version: str = ''
+    leaving: str = ''
 
 
 def key_digest(key: str | None) -> str:
@@ -151,6 +155,7 @@
             'reason': report.reason[:MAX_REASON],
             'retry_after_s': report.retry_after_s,
             'software_version': report.software_version,
+            'leaving': report.leaving,
         }
     )
 
--- a/tests/backends/test_leaving_servers.py
+++ b/tests/backends/test_leaving_servers.py
@@ -40,7 +40,9 @@
             getattr(directory, step)(content, now_s)
         case 'replace_all':
             directory.replace_all(content, now_s)
-        case 'leaving' | 'replaced' | 'unreadable':
+        case 'leaving':
+            directory.leaving(content.incarnation)
+        case 'replaced' | 'unreadable':
             getattr(directory, step)(content)
         case 'outage':
             directory.outage()
@@ -79,7 +81,7 @@
     directory = Directory()
     for name in NAMES:
         directory.update(make_server(name), 0)
-        directory.leaving(make_server(name))
+        directory.leaving(f'{name}/1')
     for name in NAMES:
         directory.update(make_server(name, sequence=2), 1)
     assert not directory.usable(SERVICE)
--- a/tests/forwarding/test_late_statements.py
+++ b/tests/forwarding/test_late_statements.py
@@ -23,7 +23,7 @@
 FIRST = make_server('e1', address=Address('127.0.0.1', 1))
 SECOND = make_server('e2', 'north-2', address=Address('127.0.0.1', 2))
 STATEMENTS = {
-    'leaves': lambda context: context.health.leaving(FIRST),
+    'leaves': lambda context: context.health.leaving(FIRST.incarnation),
     'wants a pause': lambda context: context.limits.pause(
         FIRST.incarnation, 60
     ),
--- a/tests/fronts/test_passing_on.py
+++ b/tests/fronts/test_passing_on.py
@@ -174,6 +174,7 @@
 
 @when('desk-0 has answered f1 through another front')
 def _has_answered(rig, scene):
+    scene.join()
     answered = {run['request_id'] for run in rig.runs('desk-0')}
     assert answered & {request.request_id for request in scene.sent}
 
--- a/tests/limits/test_pauses.py
+++ b/tests/limits/test_pauses.py
@@ -169,7 +169,7 @@
 def test_only_a_new_incarnation_ends_a_leaving():
     directory = Directory()
     directory.update(make_server('s1'), 0)
-    directory.leaving(make_server('s1'))
+    directory.leaving('s1/1')
     assert not directory.usable(SERVICE)
     directory.update(make_server('s1', sequence=9), 1)
     assert not directory.usable(SERVICE)
