Drop odd entries, numbers and headers at the border

One entry of another writer, with an address outside ASCII, a NUL byte, a space, a port out of range and the like, made callers of sound engines get 502: the address was parsed without a check, and the transport raised ValueError or UnicodeEncodeError, which nothing takes for a failed send.

Addresses must be an IP address and a port; entries, reports and counts have bounds; NaN is no number in any document; an entry that names no usable server is dropped, counted and logged once. The transport sends Latin-1, as which callers' bytes are decoded, and reports what it cannot send as a failure that has not run. Configurations with NaN are refused as a whole, as other malformed ones.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -31,6 +31,7 @@
 # A time-out that fires this much late shows that this process did not run.
 LATE_S = 0.1
 STATUS_DIGITS = 3
+LINE_BREAKS = frozenset('\r\n\0')
 ABORT = -1  # returned to curl to end a transfer
 NEVER_SENT_CODES = frozenset(
     (
@@ -72,6 +73,15 @@
     def stream(self, request: HttpRequest, sink: StreamSink) -> CurlTransfer:
         """Send a request; ``sink`` receives the response as it arrives."""
         transfer = CurlTransfer(self, request, sink)
+        try:
+            transfer.configure()
+        except (ValueError, pycurl.error) as error:
+            # Strings of callers, servers or peers that HTTP cannot carry.
+            failure = TransportError(
+                f'request cannot be sent: {error}', verdict=Verdict.not_run
+            )
+            self.loop.call_soon(transfer.finish, failure)
+            return transfer
         self.transfers[transfer.curl] = transfer
         self.handle_count += 1
         self.multi.add_handle(transfer.curl)
@@ -204,7 +214,6 @@
         self.head_bytes = 0
         self.head_complete = False
         self.curl = pycurl.Curl()
-        self._configure(self.curl)
 
     def cancel(self) -> None:
         """Close the connection; the sink receives nothing more."""
@@ -252,12 +261,19 @@
             limit_s = min(request.connect_timeout_s, limit_s or math.inf)
         return self.curl.getinfo(pycurl.TOTAL_TIME) > limit_s + LATE_S
 
-    def _configure(self, curl: pycurl.Curl) -> None:
+    def configure(self) -> None:
+        """Pass the request to curl.
+
+        Raises:
+            ValueError: it has strings that cannot be sent.
+            pycurl.error: curl does not accept an option.
+        """
         request = self.request
+        curl = self.curl
         curl.setopt(pycurl.URL, request.url)
-        curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        curl.setopt(pycurl.CUSTOMREQUEST, _encode(request.method))
         if request.target is not None:
-            curl.setopt(pycurl.REQUEST_TARGET, request.target)
+            curl.setopt(pycurl.REQUEST_TARGET, _encode(request.target))
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.PROXY, '')
         curl.setopt(pycurl.TCP_NODELAY, 1)
@@ -265,7 +281,7 @@
         headers = {'Expect': '', **request.headers}
         curl.setopt(
             pycurl.HTTPHEADER,
-            [f'{name}: {value}' for name, value in headers.items()],
+            [_encode(f'{name}: {value}') for name, value in headers.items()],
         )
         self._set_timeouts(curl)
         self._set_body(curl)
@@ -294,7 +310,7 @@
         curl.setopt(pycurl.POST, 1)
         curl.setopt(pycurl.POSTFIELDSIZE_LARGE, len(body))
         curl.setopt(pycurl.READFUNCTION, _BodyReader(self.request).read)
-        curl.setopt(pycurl.CUSTOMREQUEST, self.request.method)
+        curl.setopt(pycurl.CUSTOMREQUEST, _encode(self.request.method))
 
     def _on_header(self, line: bytes) -> int | None:
         self.head_bytes += len(line)
@@ -329,6 +345,18 @@
             call()
 
 
+def _encode(text: str) -> bytes:
+    """Return the bytes of a line of a request's head.
+
+    Raises:
+        ValueError: it is more than one line or has other characters than
+            Latin-1, as which the bytes of callers are decoded.
+    """
+    if not LINE_BREAKS.isdisjoint(text):
+        raise ValueError('line break or NUL byte in the head')
+    return text.encode('latin-1')
+
+
 def _status(line: str) -> int:
     """Return the status of a status line, 0 if it has none."""
     status = line.partition(' ')[2][:STATUS_DIGITS]
--- a/celerywharf/fronts/_path_probes.py
+++ b/celerywharf/fronts/_path_probes.py
@@ -50,6 +50,8 @@
 
     async def _probe(self, service: str) -> None:
         servers = self.reachability.directory.usable(service)
+        if not servers:
+            return  # the last one has left in the meantime
         server = self.random.choice(servers)
         request = HttpRequest(
             'GET',
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -13,6 +13,7 @@
 from celerywharf.exceptions import CelerywharfError, ProtocolError
 from celerywharf.forwarding import ForwardingContext
 from celerywharf.fronts._path_probes import PathProbes
+from celerywharf.metrics import Metrics
 from celerywharf.platform import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -227,7 +228,13 @@
 
 
 class ServerWatcher(TableWatcher):
-    """Updates the directory of backend servers from its table."""
+    """Updates the directory of backend servers from its table.
+
+    Attributes:
+        health: health of the backend servers, and their directory.
+        metrics: counts the entries that name no usable server.
+        invalid: what is wrong with such entries, by name.
+    """
 
     table = SERVER_TABLE
     poll_s = SERVER_POLL_S
@@ -239,11 +246,14 @@
         random: Random,
         health: ServerHealth,
         timers: TimerService,
+        metrics: Metrics,
     ) -> None:
         super().__init__(store, random)
         self.health = health
         self.directory = health.directory
         self.timers = timers
+        self.metrics = metrics
+        self.invalid: dict[str, str] = {}
         store.era.subscribers.append(self.on_store_restored)
 
     def start(self) -> None:
@@ -263,6 +273,9 @@
 
     def apply_all(self, reading: ReadResult) -> None:
         """Replace all entries of the directory."""
+        names = {row.key for row in reading.rows}
+        for name in self.invalid.keys() - names:
+            self.invalid.pop(name)
         servers = list(self._decode_servers(reading.rows))
         self.directory.replace_all(servers, self.timers.now())
         logger.info('backend servers read', extra={'count': len(servers)})
@@ -273,6 +286,7 @@
         for row in reading.rows:
             if row.removed:
                 logger.info('entry removed', extra={'server': row.key})
+                self.invalid.pop(row.key, None)
                 self.directory.removed(row.key, now_s)
         for server in self._decode_servers(reading.rows):
             logger.info(
@@ -309,13 +323,23 @@
             if row.removed:
                 continue
             try:
-                yield decode_backend_server(row.key, row.content or b'')
+                server = decode_backend_server(row.key, row.content or b'')
             except ProtocolError as error:
-                logger.info(
-                    'invalid backend server entry',
-                    extra={'server': row.key, 'reason': error.message},
-                )
-                self.directory.unreadable(row.key)
+                self._drop_invalid(row.key, error.message)
+                continue
+            self.invalid.pop(row.key, None)
+            yield server
+
+    def _drop_invalid(self, name: str, reason: str) -> None:
+        """Drop an entry that names no usable server; log it once."""
+        if self.invalid.get(name) != reason:
+            self.invalid[name] = reason
+            self.metrics.count('invalid_server_entries')
+            logger.info(
+                'invalid backend server entry',
+                extra={'server': name, 'reason': reason},
+            )
+        self.directory.unreadable(name)
 
 
 def build_watchers(
@@ -325,6 +349,6 @@
     health = context.health
     return (
         ConfigurationWatcher(source, random, context.configuration_cache),
-        ServerWatcher(source, random, health, context.timers),
+        ServerWatcher(source, random, health, context.timers, context.metrics),
         PathProbes(health.reachability, context.transport, random),
     )
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, TypeVar
+import re
+from collections.abc import Mapping
+from typing import Annotated, Any, Literal, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from pydantic.alias_generators import to_camel
@@ -25,9 +27,19 @@
     by_host,
 )
 from celerywharf.structures import Address
+from celerywharf.units import MAX_EXACT_INTEGER
 
 MS_PER_S = 1000
 UNKNOWN_CAPACITY_TOKENS = 0
+MAX_NAME = 200
+MAX_ERRORS = 3  # named for a malformed document
+MAX_SLOTS = 1_000_000
+MAX_WARM_UP_MS = 86_400_000
+# The name of a backend server is sent to it in a header.
+SERVER_NAME = re.compile('[!-~]+')
+
+Name = Annotated[str, Field(max_length=MAX_NAME)]
+Count = Annotated[int, Field(ge=0, le=MAX_EXACT_INTEGER)]
 
 
 class _Document(BaseModel):
@@ -35,6 +47,7 @@
         alias_generator=to_camel,
         populate_by_name=True,
         extra='ignore',
+        allow_inf_nan=False,
     )
 
 
@@ -140,29 +153,25 @@
 
 
 class _BackendServer(_Document):
-    model_config = ConfigDict(
-        alias_generator=to_camel,
-        extra='ignore',
-        strict=True,
-    )
+    model_config = ConfigDict(strict=True)
 
-    service: str
-    address: str
-    zone: str
+    service: Name
+    address: Name
+    zone: Name
     state: Literal['ready', 'draining']
-    slots: int
-    seq: int = 0
-    born: int = 0
-    cold_left_ms: float = 0
-    version: str | int = ''
+    slots: int = Field(ge=1, le=MAX_SLOTS)
+    seq: Count = 0
+    born: Count = 0
+    cold_left_ms: float = Field(default=0, ge=0, le=MAX_WARM_UP_MS)
+    version: Name | Count = ''
 
 
 class _Report(_Document):
-    queued: int
-    running: int
-    kv_used: int
-    kv_total: int
-    born: int = 0
+    queued: Count
+    running: Count
+    kv_used: Count
+    kv_total: Count
+    born: Count = 0
     # Lists only the runs that have produced an event.
     runs: list[list[Any]] = Field(default_factory=list)
 
@@ -214,8 +223,10 @@
     """Decode the entry that a backend server keeps in the store.
 
     Raises:
-        ProtocolError: the document or its address is malformed.
+        ProtocolError: the name, the document or its address is malformed.
     """
+    if len(name) > MAX_NAME or not SERVER_NAME.fullmatch(name):
+        raise ProtocolError('malformed name of a backend server')
     document = _validated(_BackendServer, text)
     try:
         address = Address.parse(document.address)
@@ -266,4 +277,10 @@
     try:
         return model.model_validate_json(text)
     except ValidationError as error:
-        raise ProtocolError(f'{model.__name__}: {error}') from None
+        reason = '; '.join(map(_describe, error.errors()[:MAX_ERRORS]))
+        raise ProtocolError(f'{model.__name__}: {reason}') from None
+
+
+def _describe(error: Mapping[str, Any]) -> str:
+    place = '.'.join(map(str, error['loc']))[:MAX_NAME]
+    return f'{place}: {error["msg"][:MAX_NAME]}'
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -9,6 +9,7 @@
 from celerywharf.adapters.transports import HOP_BY_HOP
 from celerywharf.platform._prompts import shared_parts
 from celerywharf.structures import Address
+from celerywharf.units import MAX_EXACT_INTEGER
 
 READY_PATH = '/api/ready'
 PROBE_PATH = '/api/report'
@@ -262,9 +263,11 @@
 
 
 def _count(text: str) -> int:
+    if not text.isascii():
+        raise ValueError('a number has other digits')
     count = int(text)
-    if count < 0:
-        raise ValueError(f'{text!r} is negative')
+    if not 0 <= count <= MAX_EXACT_INTEGER:
+        raise ValueError('a number is out of range')
     return count
 
 
@@ -278,8 +281,9 @@
 
 
 def _load(text: str | None) -> float | None:
+    """Return the load per slot; None if it is missing or malformed."""
     try:
-        running, waiting, slots = map(int, (text or '').split(','))
+        running, waiting, slots = map(_count, (text or '').split(','))
     except ValueError:
         return None
     return (running + waiting) / slots if slots else None
--- a/celerywharf/settings/_models.py
+++ b/celerywharf/settings/_models.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import re
 from typing import Annotated, Literal
 
@@ -17,18 +16,13 @@
 from celerywharf.structures import Address
 from celerywharf.units import KIBIBYTE, MEBIBYTE
 
-PORT_LIMIT = 65535
 NAME_PATTERN = r'^[a-z0-9][a-z0-9_-]{0,62}$'
 
 
 def _address(value: object) -> Address:
     if isinstance(value, Address):
         return value
-    address = Address.parse(str(value).strip())
-    ipaddress.ip_address(address.ip)
-    if not 0 <= address.port <= PORT_LIMIT:
-        raise ValueError(f'port {address.port} is not in 0..{PORT_LIMIT}')
-    return address
+    return Address.parse(str(value).strip())
 
 
 def _addresses(value: object) -> object:
--- a/celerywharf/structures.py
+++ b/celerywharf/structures.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 import enum
+import ipaddress
+import re
 from dataclasses import dataclass
 
+MAX_PORT = 65_535
+MAX_SHOWN = 100  # characters of a malformed address in an error
+PORT = re.compile('[0-9]{1,5}')
+
 
 class Verdict(enum.Enum):
     """Whether a request may have taken effect."""
@@ -23,14 +29,18 @@
 
     @classmethod
     def parse(cls, text: str) -> Address:
-        """Parse ``ip:port``.
+        """Parse ``ip:port``; an IPv6 address is in brackets.
 
         Raises:
-            ValueError: the port is missing or not a number.
+            ValueError: the IP address or the port is missing or malformed.
         """
         ip, separator, port = text.rpartition(':')
-        if not separator:
-            raise ValueError(f'{text!r}: expected ip:port')
+        if not separator or not PORT.fullmatch(port) or int(port) > MAX_PORT:
+            raise ValueError(f'{text[:MAX_SHOWN]!r}: expected ip:port')
+        if ip.startswith('[') and ip.endswith(']') and '%' not in ip:
+            ipaddress.IPv6Address(ip[1:-1])
+        else:
+            ipaddress.IPv4Address(ip)
         return cls(ip=ip, port=int(port))
 
     def __str__(self) -> str:
--- a/celerywharf/units.py
+++ b/celerywharf/units.py
@@ -1,7 +1,9 @@
-"""Sizes in bytes."""
+"""Sizes in bytes, and other limits of numbers."""
 
 KIBIBYTE = 1024
 MEBIBYTE = 1024 * KIBIBYTE
 # Limits on what is received from other processes.
 SMALL_MESSAGE_BYTES = 65_536  # 64 KiB
 DOCUMENT_BYTES = 16_777_216  # 16 MiB
+# The largest integer up to which all have an exact float.
+MAX_EXACT_INTEGER = 9_007_199_254_740_992
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -65,6 +65,7 @@
         leaving: state in each answer that the server leaves.
         retry_after: state this wait in each refusal; empty for none.  Of
             several waits with commas between, each refusal states the next.
+        load: state this load in each answer; empty for none.
         refusal_ms: time that a refusal takes.
         unstated: omit from refusals that the request has not run.
         stale_refusal: id of another request that refusals state.
@@ -94,6 +95,7 @@
     unframed: bool = False
     leaving: bool = False
     retry_after: str = ''
+    load: str = ''
     refusal_ms: float = 0
     unstated: bool = False
     stale_refusal: str = ''
@@ -237,6 +239,8 @@
             self.set_header('Server-Limit', limit_per_s)
         if self.standin.switches.leaving:
             self.set_header('Server-Leaving', '1')
+        if self.standin.switches.load:
+            self.set_header('Engine-Load', self.standin.switches.load)
         if self.standin.switches.brittle is not None:
             brittle = str(self.standin.switches.brittle)
             self.set_header('Server-Brittle', brittle)
--- a/tests/sharing/simulated_fleet.py
+++ b/tests/sharing/simulated_fleet.py
@@ -230,7 +230,9 @@
         health = ServerHealth(self.directory, Loads())
         self.watchers = (
             ConfigurationWatcher(self.shared, random, self.cache),
-            ServerWatcher(self.shared, random, health, TimerService()),
+            ServerWatcher(
+                self.shared, random, health, TimerService(), Metrics()
+            ),
         )
 
     def start(self):
