Show that a front out of step mixes software versions, known red

Operators of other systems saw streams go on at engines of another version, at a host that was frozen or cut off while the version came. A front that has run for two minutes (the stand-in shortens that) takes the only version in its rows for the one that began the stream, and asks nobody.

--- a/tests/fronts/test_software_versions.py
+++ b/tests/fronts/test_software_versions.py
@@ -16,6 +16,7 @@
 
 scenarios('software_versions.feature')
 scenarios('versions_after_loss.feature')
+scenarios('stale_versions.feature')
 
 ZONES = ('north-1', 'north-2')
 VERSIONS = ('v1', 'v2')
@@ -147,12 +148,14 @@
 
 
 @given(parsers.re(r'fronts (?P<places>f1, f2 in .*)'))
-def _fronts(rig, callers, places):
+def _fronts(rig, fleet, callers, places):
     alone = 'with engines of v1 alone' in places
     callers.add_engines(VERSIONS[:1] if alone else VERSIONS)
+    module = 'standins.old_fronts' if 'long ago' in places else 'celerywharf'
     for names, zone in re.findall(r'(f\d(?:, f\d)*) in ([\w-]+)', places):
         for name in names.split(', '):
-            rig.add_front(name, zone=zone, shares=True)
+            link = fleet.start_link(f'{name}-link', to=rig.store).address
+            rig.add_front(name, link, zone=zone, shares=True, module=module)
     time.sleep(SETTLES_S)
 
 
@@ -298,6 +301,30 @@
     time.sleep(SETTLES_S)
 
 
+@when('f2 is frozen')
+def _freeze(fleet):
+    fleet.pause('f2')
+
+
+@when(parsers.parse('f3 is cut off from the store, whose connections {how}'))
+def _cut_off(fleet, how):
+    switches = {
+        'hang': {'cut': True},
+        'break': {'refuse': True, 'close': True},
+    }
+    fleet.control('f3-link', **switches[how])
+
+
+@when('their callers take the streams up at f2, which goes on 0.3 s later')
+def _take_up_at_frozen(rig, fleet, callers):
+    callers.join()
+    for stream in callers.streams:
+        callers.spawn(stream, rig.fronts['f2'])
+    time.sleep(0.3)
+    fleet.resume('f2')
+    callers.join()
+
+
 @when('engines of version v2 come')
 @when('the engines of version v2 are back')
 def _back(callers):
