Ask others which version began a stream, whatever versions this host sees

A front now knows only of the streams that it began or was told of, and asks for all others; the reader of a zone reads the rows before it answers, unless that was done in the last second (questions share a reading, 0.2 s at most), and if the store does not answer, it counts the versions that readers of other zones name. Nothing is sent unless a caller takes up a stream that this host has not begun: one message to the reader, at most a read of the store a second and zone.

The scenario that others are not asked while there is one version demanded the fault. It is replaced by three: others are asked, also twice; they are not asked where the stream began here; with nobody to ask, the version that is seen counts.

--- a/celerywharf/origins/_streams.py
+++ b/celerywharf/origins/_streams.py
@@ -99,18 +99,18 @@
     ) -> frozenset[str]:
         """Return the software versions that may have begun a stream.
 
+        That this host sees a single version does not tell: another one may have
+        come while the host did not run or was cut off.
+
         Args:
             request_id: id of the attempt that brought the first event; empty
                 if the caller does not name it.
             service: name of the service.
         """
         now_s = self.now()
-        recent = self.software_versions.recent(service, now_s)
-        if len(recent) == 1 and not self.is_young():
-            return recent
         origin = self.register.find(request_id, now_s)
         if origin is None and self.source is None:
-            return recent
+            return self.software_versions.recent(service, now_s)
         if origin is None:
             knowledge = await self.source.ask(request_id, service)
             origin = knowledge.origin
--- a/celerywharf/sharing/_origin_exchange.py
+++ b/celerywharf/sharing/_origin_exchange.py
@@ -118,13 +118,14 @@
         if origin is not None:
             return OriginKnowledge(origin)
         replies = await self._ask_zones(request_id, service)
-        known = map(self._to_knowledge, replies)
+        known = [self._to_knowledge(reply) for reply in replies]
         origin = next((each.origin for each in known if each.origin), None)
+        versions = frozenset[str]()
         if is_reader:
-            return OriginKnowledge(origin, self._possible(service, replies))
-        versions = frozenset(
-            itertools.chain.from_iterable(reply.versions for reply in replies)
-        )
+            versions = self._possible(service, replies)
+        if not is_reader or not self.records.is_current:
+            # Readers of other zones may have seen what this host has missed.
+            versions = versions.union(*(each.versions for each in known))
         return OriginKnowledge(origin, versions)
 
     def _possible(
--- a/celerywharf/sharing/_origin_records.py
+++ b/celerywharf/sharing/_origin_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable
@@ -20,6 +21,7 @@
 
 # Rows of other zones' readers that were lost may have come late.
 READ_PERIOD_S = 1.0
+READ_TIMEOUT_S = 0.2  # callers wait who take a stream up
 MAX_CONFLICTS = 8  # in a row, with readers that write the same row
 
 
@@ -35,6 +37,8 @@
         store_time_s: returns the time on the store's clock, seconds.
         unwritten: streams to be recorded, by request id.
         read_s: when the rows were last read; infinitely long ago if never.
+        is_current: the last reading has succeeded.
+        reading: the last reading that a question has caused; None before it.
         read_attempted: it has been tried to read them.
         write_attempted: it has been tried to record versions.
         outdated: versions have changed since they were last written.
@@ -55,6 +59,8 @@
         self.store_time_s = store_time_s
         self.unwritten: OrderedDict[str, StreamOrigin] = OrderedDict()
         self.read_s = float('-inf')
+        self.is_current = False
+        self.reading: asyncio.Task | None = None
         self.read_attempted = False
         self.write_attempted = False
         self.outdated = True
@@ -138,18 +144,34 @@
         self, request_id: str, service: str
     ) -> StreamOrigin | None:
         found = self._find(request_id)
-        is_due = self.origins.now() - self.read_s > READ_PERIOD_S
-        if found is None and is_due and self.is_mixed(service):
-            try:
-                await self._read()
-            except CelerywharfError as error:
-                logger.info(
-                    'origins of streams not read',
-                    extra={'reason': error.message},
-                )
+        if found is None:
+            await self._read_lately()
             found = self._find(request_id)
         return found
 
+    async def _read_lately(self) -> None:
+        """Read the rows unless that was done a moment ago.
+
+        Questions that come at once share a reading.
+        """
+        is_due = self.origins.now() - self.read_s > READ_PERIOD_S
+        if self.reading is None or (is_due and self.reading.done()):
+            self.reading = asyncio.get_running_loop().create_task(
+                self._try_to_read()
+            )
+        await asyncio.shield(self.reading)
+
+    async def _try_to_read(self) -> None:
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await self._read()
+        except TimeoutError:
+            logger.info('origins of streams not read in time')
+        except CelerywharfError as error:
+            logger.info(
+                'origins of streams not read', extra={'reason': error.message}
+            )
+
     def possible(
         self, service: str, alive: Collection[str] | None
     ) -> frozenset[str]:
@@ -180,7 +202,9 @@
 
     async def _read(self) -> None:
         self.read_s = self.origins.now()
+        self.is_current = False
         self.history.load(await self.rows.read())
+        self.is_current = True
 
     def _on_change(self) -> None:
         self.outdated = True
--- a/tests/fronts/stale_versions.feature
+++ b/tests/fronts/stale_versions.feature
@@ -25,3 +25,12 @@
       | how    |
       | hang   |
       | break  |
+
+  Scenario: a front can ask nobody after it was cut off while a version came
+    When f3 is cut off from the store, whose connections hang
+    And engines of version v2 come
+    And 24 streams of 150 events are sent to f1
+    And f1 is killed after 1.5 s
+    And f2 is killed, too
+    And their callers take the streams up at f3
+    Then no stream has events of two versions
--- a/tests/fronts/test_software_versions.py
+++ b/tests/fronts/test_software_versions.py
@@ -301,6 +301,11 @@
     time.sleep(SETTLES_S)
 
 
+@when('f2 is killed, too')
+def _kill_other(fleet):
+    fleet.kill('f2')
+
+
 @when('f2 is frozen')
 def _freeze(fleet):
     fleet.pause('f2')
--- a/tests/origins/origins.feature
+++ b/tests/origins/origins.feature
@@ -20,11 +20,26 @@
     When no other host answers
     Then r1 may have begun at v1 v2
 
-  Scenario: other hosts are not asked while there is one version
+  Scenario: a host that sees one version asks others, which may have seen another
     When the engines of v2 have been gone for 300 s
+    And another host knows that r1 began at v3
+    And the rows name v1
+    Then r1 may have begun at v3
+    And the other host was asked 1 times
+    And r2 may have begun at v1
+    And the other host was asked 2 times
+
+  Scenario: others are not asked where a stream of this host began
+    When the engines of v2 have been gone for 300 s
+    And stream r1 begins at v1
     Then r1 may have begun at v1
     And the other host was asked 0 times
 
+  Scenario: a host that sees one version and can ask nobody takes that
+    When the engines of v2 have been gone for 300 s
+    And no other host answers
+    Then r1 may have begun at v1
+
   Scenario: a host that has just started may not know a version that is gone
     Given a host that has just started and knows engines of version v1
     When another host knows that r1 began at v2
