List two known reds: silent servers in a pause, idle servers crashed

A stream that has no event yet stays at a dead server in a pause until its deadline, since no report is fetched then. A request whose callers leave at once, alone, crashes eight idle engines in 20 s: no host connects to them again, so no loss is noticed.

--- a/tests/forwarding/test_late_statements.py
+++ b/tests/forwarding/test_late_statements.py
@@ -9,6 +9,8 @@
 
 from celerywharf.backends import Placement
 from celerywharf.exceptions import TransportError
+from celerywharf.forwarding._relays import StreamRelay
+from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.forwarding._streams import StreamForwarding
 from celerywharf.platform import Resumption
 from celerywharf.routing import EngineMemory, Service
@@ -128,6 +130,32 @@
     assert transport.urls == [f'http://{SECOND.address}/']
 
 
+def test_a_silent_server_in_a_pause_is_found_dead_before_the_first_event():
+    async def check():
+        context = build_context(Transport(), Reports())
+        forwarding = StreamForwarding(
+            context,
+            replace(_make_request(), arrived_s=context.timers.now()),
+            SERVICE,
+            Log(),
+            RecordingCaller(),
+        )
+        silent_since_s = context.timers.now() - 60
+        relay = StreamRelay(
+            context,
+            forwarding.request,
+            FIRST,
+            forwarding.caller,
+            forwarding.progress,
+            SilenceDetector(0.7, silent_since_s),
+        )
+        context.limits.pause(FIRST.incarnation, 60)
+        await forwarding._check_liveness(relay, FIRST)
+        return relay.done.done()
+
+    assert asyncio.run(check())
+
+
 @pytest.mark.parametrize('pause_s', [300, 1e300])
 def test_callers_are_told_to_wait_for_the_end_of_a_pause_or_an_hour(pause_s):
     context = build_context(Transport(), Reports())
--- a/tests/fronts/crashing_requests.feature
+++ b/tests/fronts/crashing_requests.feature
@@ -29,6 +29,11 @@
       | orders  |
       | streams |
 
+  Scenario: a request whose callers leave crashes engines that nobody else uses
+    Given fronts f1, f2 in north-1 and f3, f4 in north-2
+    When the request comes alone as orders every 2.5 s for 20 s from callers that leave at once
+    Then no more than 3 of them reached engines later than 4 s after the third crash
+
   Scenario: fronts that are killed and restarted know the request
     Given fronts f1, f2 in north-1 and f3, f4 in north-2
     When the request comes as lookups every 0.25 s for 5 s, beside sound lookups
--- a/tests/fronts/test_crashing_requests.py
+++ b/tests/fronts/test_crashing_requests.py
@@ -244,6 +244,19 @@
     traffic.play(14, 0.25)
 
 
+@when(
+    parsers.parse(
+        'the request comes alone as {kind} every {period:g} s for {span:g} s '
+        'from callers that leave at once'
+    )
+)
+def _come_alone_and_leave(traffic, engines, kind, period, span):
+    engines(kind)
+    traffic.leaves_after_s = LEAVES_AFTER_S
+    ends_s = time.monotonic() + span
+    traffic.repeat(ends_s, period, traffic.send_crashing, None)
+
+
 @when(
     parsers.parse(
         'the request comes as {kind} at f1, f2, f3 every {period:g} s '
