Keep a silent send until its successor is assured

Cause: a silent send was settled as lost, and its connection closed, before the attempts, the quarantine, an engine, its limit, the version and the retry budget were asked. Each refusal after that cut a stream that would have gone on.

Now all of these are asked while the send lives; a successor must go to an engine that has just answered, and has 0.3 s in which a refusal or an error of it leaves the silent send in place. Whichever of the two receives the next event goes on and ends the other. Without a successor the send is kept until the deadline, the engine's end or the caller's.

--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -128,7 +128,7 @@
 
         A request that came from another host is not passed on again.
         """
-        if self.request.relay is not None:
+        if self.request.relay is not None or self.has_successor():
             return None
         if not self.context.health.reachability.is_cut_off(self.service):
             return None
@@ -154,6 +154,10 @@
         """Return whether the caller already has a part of the answer."""
         return False
 
+    def has_successor(self) -> bool:
+        """Return whether the next send is in progress already."""
+        return False
+
     def suspects(self) -> Sequence[str]:
         """Return the traits that may have crashed the server of a send."""
         return self.traits
@@ -173,7 +177,7 @@
             with self.context.quarantine.sending(self.traits, recall):
                 yield
         except asyncio.CancelledError:
-            self._record_given_up(server)
+            self.record_given_up(server)
             raise
 
     def record_end(self, server: BackendServer, outcome: Outcome) -> None:
@@ -188,7 +192,7 @@
                     begun=begun,
                 )
             case Lost() | Recalled():
-                self._record_given_up(server)
+                self.record_given_up(server)
             case Refused(reached=False, late=False):
                 quarantine.unreachable(server.incarnation)
             case Finished():
@@ -198,7 +202,8 @@
             ):
                 quarantine.completed(self.traits)
 
-    def _record_given_up(self, server: BackendServer) -> None:
+    def record_given_up(self, server: BackendServer) -> None:
+        """Record that the end of a send was not awaited."""
         self.context.quarantine.given_up(
             self.suspects(), server.incarnation, server.availability_zone
         )
@@ -252,7 +257,7 @@
         )
 
     async def _may_repeat(self) -> bool:
-        if not self.plan.delivered:
+        if not self.plan.delivered or self.has_successor():
             return True
         return await self.context.retries.take(
             self.service, in_progress=self.in_progress()
--- /dev/null
+++ b/celerywharf/forwarding/_handover.py
@@ -0,0 +1,188 @@
+"""Replaces a silent send of a stream without giving it up too early."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Iterator
+from http import HTTPStatus
+
+from celerywharf.forwarding._outcomes import Answered, Finished
+from celerywharf.forwarding._stream_sender import StreamSender
+from celerywharf.forwarding._stream_sends import (
+    RESUMED,
+    SILENCE,
+    StreamPlacement,
+    StreamSend,
+    end_race,
+    race,
+)
+
+logger = logging.getLogger(__name__)
+
+# Both sends of a stream are open for at most this long.
+OVERLAP_S = 0.3
+
+
+class Handover:
+    """Lets another engine go on with a stream whose engine is silent.
+
+    The silent send is kept until its successor is assured: the request may be
+    sent again, an engine has just answered, and the successor has begun or has
+    at least not been refused at once.  Whichever of the two receives the next
+    event goes on, and the other one ends.
+
+    Attributes:
+        sender: carries out the sends.
+        kept_for: why the silent send was last kept; empty if it was not.
+    """
+
+    def __init__(self, sender: StreamSender) -> None:
+        self.sender = sender
+        self.kept_for = ''
+
+    async def replace(self, silent: StreamSend) -> StreamSend | None:
+        """Replace a silent send if its successor is assured.
+
+        Returns:
+            The successor, after the silent send has ended; None if that send
+            is kept, or has ended before there was a successor.
+        """
+        placement = await self._prepare(silent)
+        if placement is None:
+            silent.relay.detector.postpone(self._now())
+            return None
+        silent.has_unused_copy &= placement.resumption.copy_at is None
+        successor = self.sender.start(placement)
+        try:
+            return await self._race(silent, successor)
+        except asyncio.CancelledError:
+            self.sender.conclude(successor, RESUMED)
+            raise
+
+    async def _prepare(self, silent: StreamSend) -> StreamPlacement | None:
+        """Return where a successor may be sent, with its retry taken.
+
+        None if there is no successor, or the silent send has gone on or ended.
+        """
+        heard = asyncio.get_running_loop().create_future()
+        preparing = asyncio.ensure_future(self._find_placement(silent))
+        is_wanted = False
+        try:
+            with _listening(silent, heard):
+                await asyncio.wait(
+                    {preparing, silent.relay.done, heard},
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            is_wanted = not (silent.relay.done.done() or heard.done())
+        finally:
+            if not is_wanted:
+                preparing.add_done_callback(self._drop)
+                preparing.cancel()
+        return preparing.result() if is_wanted else None
+
+    async def _find_placement(
+        self, silent: StreamSend
+    ) -> StreamPlacement | None:
+        sender = self.sender
+        if not sender.plan.may_replace(sender.remaining_s()):
+            return self._keep('no attempt left')
+        if sender.is_quarantined():
+            return self._keep('quarantined')
+        sender.placer.silent_name = silent.server.name
+        sender.placer.copy_holder = (
+            silent.copy_holder if silent.relay.events else None
+        )
+        try:
+            placement = await sender.place()
+        finally:
+            sender.placer.silent_name = ''
+            sender.placer.copy_holder = None
+        if placement is None:
+            return self._keep('no other engine')
+        is_sendable = False
+        try:
+            answers = await sender.placer.has_answered_lately(placement.server)
+            if not answers:
+                return self._keep('the other engine is silent as well')
+            is_sendable = await sender.take_retry()
+        finally:
+            if not is_sendable:
+                self._release(placement)
+        return placement if is_sendable else self._keep('no retry left')
+
+    async def _race(
+        self, silent: StreamSend, successor: StreamSend
+    ) -> StreamSend | None:
+        race(silent, successor)
+        try:
+            await asyncio.wait(
+                {silent.relay.done, successor.relay.done},
+                timeout=OVERLAP_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            end_race(silent, successor)
+        if self._goes_on(silent, successor):
+            successor.relay.settle(RESUMED)
+            self.sender.conclude(successor, successor.relay.done.result())
+            silent.relay.detector.postpone(self._now())
+            return None
+        silent.relay.settle(SILENCE)
+        return successor
+
+    def _goes_on(self, silent: StreamSend, successor: StreamSend) -> bool:
+        """Return whether the silent send is the one to keep."""
+        if silent.relay.done.done():
+            return isinstance(silent.relay.done.result(), Finished)
+        if not successor.relay.done.done():
+            return False
+        match successor.relay.done.result():
+            case Answered(response=response):
+                return response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            case Finished():
+                return False
+            case _:
+                return True
+
+    def _keep(self, reason: str) -> None:
+        if reason == self.kept_for:
+            return
+        self.kept_for = reason
+        self.sender.context.metrics.count(
+            'silent_sends_kept', service=self.sender.placer.service
+        )
+        logger.info(
+            'silent send kept',
+            extra={
+                'request_id': self.sender.request.headers.request_id,
+                'reason': reason,
+            },
+        )
+
+    def _drop(self, preparing: asyncio.Future[StreamPlacement | None]) -> None:
+        placement = None if preparing.cancelled() else preparing.result()
+        if placement is not None:
+            self._release(placement)
+
+    def _release(self, placement: StreamPlacement) -> None:
+        self.sender.placer.release(placement.server, prefilled=False)
+
+    def _now(self) -> float:
+        return self.sender.context.timers.now()
+
+
+@contextlib.contextmanager
+def _listening(send: StreamSend, heard: asyncio.Future[None]) -> Iterator[None]:
+    """Complete a future when the send receives an event."""
+
+    def on_event() -> None:  # noqa: WPS430
+        if not heard.done():
+            heard.set_result(None)
+
+    send.relay.detector.on_event = on_event
+    try:
+        yield
+    finally:
+        send.relay.detector.on_event = None
--- a/celerywharf/forwarding/_plans.py
+++ b/celerywharf/forwarding/_plans.py
@@ -143,6 +143,18 @@
         """Return whether the request may be sent again if this send fails."""
         return self.repeatable and self.sends + 1 < self.max_attempts
 
+    def may_replace(self, remaining_s: float) -> bool:
+        """Return whether a silent send may be replaced by another one.
+
+        Args:
+            remaining_s: seconds until the deadline of the request.
+        """
+        return (
+            self.has_alternative
+            and self.begun_losses < MAX_BEGUN_LOSSES
+            and remaining_s > MIN_TIME_FOR_RETRY_S
+        )
+
     @property
     def attempts_left(self) -> int:
         """Return how many more sends may run."""
@@ -193,6 +205,8 @@
             case Lost():
                 return self._after_loss(outcome, remaining_s)
             case Recalled():
+                self.sends += 1
+                self.may_have_run = True
                 return Fail(HTTPStatus.BAD_GATEWAY, outcome.reason)
             case PeerAnswered() | PeerFailed():
                 return self._after_peer(outcome)
--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -5,6 +5,7 @@
 import enum
 import math
 from collections import deque
+from collections.abc import Callable
 
 from celerywharf.backends import EngineReport
 
@@ -26,6 +27,9 @@
 # lost without a trace, so the engine is asked about this stream.
 OWN_FIRST_EVENT_SILENCE_S = 2.5
 
+# How long a silent send is kept before a successor is looked for again.
+KEPT_S = 0.5
+
 
 class Liveness(enum.Enum):
     """What is concluded from the silence of a stream."""
@@ -59,7 +63,9 @@
         has_events: whether any event has arrived.
         held: this host reads no events because the caller is too slow.
         asked_s: when the engine last reported on a stream without events.
-        excused_until_s: silence before this time is not the engine's.
+        excused_until_s: silence before this time has no consequences.
+        on_event: called when an event arrives, before it is passed on; None if
+            nobody waits for one.
     """
 
     def __init__(self, gap_target_s: float, started_s: float) -> None:
@@ -71,6 +77,7 @@
         self.held = False
         self.asked_s = started_s
         self.excused_until_s = float('-inf')
+        self.on_event: Callable[[], None] | None = None
 
     def excuse(self, now_s: float) -> None:
         """Record that this host has read no events until now.
@@ -79,6 +86,10 @@
         """
         self.excused_until_s = now_s + MIN_SILENCE_S
 
+    def postpone(self, now_s: float) -> None:
+        """Record that the send is kept although it is silent."""
+        self.excused_until_s = now_s + KEPT_S
+
     def record_report(self, now_s: float) -> None:
         """Record that the engine reported that it works on the stream."""
         self.asked_s = now_s
@@ -89,6 +100,8 @@
             self.gaps.append(now_s - self.last_s)
         self.has_events = True
         self.last_s = now_s
+        if self.on_event is not None:
+            self.on_event()
 
     def limit_s(self) -> float:
         """Return the silence between events after which a server is dead."""
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -17,6 +17,8 @@
 STREAM_CANDIDATES = 2  # engines probed for their load at a time
 BACKUP_CANDIDATES = 1  # the same for the backup copy
 MAX_LIMITED = 8  # engines at their limits that are passed over for one send
+# An engine that has answered this recently is not silent.
+ANSWERED_LATELY_S = 0.25
 
 EligibilityCheck = Callable[[BackendServer], Awaitable[bool]]
 
@@ -32,6 +34,8 @@
         demand: what the stream needs from an engine.
         failed_names: names of engines that failed or refused this stream.
         limited_names: names of engines at their limits, for the current send.
+        silent_name: name of the engine whose send is silent and kept; empty if
+            there is none.
         copy_holder: engine that may hold a copy of the run; None if there is
             none or it has been tried.
     """
@@ -57,6 +61,7 @@
         )
         self.failed_names: set[str] = set()
         self.limited_names: set[str] = set()
+        self.silent_name = ''
         self.copy_holder: BackendServer | None = None
 
     async def place(
@@ -91,6 +96,19 @@
             self.limited_names.add(server.name)
         return None, Resumption(last_event)
 
+    async def has_answered_lately(self, server: BackendServer) -> bool:
+        """Return whether an engine has just answered; ask it if not.
+
+        An engine with a limit is not asked, which would use up a request.
+        """
+        now_s = self.context.timers.now()
+        alive_at_s = self.context.loads.alive_at_s(server.name)
+        if now_s - alive_at_s <= ANSWERED_LATELY_S:
+            return True
+        if self.context.limits.is_limited(server.incarnation):
+            return True
+        return await self.context.reports.probe(server) is not None
+
     def find_copy(self, address: Address) -> None:
         """Resume from the copy of the run at an address, if it is known."""
         for server in self.context.placement.directory.usable(self.service):
@@ -166,7 +184,7 @@
         ]
 
     def _current_demand(self) -> Demand:
-        excluded = self.failed_names | self.limited_names
+        excluded = self.failed_names | self.limited_names | {self.silent_name}
         return replace(
             self.demand,
             excluded=excluded,
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -3,22 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import functools
-from collections.abc import Sequence
 from dataclasses import replace
-from typing import Any
 
-from celerywharf.backends import BackendServer
-from celerywharf.forwarding._base import Forwarding
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import ForwardingContext
+from celerywharf.forwarding._handover import Handover
 from celerywharf.forwarding._outcomes import (
-    Answered,
     Lost,
     Outcome,
     PeerAnswered,
-    Recalled,
-    Refused,
 )
 from celerywharf.forwarding._peer_sends import (
     PEER_SILENCE_S,
@@ -26,38 +19,32 @@
     build_peer_request,
     is_serving,
 )
-from celerywharf.forwarding._plans import Step
-from celerywharf.forwarding._relays import Progress, StreamRelay
+from celerywharf.forwarding._plans import Done, Fail, PassOn, Step
 from celerywharf.forwarding._request_log import RequestLog
 from celerywharf.forwarding._requests import IncomingRequest
-from celerywharf.forwarding._sends import build_request, record_outcome
 from celerywharf.forwarding._silence import (
     Liveness,
     SilenceDetector,
     assess_report,
 )
-from celerywharf.forwarding._stream_placer import StreamPlacer
+from celerywharf.forwarding._stream_sender import StreamSender
+from celerywharf.forwarding._stream_sends import StreamSend
 from celerywharf.peers import PeerHost, Relay
-from celerywharf.platform import Resumption
-from celerywharf.routing import ResumableStream
 from celerywharf.structures import Address
 
-MILLISECONDS = 1000
 MIN_WAIT_S = 0.005  # prevents a busy loop when a timer fires late
 # A wait that ends this much late shows that this host did not run for a while.
 LATE_S = 0.1
 UNKNOWN_VERSION = 'no host knows which software version began the stream'
-DEFAULT_GAP_TARGET_S = 2.0  # for streams that cannot be resumed
 
 
-class StreamForwarding(Forwarding):
+class StreamForwarding(StreamSender):
     """Sends a stream until it ends or must not be retried.
 
     Attributes:
-        caller: receives the events.
-        progress: what the caller has received so far.
-        placer: chooses engines for the sends.
-        relay: receives the answer to the current send; None before its start.
+        handover: replaces silent sends.
+        successor: the send that has taken over from a silent one; None unless
+            there is one.
     """
 
     def __init__(
@@ -68,11 +55,9 @@
         request_log: RequestLog,
         caller: Caller,
     ) -> None:
-        super().__init__(context, request, service, request_log)
-        self.caller = caller
-        self.progress = Progress(request.headers.last_event)
-        self.placer = StreamPlacer(context, request, service, self.progress)
-        self.relay: StreamRelay | None = None
+        super().__init__(context, request, service, request_log, caller)
+        self.handover = Handover(self)
+        self.successor: StreamSend | None = None
         if request.relay is not None:
             self._continue_for(request.relay)
 
@@ -83,89 +68,41 @@
         if relay.copy_at:
             self.placer.find_copy(Address.parse(relay.copy_at))
 
-    def in_progress(self) -> bool:
-        """Return whether the caller has received a part of the stream."""
-        return self.caller.started
+    def has_successor(self) -> bool:
+        """Return whether the next send is in progress already."""
+        return self.successor is not None
 
-    def suspects(self) -> Sequence[str]:
-        """Return the traits that may have crashed the server of a send."""
-        if self.relay is not None and self.relay.proven:
-            return self.request.headers.shared_parts
-        return self.traits
-
-    def details(self) -> dict[str, Any]:
-        """Return the log fields that describe the finished stream."""
-        progress = self.progress
-        if progress.first_at_s is None:
-            return {'events': 0}
-        first_event_s = progress.first_at_s - self.request.arrived_s
-        return {
-            'events': progress.events,
-            'first_event_ms': round(first_event_s * MILLISECONDS),
-            'longest_gap_ms': round(progress.longest_gap_s * MILLISECONDS),
-        }
-
-    async def send(self) -> Step:
-        """Send the stream to an engine, resuming after the last event."""
-        now_s = self.context.timers.now()
-        remaining_s = self.request.deadline_at_s() - now_s
-        if remaining_s <= 0:
-            return self.plan.timed_out()
-        if self.progress.last_event and self.progress.software_version is None:
-            await self._find_software_version()
-            if self.progress.software_version is None:
-                return self.plan.give_up(UNKNOWN_VERSION)
-        server, resumption, backup = await self._place()
-        if server is None:
-            return self.give_up_for_now()
+    async def run(self) -> PassOn | Fail | Done:
+        """Send and retry the stream; return the final step."""
         try:
-            outcome = await self._relay(server, resumption, remaining_s, backup)
+            return await super().run()
         finally:
-            prefilled = self.relay is not None and self.relay.events > 0
-            self.placer.release(server, prefilled=prefilled)
-        self.record_end(server, outcome)
-        self.placer.send_ended(server, outcome, resumption, backup)
-        remaining_s = self.request.deadline_at_s() - self.context.timers.now()
-        step = self._next_step(outcome, remaining_s)
-        self.request_log.log_send(
-            server,
-            outcome,
-            step,
-            last_event=self.progress.last_event,
-            begun=self.relay.begun_at_s is not None,
-            events_of_send=self.relay.events,
-            resumed_from_copy=resumption.copy_at is not None,
-            server_zone=server.availability_zone,
-        )
-        return step
+            if self.successor is not None:
+                self.abandon(self.successor)
 
-    async def _place(
-        self,
-    ) -> tuple[BackendServer | None, Resumption, BackendServer | None]:
-        """Choose an engine and one for the backup copy of the run.
+    async def send(self) -> Step:
+        """Send the stream to an engine, resuming after the last event.
 
-        Returns:
-            The engine, to which the stream's load is added, None if there is
-            none; the position from which it must resume the stream; where the
-            copy is kept, None if nowhere.
+        A send that has already taken over from a silent one goes on.
         """
-        self.relay = None
-        while True:
-            server, resumption = await self.placer.place(self.is_eligible)
-            if server is None:
-                return None, resumption, None
-            # Streams placed while the other engine is chosen take this one
-            # into account.
-            self.placer.reserve(server)
-            is_chosen = False
-            try:
-                backup = await self.placer.backup(server, resumption)
-                is_chosen = self.may_send(server)
-            finally:
-                if not is_chosen:
-                    self.placer.release(server, prefilled=False)
-            if is_chosen:
-                return server, resumption, backup
+        current = self.successor
+        self.successor = None
+        if current is None:
+            if self.remaining_s() <= 0:
+                return self.plan.timed_out()
+            if not await self._knows_software_version():
+                return self.plan.give_up(UNKNOWN_VERSION)
+            placement = await self.place()
+            if placement is None:
+                return self.give_up_for_now()
+            current = self.start(placement)
+        outcome = None
+        try:
+            outcome = await self._await_outcome(current)
+        finally:
+            if outcome is None:
+                self.abandon(current)
+        return self.conclude(current, outcome)
 
     def attempts_for_peer(self) -> int:
         """Keep sends for the case that the other host is lost."""
@@ -190,7 +127,7 @@
             peer,
             self.caller,
             progress,
-            SilenceDetector(self._gap_target_s(), context.timers.now()),
+            SilenceDetector(self.gap_target_s(), context.timers.now()),
         )
         transfer = context.transport.stream(
             build_peer_request(
@@ -231,121 +168,69 @@
             if relay.done.done():
                 return relay.done.result()
 
-    async def _find_software_version(self) -> None:
-        """Find which software version began a stream that is taken up."""
+    async def _knows_software_version(self) -> bool:
+        """Return whether it is known which version may go on with the stream.
+
+        Any version may begin one.
+        """
+        progress = self.progress
+        if not progress.last_event or progress.software_version is not None:
+            return True
         possible = await self.context.origins.possible_versions(
             self.request.headers.resumed_request, self.service
         )
         if len(possible) == 1:
-            self.progress.software_version = next(iter(possible))
+            progress.software_version = next(iter(possible))
+        return len(possible) == 1
 
-    def _next_step(self, outcome: Outcome, remaining_s: float) -> Step:
-        if isinstance(outcome, Answered) and self.caller.started:
-            status = outcome.response.status
-            outcome = Lost(f'answered {status} in the middle of a stream')
-        return self.plan.next_step(outcome, remaining_s)
-
-    async def _relay(
-        self,
-        server: BackendServer,
-        resumption: Resumption,
-        remaining_s: float,
-        backup: BackendServer | None,
-    ) -> Outcome:
-        context = self.context
-        relay = StreamRelay(
-            context,
-            self.request,
-            server,
-            self.caller,
-            self.progress,
-            SilenceDetector(self._gap_target_s(), context.timers.now()),
-        )
-        self.relay = relay
-        transfer = context.transport.stream(
-            build_request(
-                self.request,
-                server,
-                remaining_s,
-                backup and backup.address,
-                resumption,
-            ),
-            relay,
-        )
-        relay.transfer = transfer
-        try:
-            with self.sending(server, functools.partial(_recall, relay)):
-                outcome = await self._await_outcome(relay, server)
-        finally:
-            transfer.cancel()
-        match outcome:
-            case Refused(reached=True, replaced=False) if resumption.copy_at:
-                pass  # it holds no copy of the run, which is not a failure
-            case _:
-                record_outcome(context, server, outcome)
-        return outcome
-
-    async def _await_outcome(
-        self, relay: StreamRelay, server: BackendServer
-    ) -> Outcome:
+    async def _await_outcome(self, send: StreamSend) -> Outcome:
+        relay = send.relay
         deadline_at_s = self.request.deadline_at_s()
         while True:
             now_s = self.context.timers.now()
             expires_at_s = deadline_at_s
             if self.plan.has_alternative:
                 expires_at_s = relay.detector.expires_at_s(
-                    self._alive_at_s(server)
+                    self._alive_at_s(send)
                 )
             wait_s = max(min(expires_at_s, deadline_at_s) - now_s, MIN_WAIT_S)
             await asyncio.wait({relay.done}, timeout=wait_s)
             if self.context.timers.now() > now_s + wait_s + LATE_S:
                 relay.detector.excuse(self.context.timers.now())
             if not relay.done.done():
-                await self._check_liveness(relay, server)
+                await self._check_liveness(send)
             if relay.done.done():
                 return relay.done.result()
 
-    async def _check_liveness(
-        self, relay: StreamRelay, server: BackendServer
-    ) -> None:
-        """End a silent send if its deadline has passed or its server is dead.
+    async def _check_liveness(self, send: StreamSend) -> None:
+        """End a send whose deadline has passed; hand a silent one over.
 
         If the request may not be sent again, only the deadline ends the send.
         """
+        relay = send.relay
         now_s = self.context.timers.now()
         if now_s >= self.request.deadline_at_s():
             relay.settle(Lost('deadline exceeded'))
             return
         if not self.plan.has_alternative:
             return
-        liveness = relay.detector.assess(now_s, self._alive_at_s(server))
-        if liveness is Liveness.suspect and not await self.is_within_limit(
-            server
-        ):
-            relay.detector.record_report(self.context.timers.now())
-            return
+        liveness = relay.detector.assess(now_s, self._alive_at_s(send))
         if liveness is Liveness.suspect:
-            report = await self.context.reports.probe(server)
-            request_id = self.request.headers.request_id
-            liveness = (
-                assess_report(report, request_id) if report else Liveness.dead
-            )
-            relay.detector.record_report(self.context.timers.now())
-        if liveness is Liveness.dead:
-            relay.settle(Lost('silence', broken=True))
-
-    def _alive_at_s(self, server: BackendServer) -> float:
-        return self.context.loads.alive_at_s(server.name)
-
-    def _gap_target_s(self) -> float:
-        match self.request.route.policy:
-            case ResumableStream(gap_target_s=gap_target_s):
-                return gap_target_s
-            case _:
-                return DEFAULT_GAP_TARGET_S
-
-
-def _recall(relay: StreamRelay) -> None:
-    """Take a stream back whose answer has not begun."""
-    if relay.begun_at_s is None:
-        relay.settle(Recalled('quarantined meanwhile'))
+            liveness = await self._ask_server(send)
+        if liveness is Liveness.dead and not relay.done.done():
+            self.successor = await self.handover.replace(send)
+
+    async def _ask_server(self, send: StreamSend) -> Liveness:
+        """Ask an engine that has sent no event whether it is at work."""
+        detector = send.relay.detector
+        if not await self.is_within_limit(send.server):
+            detector.record_report(self.context.timers.now())
+            return Liveness.alive
+        report = await self.context.reports.probe(send.server)
+        detector.record_report(self.context.timers.now())
+        if report is None:
+            return Liveness.dead
+        return assess_report(report, self.request.headers.request_id)
+
+    def _alive_at_s(self, send: StreamSend) -> float:
+        return self.context.loads.alive_at_s(send.server.name)
--- a/tests/forwarding/test_late_statements.py
+++ b/tests/forwarding/test_late_statements.py
@@ -11,6 +11,7 @@
 from celerywharf.exceptions import TransportError
 from celerywharf.forwarding._relays import StreamRelay
 from celerywharf.forwarding._silence import SilenceDetector
+from celerywharf.forwarding._stream_sends import StreamPlacement, StreamSend
 from celerywharf.forwarding._streams import StreamForwarding
 from celerywharf.platform import Resumption
 from celerywharf.routing import EngineMemory, Service
@@ -150,7 +151,8 @@
             SilenceDetector(0.7, silent_since_s),
         )
         context.limits.pause(FIRST.incarnation, 60)
-        await forwarding._check_liveness(relay, FIRST)
+        placement = StreamPlacement(FIRST, Resumption(None), None)
+        await forwarding._check_liveness(StreamSend(placement, relay))
         return relay.done.done()
 
     assert asyncio.run(check())
