--- a/celerywharf/backends/_health.py
+++ b/celerywharf/backends/_health.py
@@ -55,13 +55,18 @@
             logger.info('ejected', extra={'backend_server': server.name})
 
     def lost(self, server: BackendServer, now_s: float) -> None:
-        """Record that a server stopped responding or broke a connection."""
+        """Record that a server broke a connection."""
         self.failed(server, now_s)
         self._record_zone_failure(server, now_s)
 
+    def silent(self, server: BackendServer, now_s: float) -> None:
+        """Record that a server has stopped responding, and may go on."""
+        self.outliers.skip(server.name, now_s)
+        self._record_zone_failure(server, now_s)
+
     def unreachable(self, server: BackendServer, now_s: float) -> None:
         """Record that no connection to a server could be established."""
-        self.outliers.unreachable(server.name, now_s)
+        self.outliers.skip(server.name, now_s)
         self.reachability.unreachable(server)
         self._record_zone_failure(server, now_s)
 
--- a/celerywharf/backends/outliers.py
+++ b/celerywharf/backends/outliers.py
@@ -19,7 +19,7 @@
 MIN_LATENCY_SAMPLES = 5
 # Long enough to skip a server that has crashed, short enough to use it again
 # soon after a restart.
-UNREACHABLE_S = 1.0
+SKIP_S = 1.0
 
 
 @dataclass(slots=True)
@@ -81,12 +81,12 @@
             return self._eject(name, now)
         return False
 
-    def unreachable(self, name: str, now: float) -> None:
-        """Stop using a server for a short time because it is unreachable."""
+    def skip(self, name: str, now: float) -> None:
+        """Stop using a server for a short time because it does not respond."""
         record = self._record(name)
         record.ejected_until_s = max(
             record.ejected_until_s,
-            now + UNREACHABLE_S,
+            now + SKIP_S,
         )
 
     def retain(self, names: Container[str]) -> None:
--- a/celerywharf/forwarding/_outcomes.py
+++ b/celerywharf/forwarding/_outcomes.py
@@ -49,8 +49,9 @@
 
     Attributes:
         reason: for the log.
-        broken: whether the connection broke or the server stopped responding,
-            so that the server may be dead.
+        broken: whether the connection broke, so that the server may be dead.
+        silent: whether the server had stopped responding when the connection
+            was closed; it may be dead, or go on.
         begun: whether the server was at work on the request itself when the
             connection broke, so that it may have crashed the server: the
             answer had just begun, or it was a call.
@@ -62,6 +63,7 @@
     broken: bool = False
     resumable: bool = True
     begun: bool = False
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -13,10 +13,15 @@
     Loads,
     ServerHealth,
 )
-from celerywharf.exceptions import ProtocolError, TransportError
+from celerywharf.exceptions import (
+    CelerywharfError,
+    ProtocolError,
+    TransportError,
+)
 from celerywharf.forwarding._statements import availability_recorder
 from celerywharf.limits import ServerLimiter
 from celerywharf.platform import PROBE_PATH, decode_report
+from celerywharf.structures import Verdict
 from celerywharf.timers import TimerService
 from celerywharf.units import SMALL_MESSAGE_BYTES
 
@@ -112,7 +117,7 @@
                 'no report',
                 extra={'backend_server': server.name, 'reason': error.message},
             )
-            self.health.unreachable(server, self.timers.now())
+            self._record_failure(server, error)
             return None
         now_s = self.timers.now()
         if report.born_ms and report.born_ms != server.born_ms:
@@ -122,6 +127,15 @@
         self.health.reached(server)
         return report
 
+    def _record_failure(
+        self, server: BackendServer, error: CelerywharfError
+    ) -> None:
+        now_s = self.timers.now()
+        if error.verdict is Verdict.not_run:
+            self.health.unreachable(server, now_s)
+        else:
+            self.health.silent(server, now_s)
+
     async def _fetch_report(self, server: BackendServer) -> EngineReport:
         request = HttpRequest(
             'GET',
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -230,6 +230,8 @@
             context.health.unreachable(server, now_s)
         case Lost(broken=True):
             context.health.lost(server, now_s)
+        case Lost(silent=True):
+            context.health.silent(server, now_s)
         case Refused() | Lost():
             context.health.failed(server, now_s)
         case Answered() | Finished():
--- a/celerywharf/forwarding/_stream_sends.py
+++ b/celerywharf/forwarding/_stream_sends.py
@@ -11,7 +11,7 @@
 from celerywharf.forwarding._relays import StreamRelay
 from celerywharf.platform import Resumption
 
-SILENCE = Lost('silence', broken=True)
+SILENCE = Lost('silence', silent=True)
 RESUMED = Recalled('the send before goes on')
 
 
