--- a/tests/fronts/test_planned_stop.py
+++ b/tests/fronts/test_planned_stop.py
@@ -127,5 +127,6 @@
     for call in calls:
         call.join()
     assert len(sent) == len(calls)
-    untrue = [answer for *_, answer in sent if answer.status not in UNKNOWN]
+    answers = [each[2] for each in sent]
+    untrue = [answer for answer in answers if answer.status not in UNKNOWN]
     assert not untrue, (len(untrue), untrue[0])
