--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -4,14 +4,14 @@
 
 import abc
 import asyncio
-import itertools
 import math
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from http import HTTPStatus
 
 from celerywharf.backends import BackendServer
 from celerywharf.forwarding._context import ForwardingContext
+from celerywharf.forwarding._eligibility import Eligibility
 from celerywharf.forwarding._outcomes import (
     Answered,
     Finished,
@@ -34,8 +34,6 @@
 from celerywharf.peers import PeerHost, Relay
 
 MAX_PEERS = 3  # hosts that one request is passed to at most
-# Servers at their limits that are passed over for one request.
-MAX_LIMITED = 16
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 3600.0
 # Those who are refused together return at different times.
@@ -51,11 +49,11 @@
         service: name of the service that the request is sent to.
         request_log: writes its log lines.
         plan: decides the next step after each send.
-        limit_wait_s: the shortest time after which a server that was at its
-            limit may be tried; infinite if there was none.
+        eligibility: tells which servers may be sent the request.
         traits: what may crash backend servers about the request.
         tried_peers: names of hosts that it was passed to.
         counted: it is counted for the retry budget.
+        kept_for: why a silent send was last kept; empty if none was.
     """
 
     def __init__(
@@ -70,10 +68,11 @@
         self.service = service
         self.request_log = request_log
         self.plan = RetryPlan(request.route.policy, request.max_attempts)
-        self.limit_wait_s = math.inf
+        self.eligibility = Eligibility(context, self.in_progress)
         self.traits = request.traits
         self.tried_peers: set[str] = set()
         self.counted = request.relay is not None and request.relay.counted
+        self.kept_for = ''
 
     async def run(self) -> PassOn | Fail | Done:
         """Send and retry the request; return the final step."""
@@ -82,7 +81,7 @@
             if blocking is not None:
                 self.context.metrics.count('quarantine_refusals')
                 return self.plan.quarantined(blocking)
-            self.limit_wait_s = math.inf
+            self.eligibility.limit_wait_s = math.inf
             step = await self._send_on_some_path()
             if not isinstance(step, SendAgain):
                 return step
@@ -208,49 +207,35 @@
             self.suspects(), server.incarnation, server.availability_zone
         )
 
-    async def first_eligible(
-        self, servers: Iterable[BackendServer]
-    ) -> BackendServer | None:
-        """Return the first server whose limit allows this request.
+    def remaining_s(self) -> float:
+        """Return the seconds until the deadline of the request."""
+        return self.request.deadline_at_s() - self.context.timers.now()
 
-        None if there is none among the first ``MAX_LIMITED`` servers; the
-        shortest time after which one may be tried is kept for the caller.
-        """
-        for server in itertools.islice(servers, MAX_LIMITED):
-            if await self.is_eligible(server):
-                return server
-        return None
-
-    def may_send(self, server: BackendServer) -> bool:
-        """Return whether a server that was chosen still wants requests.
-
-        To be asked right before a send, after all that was waited for: the
-        server may have said something else in answers to other requests.
-        """
-        if self.context.limits.is_paused(server.incarnation):
-            return False
-        return self.context.health.directory.accepts(server)
+    def is_quarantined(self) -> bool:
+        """Return whether the request must reach no engine."""
+        blocking = self.context.quarantine.blocking_trait(self.traits)
+        return blocking is not None
 
-    async def is_eligible(self, server: BackendServer) -> bool:
-        """Return whether a request may be sent to a server now."""
-        return await self.is_within_limit(server) and self.may_send(server)
+    async def take_retry(self) -> bool:
+        """Take one retry from the budget of the service."""
+        return await self.context.retries.take(
+            self.service, in_progress=self.in_progress()
+        )
 
-    async def is_within_limit(self, server: BackendServer) -> bool:
-        """Return whether a server's limit allows a request now."""
-        limits = self.context.limits
-        incarnation = server.incarnation
-        if await limits.acquire(incarnation, in_progress=self.in_progress()):
-            return True
-        wait_s = limits.wait_s(incarnation)
-        self.limit_wait_s = min(self.limit_wait_s, wait_s)
-        return False
+    def keep(self, reason: str) -> None:
+        """Record that a silent send is kept, for want of a successor."""
+        if reason == self.kept_for:
+            return
+        self.kept_for = reason
+        self.context.metrics.count('silent_sends_kept', service=self.service)
+        self.request_log.log_kept(reason)
 
     def give_up_for_now(self) -> PassOn | Fail:
         """Return the final step if no server may be sent the request now."""
-        if math.isinf(self.limit_wait_s):
+        if math.isinf(self.eligibility.limit_wait_s):
             return self.plan.give_up('no backend server available')
         spread = 1 + RETRY_AFTER_JITTER * self.context.random.random()
-        wait_s = max(self.limit_wait_s, MIN_RETRY_AFTER_S)
+        wait_s = max(self.eligibility.limit_wait_s, MIN_RETRY_AFTER_S)
         return self.plan.give_up(
             'backend servers are at their limits',
             min(wait_s, MAX_RETRY_AFTER_S) * spread,
@@ -259,6 +244,4 @@
     async def _may_repeat(self) -> bool:
         if not self.plan.delivered or self.has_successor():
             return True
-        return await self.context.retries.take(
-            self.service, in_progress=self.in_progress()
-        )
+        return await self.take_retry()
--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -4,23 +4,19 @@
 
 import asyncio
 import contextlib
-import logging
 from collections.abc import Iterator
 from http import HTTPStatus
 
-from celerywharf.forwarding._outcomes import Answered, Finished
+from celerywharf.forwarding._outcomes import SILENCE, Answered, Finished
 from celerywharf.forwarding._stream_sender import StreamSender
 from celerywharf.forwarding._stream_sends import (
     RESUMED,
-    SILENCE,
     StreamPlacement,
     StreamSend,
     end_race,
     race,
 )
 
-logger = logging.getLogger(__name__)
-
 # Both sends of a stream are open for at most this long.
 OVERLAP_S = 0.3
 
@@ -35,12 +31,10 @@
 
     Attributes:
         sender: carries out the sends.
-        kept_for: why the silent send was last kept; empty if it was not.
     """
 
     def __init__(self, sender: StreamSender) -> None:
         self.sender = sender
-        self.kept_for = ''
 
     async def replace(self, silent: StreamSend) -> StreamSend | None:
         """Replace a silent send if its successor is assured.
@@ -87,9 +81,9 @@
     ) -> StreamPlacement | None:
         sender = self.sender
         if not sender.plan.may_replace(sender.remaining_s()):
-            return self._keep('no attempt left')
+            return sender.keep('no attempt left')
         if sender.is_quarantined():
-            return self._keep('quarantined')
+            return sender.keep('quarantined')
         sender.placer.silent_name = silent.server.name
         sender.placer.copy_holder = (
             silent.copy_holder if silent.relay.events else None
@@ -100,17 +94,17 @@
             sender.placer.silent_name = ''
             sender.placer.copy_holder = None
         if placement is None:
-            return self._keep('no other engine')
+            return sender.keep('no other engine')
         is_sendable = False
         try:
             answers = await sender.placer.has_answered_lately(placement.server)
             if not answers:
-                return self._keep('the other engine is silent as well')
+                return sender.keep('the other engine is silent as well')
             is_sendable = await sender.take_retry()
         finally:
             if not is_sendable:
                 self._release(placement)
-        return placement if is_sendable else self._keep('no retry left')
+        return placement if is_sendable else sender.keep('no retry left')
 
     async def _race(
         self, silent: StreamSend, successor: StreamSend
@@ -146,21 +140,6 @@
             case _:
                 return True
 
-    def _keep(self, reason: str) -> None:
-        if reason == self.kept_for:
-            return
-        self.kept_for = reason
-        self.sender.context.metrics.count(
-            'silent_sends_kept', service=self.sender.placer.service
-        )
-        logger.info(
-            'silent send kept',
-            extra={
-                'request_id': self.sender.request.headers.request_id,
-                'reason': reason,
-            },
-        )
-
     def _drop(self, preparing: asyncio.Future[StreamPlacement | None]) -> None:
         placement = None if preparing.cancelled() else preparing.result()
         if placement is not None:
--- a/celerywharf/forwarding/_outcomes.py
+++ b/celerywharf/forwarding/_outcomes.py
@@ -108,3 +108,5 @@
 Outcome = (
     Answered | Refused | Lost | Recalled | Finished | PeerAnswered | PeerFailed
 )
+
+SILENCE = Lost('silence', silent=True)
--- a/celerywharf/forwarding/_request_log.py
+++ b/celerywharf/forwarding/_request_log.py
@@ -73,6 +73,16 @@
             },
         )
 
+    def log_kept(self, reason: str) -> None:
+        """Log why a silent send is kept."""
+        logger.info(
+            'silent send kept',
+            extra={
+                'request_id': self.request.headers.request_id,
+                'reason': reason,
+            },
+        )
+
     def log_relay(self, peer: PeerHost, outcome: Outcome, step: Step) -> None:
         """Log that the request was passed to another host."""
         self.peers.append(peer.name)
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -76,17 +76,6 @@
             'longest_gap_ms': round(progress.longest_gap_s * MILLISECONDS),
         }
 
-    def is_quarantined(self) -> bool:
-        """Return whether the request must reach no engine."""
-        blocking = self.context.quarantine.blocking_trait(self.traits)
-        return blocking is not None
-
-    async def take_retry(self) -> bool:
-        """Take one retry from the budget of the service."""
-        return await self.context.retries.take(
-            self.service, in_progress=self.in_progress()
-        )
-
     async def place(self) -> StreamPlacement | None:
         """Choose an engine, and one for the backup copy of the run.
 
@@ -95,7 +84,9 @@
             there is no engine.
         """
         while True:
-            server, resumption = await self.placer.place(self.is_eligible)
+            server, resumption = await self.placer.place(
+                self.eligibility.is_eligible
+            )
             if server is None:
                 return None
             # Streams placed while the other engine is chosen take this one
@@ -104,7 +95,7 @@
             is_chosen = False
             try:
                 backup = await self.placer.backup(server, resumption)
-                is_chosen = self.may_send(server)
+                is_chosen = self.eligibility.may_send(server)
             finally:
                 if not is_chosen:
                     self.placer.release(server, prefilled=False)
@@ -186,10 +177,6 @@
     def _release(self, send: StreamSend) -> None:
         self.placer.release(send.server, prefilled=send.relay.events > 0)
 
-    def remaining_s(self) -> float:
-        """Return the seconds until the deadline of the request."""
-        return self.request.deadline_at_s() - self.context.timers.now()
-
     def _next_step(self, outcome: Outcome, remaining_s: float) -> Step:
         if isinstance(outcome, Answered) and self.caller.started:
             status = outcome.response.status
--- a/celerywharf/forwarding/_stream_sends.py
+++ b/celerywharf/forwarding/_stream_sends.py
@@ -7,11 +7,10 @@
 from dataclasses import dataclass, field
 
 from celerywharf.backends import BackendServer
-from celerywharf.forwarding._outcomes import Lost, Recalled
+from celerywharf.forwarding._outcomes import SILENCE, Recalled
 from celerywharf.forwarding._relays import StreamRelay
 from celerywharf.platform import Resumption
 
-SILENCE = Lost('silence', silent=True)
 RESUMED = Recalled('the send before goes on')
 
 
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -223,7 +223,7 @@
     async def _ask_server(self, send: StreamSend) -> Liveness:
         """Ask an engine that has sent no event whether it is at work."""
         detector = send.relay.detector
-        if not await self.is_within_limit(send.server):
+        if not await self.eligibility.is_within_limit(send.server):
             detector.record_report(self.context.timers.now())
             return Liveness.alive
         report = await self.context.reports.probe(send.server)
--- a/tests/forwarding/test_silence_evidence.py
+++ b/tests/forwarding/test_silence_evidence.py
@@ -9,9 +9,9 @@
 from celerywharf.backends import Directory, Loads, ServerHealth
 from celerywharf.exceptions import TransportError
 from celerywharf.forwarding._calls import CallForwarding
+from celerywharf.forwarding._outcomes import SILENCE
 from celerywharf.forwarding._reports import Reports
 from celerywharf.forwarding._sends import record_outcome
-from celerywharf.forwarding._stream_sends import SILENCE
 from celerywharf.metrics import Metrics
 from celerywharf.quarantine import LossRegister, QuarantineGate
 from celerywharf.structures import Verdict
