Keep a stream at a silent host until another way is assured

Callers of a front that was cut off from the engines, and passed their streams to the only other front, had them cut when that one was silent for 1.2 s: six of six (tests/fronts/test_kept_relays.py).

Cause, the same as for silent engines: after 0.6 s without an event and a question that got no answer the host was given up, before the attempts, another host and the retry budget were asked.

Now the stream waits for the host unless all of these allow another send, whose retry is taken then. The test failed before, with all six cut, and passes; tests/fronts/test_passing_on.py passes.

--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -53,6 +53,7 @@
         traits: what may crash backend servers about the request.
         tried_peers: names of hosts that it was passed to.
         counted: it is counted for the retry budget.
+        retry_taken: the retry for the next send is taken already.
         kept_for: why a silent send was last kept; empty if none was.
     """
 
@@ -72,6 +73,7 @@
         self.traits = request.traits
         self.tried_peers: set[str] = set()
         self.counted = request.relay is not None and request.relay.counted
+        self.retry_taken = False
         self.kept_for = ''
 
     async def run(self) -> PassOn | Fail | Done:
@@ -244,4 +246,7 @@
     async def _may_repeat(self) -> bool:
         if not self.plan.delivered or self.has_successor():
             return True
+        if self.retry_taken:
+            self.retry_taken = False
+            return True
         return await self.take_retry()
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -138,7 +138,7 @@
         self.relay.transfer = transfer
         context.peers.started(peer)
         try:
-            outcome = await self._await_peer(self.relay, peer)
+            outcome = await self._await_peer(self.relay, peer, relay.attempts)
         finally:
             context.peers.ended(peer)
             transfer.cancel()
@@ -148,7 +148,7 @@
         return outcome
 
     async def _await_peer(
-        self, relay: PeerStreamRelay, peer: PeerHost
+        self, relay: PeerStreamRelay, peer: PeerHost, attempts: int
     ) -> Outcome:
         request_id = self.request.headers.request_id
         while True:
@@ -163,11 +163,32 @@
                 silent_s > PEER_SILENCE_S
                 and not relay.detector.held
                 and not await is_serving(self.context, peer, request_id)
+                and await self._may_leave_peer(relay, attempts)
             ):
                 relay.settle(Lost('host stopped responding'))
             if relay.done.done():
                 return relay.done.result()
 
+    async def _may_leave_peer(
+        self, relay: PeerStreamRelay, attempts: int
+    ) -> bool:
+        """Return whether a stream may go on without a host that is silent.
+
+        Its retry is taken then.
+
+        Args:
+            relay: receives the stream from the host.
+            attempts: how many sends the host was allowed to make.
+        """
+        if self.plan.attempts_left <= attempts or self.is_quarantined():
+            return False
+        is_cut_off = self.context.health.reachability.is_cut_off(self.service)
+        if is_cut_off and await self._choose_peer() is None:
+            return False
+        if not relay.done.done():
+            self.retry_taken = await self.take_retry()
+        return self.retry_taken
+
     async def _knows_software_version(self) -> bool:
         """Return whether it is known which version may go on with the stream.
 
