Check servers for a loss after a send was given up

Callers that left a request which crashes its engine were followed by others for whom it crashed the next one: eight engines in 20 s, four sends reached engines later than 4 s after the third crash, where three are allowed.

Cause: a send whose end was not awaited counts as a loss only if its server is found to be lost within two seconds, and nobody connects to an idle server in that time.

Change: 0.5 and 1.4 s after such a send the host opens a connection to the server, without a request. If it is refused, or the directory has a later incarnation, the server was lost. Nothing is opened if the server has answered anything since, has said that it leaves, or its service is out of reach; at most one check at a time for a server, of 64 servers in all. A silent process still accepts connections, and a time-out that this host was late to notice proves nothing.

--- a/celerywharf/backends/__init__.py
+++ b/celerywharf/backends/__init__.py
@@ -3,6 +3,11 @@
 from celerywharf.backends._directory import Directory
 from celerywharf.backends._health import ServerHealth
 from celerywharf.backends._loads import Loads
+from celerywharf.backends._loss_checks import (
+    LossCheck,
+    LossChecks,
+    Suspicion,
+)
 from celerywharf.backends._placement import Demand, Placement
 from celerywharf.backends._reachability import Reachability
 from celerywharf.backends._servers import BackendServer, EngineReport
@@ -18,8 +23,11 @@
     'Directory',
     'EngineReport',
     'Loads',
+    'LossCheck',
+    'LossChecks',
     'Placement',
     'Reachability',
     'ServerHealth',
     'SoftwareVersions',
+    'Suspicion',
 )
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -66,8 +66,8 @@
         quarantine_exchange: shares what requests crash engines with the other
             fronts.
         watchers: follow the tables of the store; first the watcher of the
-            configuration, then that of the backend servers; the last watches
-            lost paths to services.
+            configuration, then that of the backend servers; the others
+            watch lost paths to services and lost servers.
         graceful_stop: completes requests before the front stops.
         stopped: set when the process may exit.
     """
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -12,6 +12,7 @@
 from celerywharf.backends import BackendServer, ServerHealth
 from celerywharf.exceptions import CelerywharfError, ProtocolError
 from celerywharf.forwarding import ForwardingContext
+from celerywharf.fronts._loss_probes import LossProbes
 from celerywharf.fronts._path_probes import PathProbes
 from celerywharf.metrics import Metrics
 from celerywharf.platform import (
@@ -344,11 +345,12 @@
 
 def build_watchers(
     source: TableSource, random: Random, context: ForwardingContext
-) -> tuple[ConfigurationWatcher, ServerWatcher, PathProbes]:
-    """Return the watchers of the tables and of lost paths to services."""
+) -> tuple[ConfigurationWatcher, ServerWatcher, PathProbes, LossProbes]:
+    """Return the watchers of the tables, of lost paths and of lost servers."""
     health = context.health
     return (
         ConfigurationWatcher(source, random, context.configuration_cache),
         ServerWatcher(source, random, health, context.timers, context.metrics),
         PathProbes(health.reachability, context.transport, random),
+        LossProbes(context),
     )
--- a/celerywharf/quarantine/_gate.py
+++ b/celerywharf/quarantine/_gate.py
@@ -68,6 +68,8 @@
             through at a time; None if no host may.
         sends: sends in progress.
         given_up_sends: the most recent sends whose end was not awaited.
+        on_given_up: called with the incarnation of the server of each of them;
+            None if nobody checks the servers.
         quarantined: traits that were logged as quarantined.
     """
 
@@ -81,6 +83,7 @@
         self.is_trial_host: TrialRule | None = None
         self.sends: set[_Send] = set()
         self.given_up_sends: deque[_GivenUpSend] = deque(maxlen=MAX_GIVEN_UP)
+        self.on_given_up: Callable[[str], None] | None = None
         self.quarantined: set[str] = set()
         register.subscribers.append(self._on_change)
 
@@ -139,8 +142,10 @@
         lost_s = self.register.last_lost_s(instance)
         if lost_s is not None and given_up.is_suspect(lost_s):
             self._record_loss(given_up, lost_s)
-        else:
-            self.given_up_sends.append(given_up)
+            return
+        self.given_up_sends.append(given_up)
+        if self.on_given_up is not None:
+            self.on_given_up(instance)
 
     def unreachable(self, instance: str) -> None:
         """Record that a server accepts no connections."""
