Hand a stream over from a silent server that wants a pause

A stream without events, on a server that had asked for a pause and then fell silent, stayed there until its deadline.

Cause: a server that wants a pause may not be asked for a report, and was taken for alive instead.

Change: it is taken for silent if it has answered nothing for longer than OWN_FIRST_EVENT_SILENCE_S. The send is kept until its successor is assured, as any silent one.

--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -23,6 +23,7 @@
 from celerywharf.forwarding._request_log import RequestLog
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._silence import (
+    OWN_FIRST_EVENT_SILENCE_S,
     Liveness,
     SilenceDetector,
     assess_report,
@@ -221,10 +222,21 @@
             self.successor = await self.handover.replace(send)
 
     async def _ask_server(self, send: StreamSend) -> Liveness:
-        """Ask an engine that has sent no event whether it is at work."""
+        """Ask an engine that has sent no event whether it is at work.
+
+        One that wants a pause may not be asked; it is taken for dead once it
+        has answered nobody for longer than others are left unasked.
+        """
         detector = send.relay.detector
         if not await self.eligibility.is_within_limit(send.server):
-            detector.record_report(self.context.timers.now())
+            now_s = self.context.timers.now()
+            heard_s = max(detector.last_s, self._alive_at_s(send))
+            if (
+                now_s - heard_s > OWN_FIRST_EVENT_SILENCE_S
+                and self.context.limits.is_paused(send.server.incarnation)
+            ):
+                return Liveness.dead
+            detector.record_report(now_s)
             return Liveness.alive
         report = await self.context.reports.probe(send.server)
         detector.record_report(self.context.timers.now())
--- a/tests/forwarding/test_late_statements.py
+++ b/tests/forwarding/test_late_statements.py
@@ -131,33 +131,81 @@
     assert transport.urls == [f'http://{SECOND.address}/']
 
 
+class OpenTransport(Transport):
+    """Records where requests are sent; their answers do not come."""
+
+    def stream(self, request, sink):
+        """Record a request and keep it open."""
+        self.urls.append(request.url)
+        return SimpleNamespace(cancel=lambda: None)
+
+
+class Retries:
+    """Grants each retry."""
+
+    async def take(self, service, *, in_progress):
+        """Return that the request may be sent again."""
+        return True
+
+
+async def _await_first_event(transport, heard_s_ago):
+    """Check a send without events; return its relay."""
+    context = replace(build_context(transport, Reports()), retries=Retries())
+    now_s = context.timers.now()
+    context.loads.mark_alive(FIRST.name, now_s - heard_s_ago)
+    context.loads.mark_alive(SECOND.name, now_s)
+    forwarding = StreamForwarding(
+        context,
+        replace(_make_request(), arrived_s=now_s),
+        SERVICE,
+        Log(),
+        RecordingCaller(),
+    )
+    relay = StreamRelay(
+        context,
+        forwarding.request,
+        FIRST,
+        forwarding.caller,
+        forwarding.progress,
+        SilenceDetector(0.7, now_s - 60),
+    )
+    context.limits.pause(FIRST.incarnation, 60)
+    placement = StreamPlacement(FIRST, Resumption(None), None)
+    await forwarding._check_liveness(StreamSend(placement, relay))
+    return relay
+
+
 def test_a_silent_server_in_a_pause_is_found_dead_before_the_first_event():
     async def check():
-        context = build_context(Transport(), Reports())
-        forwarding = StreamForwarding(
-            context,
-            replace(_make_request(), arrived_s=context.timers.now()),
-            SERVICE,
-            Log(),
-            RecordingCaller(),
-        )
-        silent_since_s = context.timers.now() - 60
-        relay = StreamRelay(
-            context,
-            forwarding.request,
-            FIRST,
-            forwarding.caller,
-            forwarding.progress,
-            SilenceDetector(0.7, silent_since_s),
-        )
-        context.limits.pause(FIRST.incarnation, 60)
-        placement = StreamPlacement(FIRST, Resumption(None), None)
-        await forwarding._check_liveness(StreamSend(placement, relay))
+        transport = OpenTransport()
+        relay = await _await_first_event(transport, 60)
+        assert transport.urls == [f'http://{SECOND.address}/']
         return relay.done.done()
 
     assert asyncio.run(check())
 
 
+def test_a_silent_server_in_a_pause_is_kept_if_no_other_takes_the_stream():
+    async def check():
+        transport = Transport()
+        relay = await _await_first_event(transport, 60)
+        assert transport.urls == [f'http://{SECOND.address}/']
+        return relay.done.done()
+
+    assert not asyncio.run(check())
+
+
+@pytest.mark.parametrize('heard_s_ago', [0, 1.2, 2.4])
+def test_a_server_in_a_pause_that_has_just_answered_others_is_kept(heard_s_ago):
+    async def check():
+        transport = OpenTransport()
+        relay = await _await_first_event(transport, heard_s_ago)
+        assert not transport.urls
+        return relay.done.done()
+
+    assert not asyncio.run(check())
+
+
 @pytest.mark.parametrize('pause_s', [300, 1e300])
 def test_callers_are_told_to_wait_for_the_end_of_a_pause_or_an_hour(pause_s):
     context = build_context(Transport(), Reports())
