Send a stream to an engine again whose earlier send was not needed

Callers of a service with two engines had their streams cut for want of an engine if one engine fell silent, went on, and was lost later in the stream.

Cause: a successor that was ended because the silent engine went on counted as a send that its engine had failed, so that the engine was left out for the rest of the stream.

--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -11,6 +11,7 @@
 from celerywharf.forwarding._outcomes import Lost, Outcome
 from celerywharf.forwarding._relays import Progress
 from celerywharf.forwarding._requests import IncomingRequest
+from celerywharf.forwarding._stream_sends import RESUMED
 from celerywharf.platform import Resumption
 from celerywharf.structures import Address
 
@@ -165,7 +166,7 @@
             self.failed_names.add(server.name)
             # Engines replicate a run from its first event on.
             self.copy_holder = backup if self.progress.events else None
-        elif resumption.copy_at is None:
+        elif resumption.copy_at is None and outcome is not RESUMED:
             self.failed_names.add(server.name)
 
     def _rank_engines(self) -> list[BackendServer]:
--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -383,6 +383,18 @@
     assert not successor.relay.done.done()
 
 
+def test_an_engine_that_was_not_needed_may_be_sent_the_stream_later():
+    async def check():
+        rig = Rig()
+        await _replace(rig, _speak_first)
+        rig.forwarding.conclude(rig.silent, Lost('reset', broken=True))
+        return await rig.forwarding.place()
+
+    placement = asyncio.run(check())
+    assert placement is not None
+    assert placement.server == SECOND
+
+
 async def _leave(rig, place):
     """Let the caller leave at a point of a handover."""
     forwarding = rig.forwarding
