Go on with a stream whose engine speaks and breaks off in the race

A stream was cut with "the send before goes on", its attempts and retries unused, if its silent engine sent an event and then broke off before the host had noticed that event. Both arrive together when an engine goes on only to end.

Cause: the event ended the successor, and the end of the silent send then made that successor the send to go on with. A successor that was ended for the silent send is not taken over any more; the stream is sent again.

tests/forwarding/test_handover.py, an engine that speaks and breaks off at once: failed before, the ended successor was returned.

--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -128,11 +128,14 @@
 
     def _goes_on(self, silent: StreamSend, successor: StreamSend) -> bool:
         """Return whether the silent send is the one to keep."""
-        if silent.relay.done.done():
-            return isinstance(silent.relay.done.result(), Finished)
         if not successor.relay.done.done():
-            return False
-        match successor.relay.done.result():
+            return silent.relay.done.done() and isinstance(
+                silent.relay.done.result(), Finished
+            )
+        outcome = successor.relay.done.result()
+        if silent.relay.done.done() and outcome is not RESUMED:
+            return isinstance(silent.relay.done.result(), Finished)
+        match outcome:
             case Answered(response=response):
                 return response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             case Finished():
--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -15,7 +15,7 @@
     Recalled,
     Refused,
 )
-from celerywharf.forwarding._plans import Done
+from celerywharf.forwarding._plans import Done, SendAgain
 from celerywharf.forwarding._silence import Liveness
 from celerywharf.forwarding._stream_sends import (
     RESUMED,
@@ -383,6 +383,23 @@
     assert not successor.relay.done.done()
 
 
+def test_a_stream_is_sent_again_if_its_engine_speaks_and_breaks_off_at_once():
+    async def check():
+        rig = Rig()
+
+        def act(_):
+            _speak_first(rig)
+            _end_first(rig)
+
+        return rig, await _replace(rig, act)
+
+    rig, successor = asyncio.run(check())
+    assert successor is None
+    assert rig.is_clean(SECOND)
+    step = rig.forwarding.conclude(rig.silent, rig.silent.relay.done.result())
+    assert isinstance(step, SendAgain)
+
+
 def test_an_engine_that_was_not_needed_may_be_sent_the_stream_later():
     async def check():
         rig = Rig()
