Fail an exchange whose response ends inside its head

Callers saw nothing of it so far: a collected response then had status 0 and no headers, and failed the check of its id. That was an accident of the code that reads it, not a rule.

Cause: to curl, a connection that closes after a status line and before the blank line ends the response. The transport reported an error only if there was no status at all, so `on_end(None)` came without `on_headers`, and `fetch` returned a response with status 0.

A response without a complete final head is now a failed exchange that may have run. Requests with `connect_only` need no head, as before.

Whole answers with length, chunks, neither, bare line feeds or an interim head are read as before.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -236,8 +236,8 @@
         if self.closed:
             return
         self.closed = True
-        if error is None and not self.status and not self.request.connect_only:
-            error = TransportError('response without a status line')
+        if error is None and not self._has_ended():
+            error = TransportError('response without a complete head')
         self.sink.on_end(error)
 
     def error(self, code: int, message: str) -> TransportError:
@@ -253,6 +253,13 @@
         error.late = code == pycurl.E_OPERATION_TIMEDOUT and self._is_late()
         return error
 
+    def _has_ended(self) -> bool:
+        """Return whether what curl takes for an end can be one.
+
+        To curl a connection that closes inside a head ends the response.
+        """
+        return self.head_complete or self.request.connect_only
+
     def _is_late(self) -> bool:
         """Return whether a time-out has fired much later than it was due."""
         request = self.request
--- /dev/null
+++ b/standins/broken_answers.py
@@ -0,0 +1,164 @@
+"""Stand-in for a backend server that breaks off its answers.
+
+It serves in threads of the calling process.  Each request but those for the
+report is read as a whole and answered with given bytes, after which the
+connection is closed or reset.
+"""
+
+from __future__ import annotations
+
+import re
+import socket
+import socketserver
+import struct
+import threading
+import time
+from collections.abc import Sequence
+from typing import Self
+
+from celerywharf.units import SMALL_MESSAGE_BYTES
+from standins.endless import REPORT, REPORT_LINE
+
+REQUEST_ID = re.compile(rb'attempt-id: *(\S+)', re.IGNORECASE)
+LENGTH = re.compile(rb'content-length: *(\d+)', re.IGNORECASE)
+HEAD_END = b'\r\n\r\n'
+TIMEOUT_S = 5
+POLL_S = 0.02
+# Bytes that have not been read when a connection is reset are lost.
+READ_S = 0.05
+CLOSED = 'closed'
+RESET = 'reset'
+
+_SIGNED = (
+    'HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Stamp: s\r\n'
+    'Content-Type: text/event-stream\r\n'
+)
+_CHUNKED = f'{_SIGNED}Transfer-Encoding: chunked\r\n'
+_EVENT = 'id: 1\ndata: word-1\n\n'
+# Answers that end before their final head is complete.
+BROKEN_HEADS = {
+    'status line': 'HTTP/1.1 200 OK\r\n',
+    'half a status line': 'HTTP/1.1 20',
+    'status line of a refusal': 'HTTP/1.1 503 Service Unavailable\r\n',
+    'half a header': f'{_SIGNED}Content-Le',
+    'half a refusal': 'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nAttempt-Id: ID\r\n',
+    'no blank line, length': f'{_SIGNED}Content-Length: 20\r\n',
+    'no blank line, length 0': f'{_SIGNED}Content-Length: 0\r\n',
+    'no blank line, no length': _SIGNED,
+    'no blank line, chunked': _CHUNKED,
+    'interim heads': 'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n',
+    'interim head and half a head': f'HTTP/1.1 100 Continue\r\n\r\n{_SIGNED}',
+    'bare line feeds': _SIGNED.replace('\r\n', '\n'),
+}
+# Answers that end inside their body.
+BROKEN_BODIES = {
+    'short body': f'{_SIGNED}Content-Length: 99\r\n\r\n{_EVENT}',
+    'no body': f'{_SIGNED}Content-Length: 99\r\n\r\n',
+    'half a chunk': f'{_CHUNKED}\r\n63\r\n{_EVENT}',
+    'short body, bare line feeds': (
+        f'{_SIGNED}Content-Length: 99\n\n{_EVENT}'.replace('\r\n', '\n')
+    ),
+}
+# Whole answers of few bytes.
+WHOLE_ANSWERS = {
+    'length': f'{_SIGNED}Content-Length: 2\r\n\r\n{{}}',
+    'no length': f'{_SIGNED}\r\n{{}}',
+    'chunked': f'{_CHUNKED}\r\n2\r\n{{}}\r\n0\r\n\r\n',
+    'bare line feeds': f'{_SIGNED}\n{{}}'.replace('\r\n', '\n'),
+    'interim head': (
+        f'HTTP/1.1 100 Continue\r\n\r\n{_SIGNED}Content-Length: 2\r\n\r\n{{}}'
+    ),
+}
+
+
+class BreakingServer:
+    """Answers requests with given bytes on a port of its own.
+
+    Attributes:
+        answers: what it sends, request by request; the last one for all that
+            follow.  ``ID`` in it stands for the id of the request.
+        ending: how connections end, ``CLOSED`` or ``RESET``.
+        request_ids: of the requests that were read as a whole, in order.
+        address: ``ip:port``.
+    """
+
+    def __init__(self, *answers: str, ending: str = CLOSED) -> None:
+        self.answers: Sequence[str] = answers
+        self.ending = ending
+        self.request_ids: list[str] = []
+        self.server = _Server(('127.0.0.1', 0), _Handler)
+        self.server.breaking = self
+        self.address = f'127.0.0.1:{self.server.server_address[1]}'
+        self.thread = threading.Thread(
+            target=self.server.serve_forever, args=(POLL_S,)
+        )
+
+    def __enter__(self) -> Self:
+        """Start to serve."""
+        self.thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stop to serve."""
+        self.server.shutdown()
+        self.thread.join(TIMEOUT_S)
+        self.server.server_close()
+
+    def next_answer(self, request_id: str) -> bytes:
+        """Record a request; return its answer."""
+        self.request_ids.append(request_id)
+        place = min(len(self.request_ids), len(self.answers)) - 1
+        return self.answers[place].replace('ID', request_id).encode()
+
+
+class _Server(socketserver.ThreadingTCPServer):
+    daemon_threads = True
+    request_queue_size = 128
+    breaking: BreakingServer
+
+
+class _Handler(socketserver.BaseRequestHandler):
+    server: _Server
+    request: socket.socket
+
+    def handle(self) -> None:
+        """Read a request and answer it."""
+        self.request.settimeout(TIMEOUT_S)
+        try:
+            head = self.read()
+        except OSError:
+            return
+        if head.startswith(REPORT_LINE.encode()):
+            self.request.sendall(REPORT.encode())
+        elif head:
+            self.break_off(head)
+
+    def read(self) -> bytes:
+        """Return the head of a request after its whole body was read."""
+        received = b''
+        while not _is_whole(received):
+            chunk = self.request.recv(SMALL_MESSAGE_BYTES)
+            if not chunk:
+                return b''
+            received += chunk
+        return received.partition(HEAD_END)[0]
+
+    def break_off(self, head: bytes) -> None:
+        """Answer a request and end its connection."""
+        breaking = self.server.breaking
+        request_id = REQUEST_ID.search(head)
+        answer = breaking.next_answer(request_id[1].decode())
+        self.request.sendall(answer)
+        if breaking.ending == RESET:
+            time.sleep(READ_S)
+            linger = struct.pack('ii', 1, 0)
+            self.request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.request.close()
+
+
+def _is_whole(received: bytes) -> bool:
+    head, end, body = received.partition(HEAD_END)
+    if not end:
+        return False
+    length = LENGTH.search(head)
+    return length is None or len(body) >= int(length[1])
