Count a stream that ends without a head as lost

`StreamRelay` would have passed on an answer with status 0 and without headers; only an AttributeError on the missing headers kept it from callers, and the send then had no outcome until its deadline.

Its end is now that of a broken connection. The new scenario failed with that AttributeError before.

--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -203,6 +203,8 @@
                 begun = outcome.begun and self._has_just_begun()
                 return replace(outcome, begun=begun)
             return outcome
+        if self.headers is None:
+            return Lost('answer without a head', broken=True)
         if self.splitter.incomplete:
             return self._ended_early('stream ended inside an event')
         if self.status != HTTPStatus.OK:
--- a/tests/forwarding/relays.feature
+++ b/tests/forwarding/relays.feature
@@ -39,6 +39,12 @@
     Then the send is finished
     And the caller's answer has begun
 
+  Scenario: a stream that ends without a head is not answered
+    Given a caller that has events up to 0
+    When an engine's stream ends before its head
+    Then the send is lost
+    And the caller gets events none
+
   Scenario: an event in small pieces is searched once
     When 16 events of 60000 bytes arrive in pieces of 16 bytes
     Then all of them are split within 1 s
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -184,6 +184,11 @@
     )
 
 
+@when("an engine's stream ends before its head", target_fixture='relayed')
+def _relay_nothing(last):
+    return asyncio.run(_run_relay(last, lambda relay: relay.on_end(None)))
+
+
 @then(parsers.parse('the server is {fate}'))
 def _fate(relayed, fate):
     outcome = relayed[1]
