--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -14,9 +14,10 @@
 import threading
 import time
 from collections.abc import Sequence
-from typing import Self
+from typing import Any, Self
 
 from celerywharf.units import SMALL_MESSAGE_BYTES
+from standins.control import MS_PER_S
 from standins.endless import REPORT, REPORT_LINE
 
 REQUEST_ID = re.compile(rb'attempt-id: *(\S+)', re.IGNORECASE)
@@ -79,6 +80,7 @@
             follow.  ``ID`` in it stands for the id of the request.
         ending: how connections end, ``CLOSED`` or ``RESET``.
         request_ids: of the requests that were read as a whole, in order.
+        born_ms: Unix time of its start.
         address: ``ip:port``.
     """
 
@@ -86,6 +88,7 @@
         self.answers: Sequence[str] = answers
         self.ending = ending
         self.request_ids: list[str] = []
+        self.born_ms = int(time.time() * MS_PER_S)
         self.server = _Server(('127.0.0.1', 0), _Handler)
         self.server.breaking = self
         self.address = f'127.0.0.1:{self.server.server_address[1]}'
@@ -104,6 +107,19 @@
         self.thread.join(TIMEOUT_S)
         self.server.server_close()
 
+    def entry(self, service: str) -> dict[str, Any]:
+        """Return the entry of this server in the platform's store."""
+        return {
+            'service': service,
+            'address': self.address,
+            'zone': 'north-1',
+            'state': 'ready',
+            'slots': 12,
+            'seq': 1,
+            'coldLeftMs': 0,
+            'born': self.born_ms,
+        }
+
     def next_answer(self, request_id: str) -> bytes:
         """Record a request; return its answer."""
         self.request_ids.append(request_id)
