Keep a silent send in mid stream if its successor answers 4xx

A stream in progress lost its silent engine to a successor that answered, say, 404: an answer that can't continue the stream, so the caller was cut or needed one more retry although the first engine might have gone on.

Cause: an answer below 500 counted as the end of the request also when the caller had a part of the stream.

tests/forwarding/test_handover.py, a successor that is answered 404 in the middle: failed before, the silent send was given up.

--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -137,7 +137,10 @@
             return isinstance(silent.relay.done.result(), Finished)
         match outcome:
             case Answered(response=response):
-                return response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+                return (
+                    self.sender.in_progress()
+                    or response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+                )
             case Finished():
                 return False
             case _:
--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -324,6 +324,7 @@
     'is not reached': Refused('refused', reached=False),
     'is lost': Lost('reset', broken=True),
     'is answered 500': ERROR,
+    'is answered 404 in the middle': NOT_FOUND,
     'is recalled': Recalled('quarantined meanwhile'),
 }
 
