--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -69,7 +69,8 @@
                     {preparing, silent.relay.done, heard},
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-            is_wanted = not (silent.relay.done.done() or heard.done())
+            if not (silent.relay.done.done() or heard.done()):
+                is_wanted = self._may_start(preparing.result())
         finally:
             if not is_wanted:
                 preparing.add_done_callback(self._drop)
@@ -106,6 +107,18 @@
                 self._release(placement)
         return placement if is_sendable else sender.keep('no retry left')
 
+    def _may_start(self, placement: StreamPlacement | None) -> bool:
+        """Return whether a successor may be sent after all the waiting."""
+        if placement is None:
+            return False
+        if self.sender.is_quarantined():
+            self.sender.keep('quarantined')
+            return False
+        if not self.sender.eligibility.may_send(placement.server):
+            self.sender.keep('no other engine')
+            return False
+        return True
+
     async def _race(
         self, silent: StreamSend, successor: StreamSend
     ) -> StreamSend | None:
--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -413,6 +413,45 @@
     assert placement.server == SECOND
 
 
+STATEMENTS = {
+    'leaves': lambda context: context.health.leaving(SECOND.incarnation),
+    'wants a pause': lambda context: context.limits.pause(
+        SECOND.incarnation, LONG_S
+    ),
+    'is removed': lambda context: context.health.directory.removed('e2', 0),
+}
+
+
+@pytest.mark.parametrize('statement', STATEMENTS)
+@pytest.mark.parametrize('place', ['reports', 'retries'])
+def test_no_successor_is_sent_to_an_engine_that_has_spoken_since_it_was_chosen(
+    statement, place
+):
+    async def check():
+        rig = Rig()
+        stub = getattr(rig, place)
+        stub.while_waiting = lambda: STATEMENTS[statement](rig.context)
+        assert await _replace(rig) is None
+        return rig
+
+    rig = asyncio.run(check())
+    assert len(rig.transport.sinks) == 1
+    assert not rig.silent.relay.done.done()
+    assert rig.is_clean(SECOND)
+
+
+def test_no_successor_is_sent_if_the_stream_is_quarantined_meanwhile():
+    async def check():
+        rig = Rig()
+        rig.reports.while_waiting = lambda: _quarantine(rig)
+        assert await _replace(rig) is None
+        return rig
+
+    rig = asyncio.run(check())
+    assert len(rig.transport.sinks) == 1
+    assert rig.is_clean(SECOND)
+
+
 async def _leave(rig, place):
     """Let the caller leave at a point of a handover."""
     forwarding = rig.forwarding
