End the search for a successor and the race at the deadline

A stream was held beyond its deadline for as long as probes and the loan of a retry took, and 0.3 s more for the race.

tests/forwarding/test_handover.py, a search and a race that do not outlast the deadline: three cases failed before; with a search of 60 s the stream had not ended 0.2 s after its deadline.

--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -67,10 +67,13 @@
             with _listening(silent, heard):
                 await asyncio.wait(
                     {preparing, silent.relay.done, heard},
+                    timeout=max(self.sender.remaining_s(), 0),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
             if not (silent.relay.done.done() or heard.done()):
-                is_wanted = self._may_start(preparing.result())
+                is_wanted = preparing.done() and self._may_start(
+                    preparing.result()
+                )
         finally:
             if not is_wanted:
                 preparing.add_done_callback(self._drop)
@@ -126,7 +129,7 @@
         try:
             await asyncio.wait(
                 {silent.relay.done, successor.relay.done},
-                timeout=OVERLAP_S,
+                timeout=min(OVERLAP_S, max(self.sender.remaining_s(), 0)),
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -7,6 +7,7 @@
 import pytest
 
 from celerywharf.exceptions import TransportError
+from celerywharf.forwarding._handover import OVERLAP_S
 from celerywharf.forwarding._outcomes import (
     SILENCE,
     Answered,
@@ -547,3 +548,42 @@
 def _speak_next(rig):
     number = rig.forwarding.progress.last_event + 1
     return lambda _: rig.speak(rig.silent, [number])
+
+
+@pytest.mark.parametrize('place', ['reports', 'retries'])
+def test_a_search_for_a_successor_does_not_outlast_the_deadline(place):
+    async def check():
+        rig = Rig(last_event=0)
+        getattr(rig, place).waits = LONG_S
+        rig.forwarding.request = replace(
+            rig.forwarding.request,
+            arrived_s=rig.context.timers.now() - DEADLINE_S + 2 * SHORT_S,
+        )
+        rig.forwarding.successor = rig.silent
+        rig.forwarding._ask_server = _find_dead
+        _make_silent(rig)
+        async with asyncio.timeout(OVERLAP_S):
+            return await rig.forwarding.run(), rig
+
+    step, rig = asyncio.run(check())
+    assert step == rig.forwarding.plan.timed_out()
+    assert rig.is_clean(FIRST, SECOND)
+
+
+def test_a_race_does_not_outlast_the_deadline():
+    async def check():
+        rig = Rig(last_event=0)
+        rig.forwarding.request = replace(
+            rig.forwarding.request,
+            arrived_s=rig.context.timers.now() - DEADLINE_S + 2 * SHORT_S,
+        )
+        rig.forwarding.successor = rig.silent
+        rig.forwarding._ask_server = _find_dead
+        _make_silent(rig)
+        async with asyncio.timeout(4 * SHORT_S):
+            return await rig.forwarding.run(), rig
+
+    step, rig = asyncio.run(check())
+    assert step == rig.forwarding.plan.timed_out()
+    assert len(rig.transport.sinks) == 2
+    assert rig.is_clean(FIRST, SECOND)
