Go on with a successor whose silent send is refused at last

A caller was told 503, which says that a request has not run, while its successor was at work: the silent send had been refused during the race, as the fourth refusal. The successor was ended.

Cause: the plan of retries decides on a refusal as if there was no other send. The successor, whose retry has been taken, now goes on.

tests/forwarding/test_handover.py, a silent send that is refused at last: failed before, Fail 503.

--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -12,6 +12,7 @@
     Lost,
     Outcome,
     PeerAnswered,
+    Refused,
 )
 from celerywharf.forwarding._peer_sends import (
     PEER_SILENCE_S,
@@ -19,7 +20,7 @@
     build_peer_request,
     is_serving,
 )
-from celerywharf.forwarding._plans import Done, Fail, PassOn, Step
+from celerywharf.forwarding._plans import Done, Fail, PassOn, SendAgain, Step
 from celerywharf.forwarding._request_log import RequestLog
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._silence import (
@@ -102,7 +103,10 @@
         finally:
             if outcome is None:
                 self.abandon(current)
-        return self.conclude(current, outcome)
+        step = self.conclude(current, outcome)
+        if self.successor is not None and isinstance(outcome, Refused):
+            return SendAgain()
+        return step
 
     def attempts_for_peer(self) -> int:
         """Keep sends for the case that the other host is lost."""
--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -16,7 +16,7 @@
     Recalled,
     Refused,
 )
-from celerywharf.forwarding._plans import Done, SendAgain
+from celerywharf.forwarding._plans import MAX_REFUSALS, Done, SendAgain
 from celerywharf.forwarding._silence import Liveness
 from celerywharf.forwarding._stream_sends import (
     RESUMED,
@@ -507,6 +507,28 @@
     assert not rig.context.quarantine.sends
 
 
+def test_a_successor_goes_on_if_the_silent_send_is_refused_at_last():
+    async def check():
+        rig = Rig(last_event=0)
+        forwarding = rig.forwarding
+        forwarding.plan.refusals = MAX_REFUSALS
+        forwarding.successor = rig.silent
+        forwarding._ask_server = _find_dead
+        _make_silent(rig)
+        serving = asyncio.ensure_future(forwarding.run())
+        await _wait_for_successor(rig)
+        rig.silent.relay.settle(Refused('not run', reached=True))
+        await _settle_down()
+        rig.speak(rig.successor(), [1])
+        rig.successor_relay().on_end(None)
+        return await serving, rig
+
+    step, rig = asyncio.run(check())
+    assert step == Done()
+    assert rig.retries.taken == 1
+    assert rig.is_clean(FIRST, SECOND)
+
+
 def test_a_stream_that_is_handed_over_takes_one_retry_and_is_sent_twice():
     async def check():
         rig = Rig()
