--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -67,9 +67,13 @@
             with _listening(silent, heard):
                 await asyncio.wait(
                     {preparing, silent.relay.done, heard},
+                    timeout=max(self.sender.remaining_s(), 0),
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-            is_wanted = not (silent.relay.done.done() or heard.done())
+            if not (silent.relay.done.done() or heard.done()):
+                is_wanted = preparing.done() and self._may_start(
+                    preparing.result()
+                )
         finally:
             if not is_wanted:
                 preparing.add_done_callback(self._drop)
@@ -106,6 +110,18 @@
                 self._release(placement)
         return placement if is_sendable else sender.keep('no retry left')
 
+    def _may_start(self, placement: StreamPlacement | None) -> bool:
+        """Return whether a successor may be sent after all the waiting."""
+        if placement is None:
+            return False
+        if self.sender.is_quarantined():
+            self.sender.keep('quarantined')
+            return False
+        if not self.sender.eligibility.may_send(placement.server):
+            self.sender.keep('no other engine')
+            return False
+        return True
+
     async def _race(
         self, silent: StreamSend, successor: StreamSend
     ) -> StreamSend | None:
@@ -113,7 +129,7 @@
         try:
             await asyncio.wait(
                 {silent.relay.done, successor.relay.done},
-                timeout=OVERLAP_S,
+                timeout=min(OVERLAP_S, max(self.sender.remaining_s(), 0)),
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
@@ -137,7 +153,10 @@
             return isinstance(silent.relay.done.result(), Finished)
         match outcome:
             case Answered(response=response):
-                return response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+                return (
+                    self.sender.in_progress()
+                    or response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+                )
             case Finished():
                 return False
             case _:
--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -7,6 +7,7 @@
 import pytest
 
 from celerywharf.exceptions import TransportError
+from celerywharf.forwarding._handover import OVERLAP_S
 from celerywharf.forwarding._outcomes import (
     SILENCE,
     Answered,
@@ -15,7 +16,7 @@
     Recalled,
     Refused,
 )
-from celerywharf.forwarding._plans import Done, SendAgain
+from celerywharf.forwarding._plans import MAX_REFUSALS, Done, SendAgain
 from celerywharf.forwarding._silence import Liveness
 from celerywharf.forwarding._stream_sends import (
     RESUMED,
@@ -324,6 +325,7 @@
     'is not reached': Refused('refused', reached=False),
     'is lost': Lost('reset', broken=True),
     'is answered 500': ERROR,
+    'is answered 404 in the middle': NOT_FOUND,
     'is recalled': Recalled('quarantined meanwhile'),
 }
 
@@ -412,6 +414,45 @@
     assert placement.server == SECOND
 
 
+STATEMENTS = {
+    'leaves': lambda context: context.health.leaving(SECOND.incarnation),
+    'wants a pause': lambda context: context.limits.pause(
+        SECOND.incarnation, LONG_S
+    ),
+    'is removed': lambda context: context.health.directory.removed('e2', 0),
+}
+
+
+@pytest.mark.parametrize('statement', STATEMENTS)
+@pytest.mark.parametrize('place', ['reports', 'retries'])
+def test_no_successor_is_sent_to_an_engine_that_has_spoken_since_it_was_chosen(
+    statement, place
+):
+    async def check():
+        rig = Rig()
+        stub = getattr(rig, place)
+        stub.while_waiting = lambda: STATEMENTS[statement](rig.context)
+        assert await _replace(rig) is None
+        return rig
+
+    rig = asyncio.run(check())
+    assert len(rig.transport.sinks) == 1
+    assert not rig.silent.relay.done.done()
+    assert rig.is_clean(SECOND)
+
+
+def test_no_successor_is_sent_if_the_stream_is_quarantined_meanwhile():
+    async def check():
+        rig = Rig()
+        rig.reports.while_waiting = lambda: _quarantine(rig)
+        assert await _replace(rig) is None
+        return rig
+
+    rig = asyncio.run(check())
+    assert len(rig.transport.sinks) == 1
+    assert rig.is_clean(SECOND)
+
+
 async def _leave(rig, place):
     """Let the caller leave at a point of a handover."""
     forwarding = rig.forwarding
@@ -466,6 +507,28 @@
     assert not rig.context.quarantine.sends
 
 
+def test_a_successor_goes_on_if_the_silent_send_is_refused_at_last():
+    async def check():
+        rig = Rig(last_event=0)
+        forwarding = rig.forwarding
+        forwarding.plan.refusals = MAX_REFUSALS
+        forwarding.successor = rig.silent
+        forwarding._ask_server = _find_dead
+        _make_silent(rig)
+        serving = asyncio.ensure_future(forwarding.run())
+        await _wait_for_successor(rig)
+        rig.silent.relay.settle(Refused('not run', reached=True))
+        await _settle_down()
+        rig.speak(rig.successor(), [1])
+        rig.successor_relay().on_end(None)
+        return await serving, rig
+
+    step, rig = asyncio.run(check())
+    assert step == Done()
+    assert rig.retries.taken == 1
+    assert rig.is_clean(FIRST, SECOND)
+
+
 def test_a_stream_that_is_handed_over_takes_one_retry_and_is_sent_twice():
     async def check():
         rig = Rig()
@@ -507,3 +570,42 @@
 def _speak_next(rig):
     number = rig.forwarding.progress.last_event + 1
     return lambda _: rig.speak(rig.silent, [number])
+
+
+@pytest.mark.parametrize('place', ['reports', 'retries'])
+def test_a_search_for_a_successor_does_not_outlast_the_deadline(place):
+    async def check():
+        rig = Rig(last_event=0)
+        getattr(rig, place).waits = LONG_S
+        rig.forwarding.request = replace(
+            rig.forwarding.request,
+            arrived_s=rig.context.timers.now() - DEADLINE_S + 2 * SHORT_S,
+        )
+        rig.forwarding.successor = rig.silent
+        rig.forwarding._ask_server = _find_dead
+        _make_silent(rig)
+        async with asyncio.timeout(OVERLAP_S):
+            return await rig.forwarding.run(), rig
+
+    step, rig = asyncio.run(check())
+    assert step == rig.forwarding.plan.timed_out()
+    assert rig.is_clean(FIRST, SECOND)
+
+
+def test_a_race_does_not_outlast_the_deadline():
+    async def check():
+        rig = Rig(last_event=0)
+        rig.forwarding.request = replace(
+            rig.forwarding.request,
+            arrived_s=rig.context.timers.now() - DEADLINE_S + 2 * SHORT_S,
+        )
+        rig.forwarding.successor = rig.silent
+        rig.forwarding._ask_server = _find_dead
+        _make_silent(rig)
+        async with asyncio.timeout(4 * SHORT_S):
+            return await rig.forwarding.run(), rig
+
+    step, rig = asyncio.run(check())
+    assert step == rig.forwarding.plan.timed_out()
+    assert len(rig.transport.sinks) == 2
+    assert rig.is_clean(FIRST, SECOND)
