End no resumed stream by an answer without an event

A caller whose stream broke off after 5 of its events got it ended as complete if the next engine answered 200 with length 0, with no chunk, or with the events that the caller already had. Pieces may be missing then, and a stream that is complete is not asked for again.

Cause: `StreamRelay` took any framed end as that of the stream, also if this send had brought no event.

What is known at that point: the first engine sent no end, and how many events a stream has is not known, as an event may hold several tokens and a stream may end before its limit.

- A complete answer without a new event to a send that resumes the caller's answer proves no end.
The send is lost, though its connection is not, and another engine is asked, within attempts and budget as after any loss.
- It may be that only the end was lost.
Then each engine answers with none.
After two such answers in a row no third engine reads the prompt: the stream is cut, which claims nothing, and the caller may resume it.
- `Token-Count` decides one case: an event holds a token at least, so after as many events as tokens were asked for, nothing is missing and the stream ends as complete.
- If the caller has no event of this answer, whether it began or resumed the stream, the answer is one engine's own and whole, and is passed on unchanged.
A caller that resumes after a cut learns the end this way.
- A host to which a stream was passed on can't tell a resuming host from a resuming caller and passes such an answer on; the host that holds the caller decides by the same rule.

--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -43,6 +43,9 @@
 MAX_ERROR_BODY_BYTES = SMALL_MESSAGE_BYTES
 # Events without tokens that an engine may send beyond one for each token.
 EXTRA_EVENTS = 16
+# Complete answers without a new event in a row; if only the end of a stream was
+# lost, all engines give them.
+MAX_EMPTY_ANSWERS = 2
 # A server that a request crashes ends within this time after the headers.
 BEGINNING_S = 0.5
 # A server that has answered a request for this long was not crashed by it.
@@ -59,6 +62,8 @@
             before that.
         last_at_s: when the last event was written, monotonic seconds.
         longest_gap_s: longest pause between two consecutive events.
+        empty_answers: complete answers without a new event since the last one
+            written.
         software_version: of the engine that sent the stream's first event; None
             before it.
     """
@@ -69,6 +74,7 @@
         self.first_at_s: float | None = None
         self.last_at_s: float = 0
         self.longest_gap_s: float = 0
+        self.empty_answers = 0
         self.software_version: str | None = None
 
     def record_event(self, now_s: float) -> None:
@@ -79,8 +85,31 @@
             gap_s = now_s - self.last_at_s
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
         self.last_at_s = now_s
+        self.empty_answers = 0
         self.events += 1
 
+    def may_be_all(self, output_tokens: int) -> bool:
+        """Return whether an answer without a new event can end the stream.
+
+        One that resumes a stream proves nothing about an end that the caller
+        has not seen, unless there has been an event for each token.
+
+        Args:
+            output_tokens: maximum length of the output; 0 if not known.
+        """
+        if not self.events:
+            return True
+        return 0 < output_tokens <= self.last_event
+
+    def record_empty_answer(self) -> bool:
+        """Record a complete answer that proves no end and has no new event.
+
+        Returns:
+            Whether another engine is to be asked.
+        """
+        self.empty_answers += 1
+        return self.empty_answers < MAX_EMPTY_ANSWERS
+
 
 class StreamRelay:
     """Receives the answer to one send and relays its events to the caller.
@@ -210,11 +239,10 @@
         if self.status != HTTPStatus.OK:
             response = HttpResponse(self.status, {}, bytes(self.body))
             return Answered(response, self.headers, self._leaving())
-        if not self.framed and not self.events:
-            return self._ended_early('stream ended without an event')
-        if not self.caller.started:
+        lost = self._ended_without_event()
+        if lost is None and not self.caller.started:
             self._begin_answer()
-        return Finished()
+        return lost or Finished()
 
     def _begin_answer(self) -> None:
         self.caller.leaving = self._leaving()
@@ -231,6 +259,17 @@
         begun = not self.framed and self._has_just_begun()
         return Lost(reason, broken=not self.framed, begun=begun)
 
+    def _ended_without_event(self) -> Lost | None:
+        """Return the outcome unless the stream may end where it did."""
+        if self.events:
+            return None
+        lost = self._ended_early('stream ended without an event')
+        if not self.framed:
+            return lost
+        if self.progress.may_be_all(self.request.headers.output_tokens):
+            return None
+        return replace(lost, resumable=self.progress.record_empty_answer())
+
     def _has_just_begun(self) -> bool:
         if self.begun_at_s is None:
             return False
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -76,18 +76,24 @@
     """Answers requests with given bytes on a port of its own.
 
     Attributes:
-        answers: what it sends, request by request; the last one for all that
-            follow.  ``ID`` in it stands for the id of the request.
+        answers: what it sends to a request each time that it comes; the last
+            one from then on.  ``ID`` in it stands for the id of the request.
         ending: how connections end, ``CLOSED`` or ``RESET``.
-        request_ids: of the requests that were read as a whole, in order.
+        request_ids: of the requests that were read as a whole, in order;
+            servers that share the list take turns with their answers.
         born_ms: Unix time of its start.
         address: ``ip:port``.
     """
 
-    def __init__(self, *answers: str, ending: str = CLOSED) -> None:
+    def __init__(
+        self,
+        *answers: str,
+        ending: str = CLOSED,
+        request_ids: list[str] | None = None,
+    ) -> None:
         self.answers: Sequence[str] = answers
         self.ending = ending
-        self.request_ids: list[str] = []
+        self.request_ids = [] if request_ids is None else request_ids
         self.born_ms = int(time.time() * MS_PER_S)
         self.server = _Server(('127.0.0.1', 0), _Handler)
         self.server.breaking = self
@@ -123,7 +129,8 @@
     def next_answer(self, request_id: str) -> bytes:
         """Record a request; return its answer."""
         self.request_ids.append(request_id)
-        place = min(len(self.request_ids), len(self.answers)) - 1
+        times = self.request_ids.count(request_id)
+        place = min(times, len(self.answers)) - 1
         return self.answers[place].replace('ID', request_id).encode()
 
 
