Play ends without an event to callers, resuming callers and hosts

With a real front: a stream whose engines send no more is cut after two answers without an event, so three sends in all; a caller that resumes a stream gets such an answer whole and unchanged, after one send; and a host that passes streams on to two others, which answer so, cuts them.

--- a/tests/fronts/test_errors_after_begin.py
+++ b/tests/fronts/test_errors_after_begin.py
@@ -1,5 +1,9 @@
 """Streams that break off and are then answered with an error."""
 
+import contextlib
+import secrets
+import time
+
 import pytest
 
 from standins.broken_answers import BreakingServer
@@ -7,7 +11,9 @@
 
 BEGUN = 5
 EVENTS = 30
+SETTLES_S = 0.5
 TOKENS = EVENTS * 7
+STREAMS = 4
 OK = 200
 ID = 'Attempt-Id: ID\r\nServer-Stamp: s2\r\n'
 SIGNED = f'HTTP/1.1 200 OK\r\n{ID}'
@@ -66,14 +72,23 @@
 }
 
 
+@contextlib.contextmanager
+def _engines(rig, *answers):
+    """Run engines that answer one after another; yield what they read."""
+    request_ids = []
+    with contextlib.ExitStack() as running:
+        for name in ('e1', 'e2', 'e3'):
+            engine = BreakingServer(*answers, request_ids=request_ids)
+            running.enter_context(engine)
+            rig.servers[name] = engine.address
+            rig.put('servers', name, engine.entry('narrator'))
+        yield request_ids
+
+
 def _stream(fleet, *answers, tokens=TOKENS):
-    """Return what a caller gets of engines that answer one after another."""
+    """Return what a caller gets and how many engines were asked."""
     rig = PlatformRig(fleet)
-    request_ids = []
-    servers = [BreakingServer(*answers, request_ids=request_ids) for _ in 'abc']
-    with servers[0], servers[1], servers[2]:
-        for place, server in enumerate(servers):
-            rig.put('servers', f'b{place}', server.entry('narrator'))
+    with _engines(rig, *answers) as request_ids:
         address = rig.add_front('f1')
         headers = request_headers(Token_Count=f'60,{tokens}')
         answer = send(address, STREAM_PATH, headers=headers)
@@ -104,3 +119,45 @@
     assert answer.body.decode() == _events(1, BEGUN)
     assert answer.whole
     assert sends == 2
+
+
+def test_a_stream_is_cut_after_two_answers_without_an_event(fleet):
+    answer, sends = _stream(fleet, BEGINNING, EMPTY)
+    assert answer.events == list(range(1, BEGUN + 1))
+    assert not answer.whole
+    assert sends == 3
+
+
+def test_a_caller_that_resumes_a_stream_gets_an_answer_without_an_event(fleet):
+    rig = PlatformRig(fleet)
+    with _engines(rig, EMPTY) as request_ids:
+        address = rig.add_front('f1')
+        headers = request_headers(
+            Token_Count=f'60,{TOKENS}', Last_Event_Id=str(BEGUN)
+        )
+        answer = send(address, STREAM_PATH, headers=headers)
+    assert (answer.status, answer.whole, answer.body) == (OK, True, b'')
+    assert len(request_ids) == 1
+
+
+def test_a_stream_of_another_host_does_not_end_without_an_event(fleet):
+    rig = PlatformRig(fleet)
+    with _engines(rig, BEGINNING, EMPTY):
+        for name in ('f1', 'f2', 'f3'):
+            rig.add_front(name, shares=True, module='standins.cut_fronts')
+        time.sleep(SETTLES_S)
+        fleet.cut('f1', 'refuse', list(rig.servers.values()))
+        time.sleep(SETTLES_S)
+        answers = []
+        for _ in range(STREAMS):
+            headers = request_headers(Token_Count=f'60,{TOKENS}')
+            body = secrets.token_bytes(9)
+            answers.append(
+                send(rig.fronts['f1'], STREAM_PATH, body=body, headers=headers)
+            )
+    begun = [answer for answer in answers if answer.status == OK]
+    assert '"message": "passed on"' in fleet.log('f1')
+    assert begun
+    for answer in begun:
+        assert answer.events == list(range(1, BEGUN + 1))
+        assert not answer.whole
