Keep the copy of a run if its engine breaks off during a search

A stream whose silent engine broke off while a successor was sought for was read anew at another engine although a copy of its run was known.

Cause: the search that was broken off cleared the holder of the copy after the end of the send had set it. A search takes the copy at once, so there is nothing to clear.

tests/forwarding/test_handover.py, a copy that is used: failed before. It needs a wait before the holder of the copy is chosen, for its limit.

--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -96,7 +96,6 @@
             placement = await sender.place()
         finally:
             sender.placer.silent_name = ''
-            sender.placer.copy_holder = None
         if placement is None:
             return sender.keep('no other engine')
         is_sendable = False
--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -453,6 +453,27 @@
     assert rig.is_clean(SECOND)
 
 
+def test_the_copy_of_a_run_is_used_if_its_engine_breaks_off_during_a_search():
+    async def check():
+        rig = Rig()
+        rig.silent.placement = replace(rig.silent.placement, backup=SECOND)
+        is_eligible = rig.forwarding.eligibility.is_eligible
+
+        async def wait(_):
+            _end_first(rig)
+            await asyncio.sleep(LONG_S)
+
+        rig.forwarding.eligibility.is_eligible = wait
+        await _replace(rig)
+        rig.forwarding.conclude(rig.silent, rig.silent.relay.done.result())
+        rig.forwarding.eligibility.is_eligible = is_eligible
+        await _settle_down()
+        return await rig.forwarding.place()
+
+    placement = asyncio.run(check())
+    assert placement.resumption.copy_at == SECOND.address
+
+
 async def _leave(rig, place):
     """Let the caller leave at a point of a handover."""
     forwarding = rig.forwarding
