Ask again right before a call is sent to a second server

A lookup that had just been answered was sent to a second server as well, and one reached a server that had said meanwhile that it leaves or is removed.

Cause: the loan of a retry is waited for after the server has been chosen, and nothing was asked again after it.

tests/forwarding/test_second_sends.py: three of its ten cases failed before; the others pin what becomes of the two sends.

--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -118,11 +118,19 @@
             self.keep('no other server')
         elif silent.task.done():
             return
-        elif await self.take_retry():
+        elif not await self.take_retry():
+            self.keep('no retry left')
+        elif self._may_add(silent, server):
             record_outcome(self.context, silent.server, SILENCE)
             sends.append(self._start(server))
-        else:
-            self.keep('no retry left')
+
+    def _may_add(self, silent: CallSend, server: BackendServer) -> bool:
+        """Return whether a second server is still to be used."""
+        return (
+            not silent.task.done()
+            and not self.is_quarantined()
+            and self.eligibility.may_send(server)
+        )
 
     def _start(self, server: BackendServer) -> CallSend:
         self.tried_names.add(server.name)
