Leave complete answers alone when a stopping host ends open requests

A caller that still read a complete answer when its host's grace time ended had its connection closed at once, with what was left of the answer.

Cause: a request whose answer has been written is still in progress, and one whose answer has begun was broken off.

tests/fronts/test_graceful_stop.py, an answer that a slow caller still reads: failed before, the connection was closed.

--- a/celerywharf/fronts/_gateway.py
+++ b/celerywharf/fronts/_gateway.py
@@ -128,7 +128,12 @@
         self.connection.close()
 
     def fail(self) -> None:
-        """End a request in progress, because this host stops."""
+        """End a request in progress, because this host stops.
+
+        An answer that is complete may still be on its way to a slow caller.
+        """
+        if self.caller.closed:
+            return
         self.caller.close_after_answer = True
         if self.task is None:
             self.caller.fail(HTTPStatus.SERVICE_UNAVAILABLE, STOPS)
--- a/tests/fronts/test_graceful_stop.py
+++ b/tests/fronts/test_graceful_stop.py
@@ -188,3 +188,21 @@
     assert [request.target for request in gateway.forwarder.requests] == [
         '/purchase/x'
     ]
+
+
+async def _fail_after_an_answer(gateway):
+    connection = FakeConnection()
+    reader = gateway.start_request(object(), connection)
+    _send_purchase(reader)
+    reader.caller.answer(HTTPStatus.OK, {}, b'bought')
+    gateway.fail_open_requests()
+    return connection
+
+
+def test_an_answer_that_a_slow_caller_still_reads_is_not_cut_by_a_stop(
+    admission,
+):
+    gateway = Gateway(admission, FakeForwarder())
+    connection = asyncio.run(_fail_after_an_answer(gateway))
+    assert len(connection.written) == 1
+    assert not connection.closed
