Allow a successor of a stream that is ended within 0.4 s in the soak

A run that ends within 0.4 s of its begin, without the tolerance for clocks, is no overlap; one of 0.5 s and one of 0.6 s beside another run are reported as before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -131,7 +131,7 @@
     later: ServerRun,
     evidence: Evidence,
 ) -> Iterable[str]:
-    if earlier.ended_s is None:
+    if earlier.ended_s is None or _ended_at_once(later):
         return
     ended_s = earlier.ended_s
     if _disrupted(evidence, later.began_s, later.began_s, {later.server}):
@@ -150,6 +150,13 @@
         yield f'runs overlap for {overlap_s:.2f} s: {earlier} {later}'
 
 
+def _ended_at_once(run: ServerRun) -> bool:
+    """Return whether a run was ended because the one before it went on."""
+    return run.ended_s is not None and (
+        run.ended_s - run.began_s <= MAX_OVERLAP_S
+    )
+
+
 def _check_revocation(evidence: Evidence) -> Iterable[str]:
     attempts_by_id = {
         attempt.request_id: attempt for attempt in evidence.attempts
--- a/tests/soak/checks.feature
+++ b/tests/soak/checks.feature
@@ -34,6 +34,7 @@
 
     Examples:
       | change                                            |
+      | a 0.3 s run starts and ends during another run    |
       | a lookup ran twice                                |
       | a purchase refused with 503 did not run           |
       | a stream is reset after some events               |
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -178,6 +178,9 @@
     'a 0.6 s run starts and ends during another run': lambda builder: (
         builder.overlap(13.0, 11.6)
     ),
+    'a 0.3 s run starts and ends during another run': lambda builder: (
+        builder.overlap(13.0, 11.3)
+    ),
     'a resumed server starts a run and ends it at once': lambda builder: (
         _add_resumed_server(builder, 11.01)
     ),
