Break off stand-in streams whose first events were withheld

By the records its engine had made all 8, and the front had passed on an answer that was whole: the stand-in's switch that withholds events had been lifted before the stream ended, and the stand-in then ended it as complete, which no engine does. The new test plays this; one of its two cases failed before.

--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -445,6 +445,7 @@
         await self.crash_if_due()
         backup = self.request.headers.get('Kv-Backup')
         due_s = time.monotonic()
+        withheld = False
         for number in range(run.first + 1, tokens // TOKENS_PER_EVENT + 1):
             due_s += switches.event_ms / control.MS_PER_S
             # After a pause of the process, events go on at their usual pace.
@@ -455,10 +456,11 @@
                 run.state = 'broken'
                 self.drop_connection()
                 return
+            withheld |= switches.silent
             await self.send_event(number)
             if backup:
                 await self.standin.copy(backup, run)
-        if switches.silent:
+        if withheld:
             await self.break_off_when_changed(run)
         if run.state == 'running':
             run.state = 'ended'
