Show that a quarantine right after a handover ends the successor, known red

By reading, in the review of the handover: the request's traits are looked at again before each send, also when the next send is at work already. The test fails: the stream ends as quarantined although its successor sends events.

--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -630,3 +630,21 @@
     assert step == rig.forwarding.plan.timed_out()
     assert len(rig.transport.sinks) == 2
     assert rig.is_clean(FIRST, SECOND)
+
+
+def test_a_successor_at_work_goes_on_if_its_stream_is_quarantined():
+    async def check():
+        rig = Rig()
+        rig.caller.end = _do_nothing
+        rig.forwarding.placer.reserve(SECOND)
+        rig.forwarding.successor = rig.forwarding.start(
+            StreamPlacement(SECOND, Resumption(3), None)
+        )
+        rig.speak(rig.forwarding.successor, [4])
+        _quarantine(rig)
+        running = asyncio.ensure_future(rig.forwarding.run())
+        await _settle_down()
+        rig.successor_relay().on_end(None)
+        return await running
+
+    assert isinstance(asyncio.run(check()), Done)
