--- a/review/build.sh
+++ b/review/build.sh
@@ -11,7 +11,7 @@
 folders = ('standins', 'review')
 if not all(compileall.compile_dir(folder, quiet=1) for folder in folders):
     sys.exit('a stand-in cannot be compiled')
-for name in ('standins.__main__', 'standins.launching', 'review.rig.outcomes',
+for name in ('standins.__main__', 'standins.launching', 'review.rig.outcomes', 'review.rig.flood',
              'review.rig.store', 'review.rig.engines'):
     importlib.import_module(name)
 END
