--- a/review/rig/fronts.py
+++ b/review/rig/fronts.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import tempfile
 import time
@@ -18,6 +17,8 @@
 from urllib.error import URLError
 from urllib.request import urlopen
 
+from standins.launching import find_free_port
+
 ROOT = Path(__file__).resolve().parent.parent.parent
 LOOPBACK = '127.0.0.1'
 START_TIMEOUT_S = 25
@@ -156,10 +157,11 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f'{LOOPBACK}:{probe.getsockname()[1]}'
+    """Return a loopback address whose port is free now.
+
+    It is below the ports of outgoing connections, which might take it.
+    """
+    return f'{LOOPBACK}:{find_free_port(LOOPBACK)}'
 
 
 def _command() -> list[str]:
