--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -90,12 +90,13 @@
         process = subprocess.Popen(
             [sys.executable, '-m', 'review.rig.flood'],
             cwd=ROOT,
-            env={**os.environ, 'FLOODS': floods},
+            env={**os.environ, 'FLOODS': floods, 'NAME': name},
             stdout=subprocess.PIPE,
             text=True,
         )
         self.processes.append(process)
-        address = process.stdout.readline().strip() if process.stdout else ''
+        line = process.stdout.readline() if process.stdout else ''
+        address, _, born = line.strip().partition(' ')
         entry = {
             'service': NARRATOR,
             'address': address,
@@ -105,7 +106,7 @@
             'state': 'ready',
             'coldLeftMs': 0,
             'seq': 1,
-            'born': 0,
+            'born': int(born),
         }
         self.store.put('servers', name, entry)
 
