Date knowledge of the store by its answers, through every hop

Cause: waits that add up. A reader answers until its last answer is 2.0 s old, holds a question for 0.8 s, and only then does the other front read the store. Polls of a front alone (2.0 and 2.5 s, then 0.8 s) outlasted the bound on silent connections, too.

Change: an answer is dated by the store's clock, the date goes along with what a reader passes on, and each question, poll and time-out takes from the 2.2 s for which a table is relied on. What is older is replaced by a call on a new connection. A poll without an answer is repeated there at once.

Evidence: tests/sharing/test_freshness.py draws the moments in virtual time.

--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -40,7 +40,7 @@
 # the store, so that the host can serve for most of that time.
 CONFIGURATION_POLL_S = 2.0
 # Limits how long a silent connection can hide that a server is leaving.
-SERVER_POLL_S = 2.5
+SERVER_POLL_S = 2.0
 # Changes come in bursts; after a change, the next call waits for this time and
 # then gets all of them at once. A configuration has 2.5 s to take effect;
 # servers that return after a crash are needed sooner.
--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -202,6 +202,8 @@
         after: Position,
         wait_s: float,
         slack_s: float = POLL_SLACK_S,
+        *,
+        fresh_connection: bool = False,
     ) -> ReadResult:
         """Wait for changes of a table after a version (long poll).
 
@@ -211,6 +213,7 @@
             wait_s: how long the store waits for the first change before it
                 answers with no rows.
             slack_s: time allowed beyond ``wait_s`` before the call times out.
+            fresh_connection: whether to use a new connection.
 
         Raises:
             HistoryGoneError: the store no longer has these changes, or has
@@ -225,7 +228,9 @@
             'waitMs': str(int(wait_s * MS_PER_S)),
         }
         timeout_s = wait_s + slack_s
-        answer, timing = await self._get('rows-feed', query, timeout_s)
+        answer, timing = await self._get(
+            'rows-feed', query, timeout_s, fresh_connection=fresh_connection
+        )
         if timing.era != after.era:
             raise HistoryGoneError('the store has come back from a copy')
         rows = tuple(row.row() for row in answer.rows)
@@ -292,11 +297,14 @@
         call: str,
         query: dict[str, str],
         timeout_s: float = CALL_TIMEOUT_S,
+        *,
+        fresh_connection: bool = False,
     ) -> tuple[_Answer, AnswerTiming]:
         request = HttpRequest(
             'GET',
             f'http://{self.address}/api/{call}?{urlencode(query)}',
             timeout_s=timeout_s,
+            fresh_connection=fresh_connection,
             max_body_bytes=MAX_ANSWER_BYTES,
             pooled=False,
         )
--- a/celerywharf/sharing/_answers.py
+++ b/celerywharf/sharing/_answers.py
@@ -9,6 +9,7 @@
 
 from celerywharf.exceptions import CelerywharfError, PlatformUnavailableError
 from celerywharf.platform import HistoryGoneError, Row
+from celerywharf.sharing._freshness import Freshness
 from celerywharf.sharing._mirror import Mirror
 from celerywharf.wire.sharing import (
     WHOLE_TABLE,
@@ -31,11 +32,13 @@
         mirror: the rows of the table.
         store_answer_s: when the store last answered this front's own call for
             the table; readings from another front do not count.
+        freshness: as of when the table is known, whoever told it.
         changed: set and replaced by a new event at each reading.
     """
 
     mirror: Mirror = field(default_factory=Mirror)
     store_answer_s: float = float('-inf')
+    freshness: Freshness = field(default_factory=Freshness)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def notify(self) -> None:
--- /dev/null
+++ b/celerywharf/sharing/_freshness.py
@@ -0,0 +1,137 @@
+"""How old a host's knowledge of a table may become.
+
+A change of a table is in force everywhere within a bound that counts from the
+store's acknowledgement.  Knowledge is therefore dated by the store's answer,
+however many hosts have passed it on, and each wait takes from the time left.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from celerywharf.routing import AnswerTiming
+
+# Changes have 2.5 s to take effect.  The difference is for the call by which a
+# host replaces what may be outdated.
+MAX_AGE_S = 2.2
+READER_WAIT_S = 0.8  # how long the reader may wait for a change
+READER_ANSWER_SLACK_S = 0.5  # for a round trip in the zone and a busy reader
+MIN_INQUIRY_S = 0.05
+MIN_POLL_SLACK_S = 0.2  # answers normally take a few milliseconds
+# Time-out of a call on a new connection that replaces outdated knowledge.
+FRESH_CALL_TIMEOUT_S = 0.3
+
+
+class AnswerClock:
+    """Dates answers of the store by its clock, on the clock of this host.
+
+    An answer may have been ready long before it was received, if this host or
+    the connection was held up.
+
+    Attributes:
+        offset_s: this host's clock minus the store's clock, at most; None
+            before the first answer.
+    """
+
+    def __init__(self) -> None:
+        self.offset_s: float | None = None
+
+    def answered_s(self, timing: AnswerTiming) -> float:
+        """Return a time, not later than the answer, of this host's clock."""
+        least_s = timing.sent_s - timing.store_s
+        most_s = timing.received_s - timing.store_s
+        offset_s = self.offset_s
+        if offset_s is None or not least_s <= offset_s <= most_s:
+            self.offset_s = least_s
+        return timing.store_s + self.offset_s
+
+
+@dataclass(slots=True)
+class Freshness:
+    """As of when a table is known.
+
+    Attributes:
+        confirmed_s: all changes that the store acknowledged before this time
+            are known; None before the first reading.
+    """
+
+    confirmed_s: float | None = None
+
+    def confirm(self, answered_s: float) -> None:
+        """Record that the store gave an answer at a time."""
+        if self.confirmed_s is None or answered_s > self.confirmed_s:
+            self.confirmed_s = answered_s
+
+    def left_s(self, now_s: float) -> float:
+        """Return how long the table may still be relied on.
+
+        Without a reading there is nothing that could be outdated.
+        """
+        if self.confirmed_s is None:
+            return math.inf
+        return self.confirmed_s + MAX_AGE_S - now_s
+
+
+@dataclass(frozen=True, slots=True)
+class Inquiry:
+    """A question to the zone's reader.
+
+    Attributes:
+        wait_s: how long the reader may wait for a change.
+        timeout_s: time-out of the question.
+        conclusive: a reader that does not answer in time has failed.
+    """
+
+    wait_s: float
+    timeout_s: float
+    conclusive: bool
+
+
+def plan_inquiry(left_s: float) -> Inquiry | None:
+    """Return the next question to the reader; None if there is no time for one.
+
+    Args:
+        left_s: how long the table may still be relied on.
+    """
+    if left_s < MIN_INQUIRY_S:
+        return None
+    wait_s = min(READER_WAIT_S, max(left_s - READER_ANSWER_SLACK_S, left_s / 2))
+    return Inquiry(
+        wait_s,
+        min(wait_s + READER_ANSWER_SLACK_S, left_s),
+        conclusive=left_s >= 2 * READER_ANSWER_SLACK_S,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """A long poll of the store.
+
+    Attributes:
+        wait_s: how long the store may wait for a change.
+        slack_s: time allowed beyond that.
+        fresh_connection: whether to use a new connection, as others may be
+            silent.
+    """
+
+    wait_s: float
+    slack_s: float
+    fresh_connection: bool = False
+
+
+IMMEDIATE_POLL = Poll(0, FRESH_CALL_TIMEOUT_S, fresh_connection=True)
+
+
+def plan_poll(left_s: float, wait_s: float, slack_s: float) -> Poll:
+    """Return the next call to the store.
+
+    Args:
+        left_s: how long the table may still be relied on.
+        wait_s: longest wait for a change.
+        slack_s: time allowed beyond the wait, at most.
+    """
+    wait_s = min(wait_s, left_s - MIN_POLL_SLACK_S)
+    if wait_s <= 0:
+        return IMMEDIATE_POLL
+    return Poll(wait_s, min(slack_s, left_s - wait_s))
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -5,14 +5,12 @@
 import asyncio
 import logging
 from collections import defaultdict
-from collections.abc import Awaitable, Sequence
+from collections.abc import Awaitable
 from dataclasses import replace
-from typing import Protocol
 
 from celerywharf.exceptions import (
     CelerywharfError,
     PeerUnreachableError,
-    PlatformUnavailableError,
 )
 from celerywharf.limits import StatedLimits
 from celerywharf.metrics import Metrics
@@ -27,18 +25,19 @@
     outlives_copy,
 )
 from celerywharf.routing import AnswerTiming, ConfigurationCache
+from celerywharf.sharing._announcers import Announcer
 from celerywharf.sharing._answers import SharedTable, answer, decode_rows
 from celerywharf.sharing._election import ElectionStep, Reader, ReaderElection
+from celerywharf.sharing._freshness import Inquiry, plan_inquiry
 from celerywharf.sharing._lending import Lending
 from celerywharf.sharing._limit_messages import from_message, to_message
 from celerywharf.sharing._replies import ReplyCheck
-from celerywharf.sharing._store_backoff import StoreBackoff
+from celerywharf.sharing._store_calls import StoreCalls
 from celerywharf.sharing._store_clock import keep_clock_known
 from celerywharf.sharing._zone_row import ZoneRow
 from celerywharf.structures import HostIdentity
 from celerywharf.tasks import Part
 from celerywharf.wire import LinkService, Sender, default_codec
-from celerywharf.wire.peers import PeerEntry
 from celerywharf.wire.sharing import (
     WHOLE_TABLE,
     RetryQuestion,
@@ -48,26 +47,10 @@
 
 logger = logging.getLogger(__name__)
 
-READER_WAIT_S = 0.8  # how long the reader may wait for a change
-READER_ANSWER_SLACK_S = 0.5  # for a round trip in the zone and a busy reader
-# Long-poll time of a reader. Short, because the other fronts rely on it to know
-# that the store still answers.
-STORE_POLL_S = 1.0
-STORE_ANSWER_SLACK_S = 0.5  # answers normally take a few milliseconds
 CHECK_PERIOD_S = 0.1
 START_TIMEOUT_S = 0.6  # two round trips each to store and reader
 
 
-class Announcer(Protocol):
-    """Exchanges what hosts tell the reader of their zone of themselves."""
-
-    def announcement(self) -> list[PeerEntry]:
-        """Return what the reader is told of this host."""
-
-    def on_announced(self, entries: Sequence[PeerEntry]) -> None:
-        """Receive what another host tells this reader of itself."""
-
-
 class SharedStore(Part):
     """Reads tables from the zone's reader, or from the store.
 
@@ -77,9 +60,8 @@
     Attributes:
         election: decides which front is the zone's reader.
         tables: the tables that this front has read, by name.
+        calls: this front's own calls of the store.
         zone_row: the zone's row in the store, which names its reader.
-        store_reachable: the store answered this front's last read of a table.
-        backoff: spaces calls to a store that does not answer.
         reader_answers: the reader answered the last request, if only that it
             does not hear the store.
         replies: checks the replies of readers.
@@ -114,8 +96,7 @@
         self.tables[CONFIGURATION_TABLE].mirror.outlives = outlives_copy
         self.era.subscribers.append(self._on_store_restored)
         self.zone_row = ZoneRow(store, identity, election.candidate)
-        self.store_reachable = True
-        self.backoff = StoreBackoff(election.random)
+        self.calls = StoreCalls(store, election.random)
         self.reader_answers = False
         self.replies = ReplyCheck(store.era)
         self.server = self._create_link_service(election.candidate.key)
@@ -160,11 +141,12 @@
         await self._wait_for_first_check()
         reader = self.election.reader
         whole = Position(self.era.current, WHOLE_TABLE)
-        reading = await self._read_from_reader(table, whole)
+        inquiry = plan_inquiry(self._left_s(table))
+        reading = await self._read_from_reader(table, whole, inquiry)
         if reading is None:
-            self._check_call_due()
+            self.calls.check_due()
             reading = await self._read_from_store(
-                table, self.store.read(table), reader
+                table, self.store.read(table), _judged(reader, inquiry)
             )
         self.tables[table].mirror.replace(reading)
         self.tables[table].notify()
@@ -182,13 +164,20 @@
             PlatformUnavailableError: neither the reader nor the store answered.
         """
         reader = self.election.reader
-        reading = await self._read_from_reader(table, after)
+        inquiry = plan_inquiry(self._left_s(table))
+        reading = await self._read_from_reader(table, after, inquiry)
         if reading is None:
-            self._check_call_due()
+            self.calls.check_due()
             reading = await self._read_from_store(
                 table,
-                self._watch_store(table, after, wait_s),
-                reader,
+                self.calls.watch(
+                    table,
+                    after,
+                    wait_s,
+                    self._left_s(table),
+                    has_followers=self.election.has_followers(boot_time_s()),
+                ),
+                _judged(reader, inquiry),
             )
         if reading.timing.era != self.tables[table].mirror.era:
             raise HistoryGoneError('the store has come back from a copy')
@@ -203,32 +192,14 @@
         except TimeoutError:
             logger.info('zone row not checked in time; reading from the store')
 
-    async def _watch_store(
-        self,
-        table: str,
-        after: Position,
-        wait_s: float,
-    ) -> ReadResult:
-        if not self.election.has_followers(boot_time_s()):
-            return await self.store.watch(table, after, wait_s)
-        wait_s = min(wait_s, STORE_POLL_S)
-        return await self.store.watch(
-            table,
-            after,
-            wait_s,
-            STORE_ANSWER_SLACK_S,
-        )
+    def _left_s(self, table: str) -> float:
+        return self.tables[table].freshness.left_s(boot_time_s())
 
     @property
     def is_reader(self) -> bool:
         """Return whether this front reads the store for the others."""
         return self.lending.pool is not None
 
-    def _check_call_due(self) -> None:
-        """Raise if the store failed and must not be called again yet."""
-        if not self.backoff.due(boot_time_s()):
-            raise PlatformUnavailableError('the store is not called again yet')
-
     async def _read_from_store(
         self,
         table: str,
@@ -243,35 +214,33 @@
             reader: the reader that was asked before and hears no store; None
                 without one.
         """
-        try:
-            reading = await call
-        except HistoryGoneError:
-            raise
-        except CelerywharfError:
-            self.store_reachable = False
-            if not self.is_reader:
-                self.backoff.failed(
-                    boot_time_s(),
-                    self.lending.share.zone_hosts,
-                    has_reader=self.reader_answers,
-                )
-            raise
-        self.store_reachable = True
-        self.backoff.answered()
+        # Only the reader's calls are not spaced: the others rely on them.
+        zone_hosts = 0 if self.is_reader else self.lending.share.zone_hosts
+        reading = await self.calls.finish(
+            call, zone_hosts, has_reader=self.reader_answers
+        )
         if reader is not None:
             self._report_reader_failure(
                 reader, 'it hears no store, but this front does'
             )
-        self.tables[table].store_answer_s = boot_time_s()
+        answered_s = self.calls.answer_clock.answered_s(reading.timing)
+        self.tables[table].store_answer_s = answered_s
+        self.tables[table].freshness.confirm(answered_s)
         self.metrics.count('table_readings', source='store')
         return reading
 
     async def _read_from_reader(
-        self, table: str, after: Position
+        self, table: str, after: Position, inquiry: Inquiry | None
     ) -> ReadResult | None:
-        """Return the reader's answer; None without a reader or an answer."""
+        """Return the reader's answer; None without a reader or an answer.
+
+        Args:
+            table: name of the table.
+            after: position after which changes are requested.
+            inquiry: how to ask; None if there is no time for it.
+        """
         reader = self.election.reader
-        if reader is None or self.client is None:
+        if reader is None or self.client is None or inquiry is None:
             return None
         sent_s = boot_time_s()
         try:
@@ -280,31 +249,42 @@
                 TableQuestion(
                     table,
                     after.version,
-                    READER_WAIT_S,
+                    inquiry.wait_s,
                     after.era,
                     self.announcer.announcement() if self.announcer else [],
                 ),
-                READER_WAIT_S + READER_ANSWER_SLACK_S,
+                inquiry.timeout_s,
             )
             self.replies.check(reply)
         except HistoryGoneError:
             raise
         except CelerywharfError as error:
-            # A reader that only hears no store is kept, unless this front
-            # hears it: its next answer comes as soon as the store's.
-            self.reader_answers = not isinstance(error, PeerUnreachableError)
-            if not self.reader_answers:
-                self._report_reader_failure(reader, error.message)
+            timed_out = boot_time_s() >= sent_s + inquiry.timeout_s
+            if not timed_out or inquiry.conclusive:
+                self._assess_failure(reader, error)
             return None
         self.reader_answers = True
         self.lending.learn_hosts(reply.zone_hosts)
         self._learn_limits(reply)
         self.metrics.count('table_readings', source='reader')
+        received_s = boot_time_s()
+        answered_s = min(sent_s + reply.store_answered_s, received_s)
+        self.tables[table].freshness.confirm(answered_s)
         timing = AnswerTiming(
-            sent_s, boot_time_s(), reply.store_s, relayed=True, era=reply.era
+            sent_s, received_s, reply.store_s, relayed=True, era=reply.era
         )
         return ReadResult(decode_rows(reply), reply.version, timing)
 
+    def _assess_failure(self, reader: Reader, error: CelerywharfError) -> None:
+        """Record that the reader gave no answer with rows.
+
+        A reader that only hears no store is kept, unless this front hears it:
+        its next answer comes as soon as the store's.
+        """
+        self.reader_answers = not isinstance(error, PeerUnreachableError)
+        if not self.reader_answers:
+            self._report_reader_failure(reader, error.message)
+
     def _report_reader_failure(
         self,
         reader: Reader,
@@ -326,8 +306,9 @@
         sender: Sender,
         question: TableQuestion,
     ) -> TableAnswer:
+        arrived_s = boot_time_s()
         self.lending.record_host(sender.host)
-        self.election.record_request(boot_time_s())
+        self.election.record_request(arrived_s)
         if self.announcer is not None:
             self.announcer.on_announced(question.peers)
         if question.era > self.era.current:
@@ -342,6 +323,7 @@
         now_s = self.configuration_cache.store_time_s(boot_time_s())
         return replace(
             reply,
+            store_answered_s=table.store_answer_s - arrived_s,
             zone_hosts=self.lending.count_hosts(),
             limits=[to_message(each) for each in self.limits.current(now_s)],
         )
@@ -357,7 +339,7 @@
 
     async def _check_periodically(self) -> None:
         while True:
-            if self.store_reachable and self.election.check_due(boot_time_s()):
+            if self.calls.reachable and self.election.check_due(boot_time_s()):
                 try:
                     await self._check_row()
                 except CelerywharfError as error:
@@ -403,3 +385,8 @@
 
     def _create_link_service(self, key: bytes) -> LinkService:
         return LinkService(self.identity, key, default_codec())
+
+
+def _judged(reader: Reader | None, inquiry: Inquiry | None) -> Reader | None:
+    """Return the reader if its lack of an answer shows that it has failed."""
+    return reader if inquiry is not None and inquiry.conclusive else None
--- a/celerywharf/wire/schemas/sharing.capnp
+++ b/celerywharf/wire/schemas/sharing.capnp
@@ -37,6 +37,7 @@
   zoneHosts @3 :Int64;
   limits @4 :List(ServerLimit);
   era @5 :Int64;
+  storeAnsweredS @6 :Float64;
 }
 
 struct ServerLimit {
--- a/celerywharf/wire/sharing.py
+++ b/celerywharf/wire/sharing.py
@@ -78,6 +78,8 @@
             included; 0 if unknown.
         limits: the request limits that servers have stated lately.
         era: era of the store in which the rows were read; 0 if unknown.
+        store_answered_s: when the store last answered the reader for the table,
+            seconds after the question arrived; negative if that was before.
     """
 
     rows: list[SharedRow]
@@ -86,6 +88,7 @@
     zone_hosts: int = 0
     limits: list[ServerLimit] = field(default_factory=list)
     era: int = 0
+    store_answered_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/sharing/simulated_fleet.py
+++ b/tests/sharing/simulated_fleet.py
@@ -4,6 +4,7 @@
 import base64
 import inspect
 import json
+from collections import Counter
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from random import Random
@@ -42,6 +43,8 @@
         cut_until_s: the store is not reached, by front.
         late_until_s: answers of the store take `late_s`, by front.
         apart_until_s: fronts do not reach each other.
+        refused_until_s: the store refuses the calls, by front.
+        frozen_until_s: neither answers nor gets answers, by front.
     """
 
     away_until_s: float = 0
@@ -49,6 +52,8 @@
     late_until_s: dict[str, float] = field(default_factory=dict)
     late_s: float = 0
     apart_until_s: float = 0
+    refused_until_s: dict[str, float] = field(default_factory=dict)
+    frozen_until_s: dict[str, float] = field(default_factory=dict)
 
     def ends_s(self):
         """Return when all of it has ended."""
@@ -57,35 +62,83 @@
             self.apart_until_s,
             *self.cut_until_s.values(),
             *self.late_until_s.values(),
+            *self.refused_until_s.values(),
+            *self.frozen_until_s.values(),
         )
 
+    async def pass_frozen(self, name):
+        """Wait until a front is not frozen."""
+        frozen_s = self.frozen_until_s.get(name, 0) - boot_time_s()
+        if frozen_s > 0:
+            await asyncio.sleep(frozen_s)
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """A connection to the store.
+
+    Attributes:
+        silent: delivers nothing any more.
+    """
+
+    silent: bool = False
+
+    async def deliver(self):
+        """Wait for ever on a silent connection."""
+        if self.silent:
+            await asyncio.Event().wait()
+
 
 class StoreTransport(Transport):
-    """Carries the calls of one front to the store."""
+    """Carries the calls of one front to the store.
+
+    Attributes:
+        idle: connections that the next calls use.
+        in_use: connections of running calls.
+    """
 
     def __init__(self, fleet, name):
         self.fleet = fleet
         self.name = name
+        self.idle = []
+        self.in_use = []
+
+    def silence(self):
+        """Let all connections that there are deliver nothing any more."""
+        for connection in (*self.idle, *self.in_use):
+            connection.silent = True
 
     async def fetch(self, request):
         paths = self.fleet.paths
         if boot_time_s() < paths.cut_until_s.get(self.name, 0):
             await asyncio.sleep(request.timeout_s)
             raise TransportError('the store is not reached')
+        is_new = request.fresh_connection or not self.idle
+        connection = Connection() if is_new else self.idle.pop()
+        self.in_use.append(connection)
         try:
             async with asyncio.timeout(request.timeout_s):
-                return await self._call(request, paths)
+                answer = await self._call(request, paths)
+                await connection.deliver()
         except TimeoutError:
             raise TransportError('no answer in time') from None
+        finally:
+            self.in_use.remove(connection)
+        if not request.fresh_connection:
+            self.idle.append(connection)
+        return answer
 
     async def _call(self, request, paths):
         await asyncio.sleep(CALL_S / 2)
         self.fleet.store.calls += 1
+        self.fleet.calls[self.name] += 1
         era = self.fleet.store.era
         status, body = HTTPStatus.SERVICE_UNAVAILABLE, {}
-        if boot_time_s() >= paths.away_until_s:
+        refused_until_s = paths.refused_until_s.get(self.name, 0)
+        if boot_time_s() >= max(paths.away_until_s, refused_until_s):
             status, body = await self._answer(request)
             era = self.fleet.store.era
+        await paths.pass_frozen(self.name)
         headers = {'store-era': str(era)}
         late_until_s = paths.late_until_s.get(self.name, 0)
         is_late = boot_time_s() < late_until_s
@@ -161,6 +214,7 @@
         peer = self.fleet.front_at(address)
         if peer is None or peer.shared.server.key != self.key:
             raise PeerUnreachableError(f'cannot connect to {address}')
+        await self.fleet.paths.pass_frozen(peer.name)
         handler = peer.shared.server.handlers[type(message)]
         reply = handler(_sender(self.identity), message)
         if not inspect.isawaitable(reply):
@@ -171,6 +225,7 @@
         await asyncio.wait({task})
         if task.cancelled():
             raise PeerUnreachableError('link closed')
+        await self.fleet.paths.pass_frozen(peer.name)
         return task.result()
 
     async def close(self):
@@ -213,7 +268,8 @@
         self.calls = set()
         self.versions = []
         self.cache = ConfigurationCache(LEASE_S)
-        store = StoreClient(StoreTransport(fleet, name), STORE)
+        self.transport = StoreTransport(fleet, name)
+        store = StoreClient(self.transport, STORE)
         share = HostShare(100, 2, 10, random)
         identity = HostIdentity(name, 'north', zone, address, incarnation)
         simulated = type('Simulated', (SimulatedStore,), {'fleet': fleet})
@@ -267,10 +323,12 @@
         servers: sequence of the entry of each living server, by name.
         born: birth of the last process of each server, by name.
         first_version: of the store; no copy is older.
+        calls: number of calls that reached the store, by front.
     """
 
     def __init__(self, places):
         self.store = Store()
+        self.calls = Counter()
         self.paths = Paths()
         self.fronts = {}
         self.incarnation = 0
@@ -337,6 +395,11 @@
         self.servers.pop(name)
         self.store.put('servers', name, None)
 
+    def say_leaving(self, name):
+        """Let a server say that it leaves; its entry stays."""
+        self.servers[name] += 1
+        self._write_entry(name, 'draining')
+
     def restore(self, lost):
         """Let the store come back from a copy without its last writes."""
         version = max(self.store.version - lost, self.first_version)
