Bound the time and memory that one answer may cost

Cause: an answer was bounded in bytes of content, and in nothing else.

Change, in the transport, for every sink: pieces are joined as they come (BodyBuffer); a head has 500 lines at most, as curl keeps each; the time that reading takes is charged to the transfer, and one that uses more than its share is paused while others are read (ReadBudget). Transfers that receive framing only are found by a call of curl that takes long.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -13,6 +13,7 @@
 
 import pycurl
 
+from celerywharf.adapters._read_budget import ReadBudget, Usage
 from celerywharf.adapters._responses import ResponseCollector, ResponsePool
 from celerywharf.adapters.transports import (
     MAX_HEAD_BYTES,
@@ -27,6 +28,16 @@
 
 MS_PER_S = 1000
 MAX_CONNECTIONS = 4096
+# What is read before a pause has an effect.
+BUFFER_BYTES = 4096
+# Status lines, headers and trailers of one exchange; curl keeps each of them,
+# with some hundred bytes more.
+MAX_HEAD_LINES = 500
+# Ordinary answers are not measured: lines and pieces are charged in groups, and
+# what is read without any only after a call of curl has taken long.
+CHARGED_PIECES = 32
+LONG_CALL_S = 0.0005
+MEASURING_S = 0.05
 FIRST_FINAL_STATUS = 200  # 1xx responses are interim
 # A time-out that fires this much late shows that this process did not run.
 LATE_S = 0.1
@@ -43,7 +54,14 @@
 
 
 class CurlTransport(Transport):
-    """Runs any number of concurrent transfers on one event loop."""
+    """Runs any number of concurrent transfers on one event loop.
+
+    Attributes:
+        read_budget: decides which transfers are paused for a while.
+        overdue: transfers that have used up their time in this call of curl.
+        measuring: ends the time in which all reading is charged; None at other
+            times.
+    """
 
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
@@ -57,6 +75,9 @@
         self.handle_count = 0
         self.watched_descriptors: set[int] = set()
         self.response_pool = ResponsePool()
+        self.read_budget = ReadBudget()
+        self.overdue: list[CurlTransfer] = []
+        self.measuring: asyncio.TimerHandle | None = None
 
     async def fetch(self, request: HttpRequest) -> HttpResponse:
         """Send a request and return the complete response."""
@@ -93,8 +114,9 @@
             transfer.cancel()
         for curl in tuple(self.released):
             self._remove(curl)
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.measuring):
+            if timer is not None:
+                timer.cancel()
         for descriptor in self.watched_descriptors:
             self.loop.remove_reader(descriptor)
             self.loop.remove_writer(descriptor)
@@ -111,10 +133,23 @@
         self.released.add(transfer.curl)
         self.loop.call_soon(self._remove, transfer.curl)
 
-    def process_resumed(self) -> None:
-        """Make curl process transfers that were resumed."""
+    def read_on(self, transfer: CurlTransfer) -> None:
+        """Make curl read a transfer that was paused."""
+        if transfer.curl not in self.transfers:
+            return
+        self.read_budget.begin()
+        transfer.curl.pause(pycurl.PAUSE_CONT)
         self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
+    def charge(self, transfer: CurlTransfer) -> None:
+        """Charge a transfer for what was read; pause it if that was much."""
+        is_overdue = self.read_budget.charge(transfer.usage)
+        if is_overdue and not transfer.overdue:
+            transfer.overdue = True
+            transfer.suspect = True
+            transfer.curl.pause(pycurl.PAUSE_RECV)
+            self.overdue.append(transfer)
+
     def _remove(self, curl: pycurl.Curl) -> None:
         if curl not in self.released:
             return
@@ -165,10 +200,30 @@
             )
 
     def _socket_action(self, descriptor: int, flags: int) -> None:
+        self.read_budget.begin()
         _, active = self.multi.socket_action(descriptor, flags)
+        if self.read_budget.since_begin_s() > LONG_CALL_S:
+            self._measure_all()
+        for transfer in self.overdue:
+            rest_s = self.read_budget.settle(transfer.usage)
+            self.loop.call_later(rest_s, transfer.end_rest)
+        self.overdue = []
         if active < self.handle_count:
             self._finish_completed()
 
+    def _measure_all(self) -> None:
+        if self.measuring is None:
+            self.measuring = self.loop.call_later(
+                MEASURING_S, self._end_measuring
+            )
+            for transfer in self.transfers.values():
+                transfer.measure(measured=True)
+
+    def _end_measuring(self) -> None:
+        self.measuring = None
+        for transfer in self.transfers.values():
+            transfer.measure(measured=transfer.suspect)
+
     def _finish_completed(self) -> None:
         remaining = 1
         while remaining:
@@ -195,8 +250,15 @@
     Attributes:
         closed: cancelled or ended; the sink receives nothing more.
         head_bytes: size of all status lines, headers and trailers received.
+        head_lines: number of these lines.
         head_complete: the final headers have arrived; what curl passes as
             headers after that are trailers, which are ignored.
+        held: the sink wants nothing until it resumes the transfer.
+        overdue: paused because reading it took too much time.
+        usage: the time that reading it took.
+        pieces: number of lines and pieces received.
+        measured: all reading is charged, with content or not.
+        suspect: it was overdue before.
     """
 
     def __init__(
@@ -212,7 +274,14 @@
         self.status = 0
         self.closed = False
         self.head_bytes = 0
+        self.head_lines = 0
         self.head_complete = False
+        self.held = False
+        self.overdue = False
+        self.usage = Usage()
+        self.pieces = 0
+        self.measured = False
+        self.suspect = False
         self.curl = pycurl.Curl()
 
     def cancel(self) -> None:
@@ -222,14 +291,28 @@
 
     def pause(self) -> None:
         """Stop reading from the socket until ``resume``."""
+        self.held = True
         if self.curl in self.transport.transfers:
             self.curl.pause(pycurl.PAUSE_RECV)
 
     def resume(self) -> None:
         """Continue reading after ``pause``."""
-        if self.curl in self.transport.transfers:
-            self.curl.pause(pycurl.PAUSE_CONT)
-            self.transport.process_resumed()
+        self.held = False
+        if not self.overdue:
+            self.transport.read_on(self)
+
+    def end_rest(self) -> None:
+        """Continue reading after a time in which others were read."""
+        self.overdue = False
+        if not self.held:
+            self.transport.read_on(self)
+
+    def measure(self, *, measured: bool) -> None:
+        """Begin or end to charge for all reading, with content or not."""
+        if self.measured is not measured:
+            self.measured = measured
+            self.curl.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
+            self.curl.setopt(pycurl.NOPROGRESS, 0 if measured else 1)
 
     def finish(self, error: TransportError | None) -> None:
         """Notify the sink of the end, unless the transfer is closed."""
@@ -242,7 +325,7 @@
 
     def error(self, code: int, message: str) -> TransportError:
         """Convert a failure of curl to an exception with its verdict."""
-        if self.head_bytes > MAX_HEAD_BYTES:
+        if self._is_head_too_large():
             return ResponseTooLargeError('response headers exceed the limit')
         sent = self.curl.getinfo(pycurl.REQUEST_SIZE)
         verdict = Verdict.may_have_run
@@ -253,6 +336,11 @@
         error.late = code == pycurl.E_OPERATION_TIMEDOUT and self._is_late()
         return error
 
+    def _is_head_too_large(self) -> bool:
+        return (
+            self.head_bytes > MAX_HEAD_BYTES or self.head_lines > MAX_HEAD_LINES
+        )
+
     def _has_ended(self) -> bool:
         """Return whether what curl takes for an end can be one.
 
@@ -294,6 +382,7 @@
         self._set_body(curl)
         curl.setopt(pycurl.HEADERFUNCTION, self._on_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._on_write)
+        curl.setopt(pycurl.BUFFERSIZE, BUFFER_BYTES)
         if request.connect_only:
             curl.setopt(pycurl.CONNECT_ONLY, 1)
         if request.fresh_connection:
@@ -321,8 +410,10 @@
 
     def _on_header(self, line: bytes) -> int | None:
         self.head_bytes += len(line)
-        if self.head_bytes > MAX_HEAD_BYTES:
+        self.head_lines += 1
+        if self._is_head_too_large():
             return ABORT
+        self._charge()
         if self.head_complete:
             return None
         text = line.decode('latin-1').strip()
@@ -346,6 +437,17 @@
     def _on_write(self, chunk: bytes) -> None:
         if not self.closed:
             self.sink.on_chunk(chunk)
+            self._charge()
+
+    def _charge(self) -> None:
+        self.pieces += 1
+        if self.measured or not self.pieces % CHARGED_PIECES:
+            self.transport.charge(self)
+
+    def _on_progress(self, *_: int) -> None:
+        """Called each time that curl has read a transfer that is measured."""
+        if not self.closed:
+            self.transport.charge(self)
 
     def _notify(self, call) -> None:
         if not self.closed:
--- a/celerywharf/adapters/_responses.py
+++ b/celerywharf/adapters/_responses.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Mapping
 
+from celerywharf.adapters._body_buffer import BodyBuffer
 from celerywharf.adapters.transports import HttpRequest, HttpResponse
 from celerywharf.exceptions import ResponseTooLargeError, TransportError
 from celerywharf.units import MEBIBYTE
@@ -50,7 +51,7 @@
 
     Attributes:
         done: future of the response.
-        size_bytes: size of the body received so far.
+        body: what has been received.
     """
 
     def __init__(
@@ -65,8 +66,12 @@
         self.pool = pool if request.pooled else None
         self.status = 0
         self.headers: Mapping[str, str] = {}
-        self.chunks: list[bytes] = []
-        self.size_bytes = 0
+        self.body = BodyBuffer()
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the body received so far."""
+        return self.body.size_bytes
 
     def on_headers(self, status: int, headers: Mapping[str, str]) -> None:
         """Store status and headers."""
@@ -79,8 +84,7 @@
         """Store a part of the body, or fail if the body is too large."""
         if self.done.done():
             return
-        self.chunks.append(chunk)
-        self.size_bytes += len(chunk)
+        self.body.append(chunk)
         if self.pool is not None:
             self.pool.received(self, len(chunk))
         if self.size_bytes > self.max_body_bytes:
@@ -93,7 +97,7 @@
         if error is not None:
             self._fail(error)
             return
-        body = b''.join(self.chunks)
+        body = self.body.content()
         self.release()
         self.done.set_result(HttpResponse(self.status, self.headers, body))
 
@@ -105,7 +109,7 @@
         """Free what has been received."""
         if self.pool is not None:
             self.pool.finished(self)
-        self.chunks = []
+        self.body.clear()
 
     def _fail(self, error: TransportError) -> None:
         self.release()
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -10,7 +10,10 @@
 
 import asyncio
 import itertools
+import json
 import re
+import subprocess
+import sys
 import threading
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -28,6 +31,7 @@
     f'{IDLE_REPORT}'
 )
 TRICKLE_PERIOD_S = 0.02
+PIECES = 5000  # small pieces that are written at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +58,14 @@
     return _signed(f'Content-Type: text/event-stream\r\n\r\n{start}')
 
 
+def _chunks(size: int) -> EndlessAnswer:
+    """Return an answer of chunks of a few bytes."""
+    return EndlessAnswer(
+        _signed('Transfer-Encoding: chunked\r\n\r\n'),
+        f'{size}\r\n{"x" * size}\r\n' * PIECES,
+    )
+
+
 EVENT = 'id: 1\ndata: word-1\n\n'
 ANSWERS = {
     'header lines': EndlessAnswer(_signed(''), 'X-Header: value\r\n' * 1000),
@@ -86,6 +98,25 @@
         _event_stream(EVENT), EVENT, TRICKLE_PERIOD_S
     ),
     'single bytes': EndlessAnswer(_event_stream(''), 'd', TRICKLE_PERIOD_S),
+    'chunks of one byte': _chunks(1),
+    'chunks of two bytes': _chunks(2),
+    'chunks of three bytes': _chunks(3),
+    'a chunk extension': EndlessAnswer(
+        _signed('Transfer-Encoding: chunked\r\n\r\n5;x='), BLOCK
+    ),
+    'the same event at full speed': EndlessAnswer(
+        _event_stream(EVENT), EVENT * PIECES
+    ),
+    'event chunks of two bytes': EndlessAnswer(
+        _signed(
+            'Content-Type: text/event-stream\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'
+        ),
+        '2\r\nxx\r\n' * PIECES,
+    ),
+    'lines of two bytes': EndlessAnswer(
+        _event_stream('id: 1\n'), 'x\n' * PIECES
+    ),
 }
 
 
@@ -175,3 +206,37 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class EndlessProcess:
+    """A process with servers that send without end.
+
+    Attributes:
+        addresses: ``ip:port`` of each server.
+    """
+
+    def __init__(self, kind: str, count: int) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'standins.endless', kind, str(count)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self.addresses: list[str] = json.loads(self.process.stdout.readline())
+
+    def close(self) -> None:
+        """End the process."""
+        self.process.stdin.close()
+        self.process.stdout.close()
+        self.process.wait(TIMEOUT_S)
+
+
+def _main(kind: str, count: str) -> None:
+    """Serve until the standard input ends."""
+    with EndlessServers(kind, int(count)) as servers:
+        sys.stdout.write(f'{json.dumps(servers.addresses)}\n')
+        sys.stdout.flush()
+        sys.stdin.read()
+
+
+if __name__ == '__main__':
+    _main(*sys.argv[1:])
