End a send whose engine repeats an event

Cause: StreamRelay skipped an event that the caller already had, however often the same send brought it.

Change: event numbers of one answer increase; one that does not ends the send as lost, which the engine's health learns and no prompt is blamed for. Events that another send has brought meanwhile are still skipped.

The example "1 2 2 3 end" of relays.feature expected the repeated event to be dropped and the stream to finish. A sound engine never repeats an event, so the answer is no answer; the example now expects the events before it and a lost send, and a second one does so after a resume.

--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -115,7 +115,7 @@
     """Receives the answer to one send and relays its events to the caller.
 
     Only complete events that continue the stream in order are relayed; events
-    that the caller already has are skipped.
+    that the caller already has from another send are skipped.
 
     Attributes:
         events: number of events relayed by this send.
@@ -207,12 +207,10 @@
                 self.settle(Lost('error body too large'))
             return
         try:
-            events = self.splitter.feed(chunk)
+            for event in self.splitter.feed(chunk):
+                self._on_event(event)
         except ValueError as error:
             self.settle(Lost(str(error)))
-            return
-        for event in events:
-            self._on_event(event)
 
     def on_end(self, error: TransportError | None) -> None:
         """Set the outcome when the connection has ended."""
@@ -290,8 +288,7 @@
             self._forward_event(event, self.context.timers.now())
 
     def _forward_event(self, event: Event, now_s: float) -> None:
-        # Only events that are new to the caller show that the server works: a
-        # faulty one may repeat an event without end.
+        # Only events that are new to the caller show that the server works.
         self._record_liveness(now_s)
         self._record_origin()
         if not self.caller.started:
--- a/celerywharf/platform/_events.py
+++ b/celerywharf/platform/_events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from celerywharf.adapters.event_buffers import EVENT_END, EventBuffer
@@ -25,26 +26,36 @@
 
 
 class EventSplitter:
-    """Buffers the bytes of an event until the event is complete."""
+    """Splits one answer into events, whose numbers increase.
+
+    Attributes:
+        buffer: holds the bytes of an event until it is complete.
+        last_number: of the last event with a number; 0 before the first.
+    """
 
     def __init__(self) -> None:
         self.buffer = EventBuffer()
+        self.last_number = 0
 
     @property
     def incomplete(self) -> bool:
         """Return whether the last event received is not complete."""
         return bool(self.buffer.incomplete)
 
-    def feed(self, chunk: bytes) -> list[Event]:
-        """Add received bytes and return the events that they complete.
+    def feed(self, chunk: bytes) -> Iterator[Event]:
+        """Add received bytes and yield the events that they complete.
 
         Raises:
-            ValueError: an event exceeds the size limit.
+            ValueError: an event exceeds the size limit, or its number is not
+                above that of the event before, as in no sound answer.
         """
-        return [
-            Event(_event_number(text), text + EVENT_END)
-            for text in self.buffer.feed(chunk)
-        ]
+        for text in self.buffer.feed(chunk):
+            number = _event_number(text)
+            if number is not None:
+                if number <= self.last_number:
+                    raise ValueError(f'event {number} repeated')
+                self.last_number = number
+            yield Event(number, text + EVENT_END)
 
 
 def _event_number(text: bytes) -> int | None:
--- a/tests/forwarding/relays.feature
+++ b/tests/forwarding/relays.feature
@@ -10,7 +10,8 @@
       | 0    | 1 2 3 end                     | 1 2 3   | finished |
       | 2    | 3 4 end                       | 3 4     | finished |
       | 2    | 1 2 3 4 end                   | 3 4     | finished |
-      | 0    | 1 2 2 3 end                   | 1 2 3   | finished |
+      | 0    | 1 2 2 3 end                   | 1 2     | lost     |
+      | 2    | 1 2 2 3 end                   | none    | lost     |
       | 0    | 1 3 4 end                     | 1       | lost     |
       | 2    | 4 end                         | none    | lost     |
       | 0    | 1 half-2 end                  | 1       | lost     |
--- a/tests/fronts/small_pieces.feature
+++ b/tests/fronts/small_pieces.feature
@@ -45,3 +45,11 @@
       | count |
       | 1     |
       | 8     |
+
+  Scenario: a stream goes on at a sound engine after an event was repeated
+    Given a sound engine
+    And 1 engines that send the same event at full speed without end, and a front
+    When a caller requests a stream of 20 events
+    Then the caller has received events 1 to 20 and a complete answer within 2 s
+    And the front logs that an event was repeated
+    And no request is quarantined
