Follow a table from the version of its first page

Cause: a reading of several pages had the version of its last page; a change of a row of an earlier page that came in between was never read.

Change: version and time of the reading are those of its first page. Rows that later pages have newer come again with the next poll.

--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -176,25 +176,28 @@
     async def read(self, table: str, first_key: str = '') -> ReadResult:
         """Read all pages of a table, starting at a key.
 
+        The position of the result is that of the first page: rows of earlier
+        pages may change while later ones are read.
+
         Raises:
             PlatformUnavailableError: the store did not answer.
         """
-        rows: list[Row] = []
-        era = None
-        while True:
+        query = {'table': table, 'part': '', 'from': first_key}
+        answer, first_timing = await self._get('rows-get', query)
+        version = answer.api_version
+        rows = [row.row() for row in answer.rows]
+        while answer.has_more and answer.rows:
+            first_key = f'{answer.rows[-1].key}\0'
             query = {'table': table, 'part': '', 'from': first_key}
             answer, timing = await self._get('rows-get', query)
-            if era not in {None, timing.era}:
+            if timing.era != first_timing.era:
                 raise PlatformUnavailableError(
                     'rows-get: the store was restored'
                 )
-            era = timing.era
-            rows.extend(row.row() for row in answer.rows)
-            if not answer.has_more or not answer.rows:
-                return ReadResult(tuple(rows), answer.api_version, timing)
-            if answer.rows[-1].key < first_key:
+            if answer.rows and answer.rows[-1].key < first_key:
                 raise PlatformUnavailableError('rows-get: a page was repeated')
-            first_key = f'{answer.rows[-1].key}\0'
+            rows.extend(row.row() for row in answer.rows)
+        return ReadResult(tuple(rows), version, first_timing)
 
     async def watch(
         self,
--- /dev/null
+++ b/tests/platform/test_store_pages.py
@@ -0,0 +1,50 @@
+"""A table of several pages, read while it changes."""
+
+import asyncio
+import json
+
+from celerywharf.adapters.transports import HttpResponse, Transport
+from celerywharf.platform import StoreClient
+from celerywharf.structures import Address
+
+PAGES = (
+    {
+        'rows': [{'key': 'a', 'apiVersion': 3}],
+        'apiVersion': 5,
+        'nowMs': 1000,
+        'hasMore': True,
+    },
+    {
+        'rows': [{'key': 'b', 'apiVersion': 4}],
+        'apiVersion': 6,
+        'nowMs': 3000,
+        'hasMore': False,
+    },
+)
+
+
+class Pages(Transport):
+    """Answers each call with the next page."""
+
+    def __init__(self):
+        self.left = list(PAGES)
+
+    async def fetch(self, request):
+        body = json.dumps(self.left.pop(0)).encode()
+        return HttpResponse(200, {'store-era': '1'}, body)
+
+    def stream(self, request, sink):
+        raise NotImplementedError
+
+    def close(self):
+        """There is nothing to close."""
+
+
+# A change of a row of the first page, made while the second was read, was
+# taken for known: a server that left went on to get requests.
+def test_changes_between_two_pages_are_still_to_be_read():
+    store = StoreClient(Pages(), Address('127.0.0.1', 1))
+    reading = asyncio.run(store.read('servers'))
+    assert [row.key for row in reading.rows] == ['a', 'b']
+    assert reading.version == 5
+    assert reading.timing.store_s == 1
