Charge no answer for time in which the process did not run

Noticed while reading the new budget: a process that froze for 2 s while curl was reading a stream charged that stream 2 s, which paused it, and every other answer that used more than its share, for 7.6 s. A reading is now charged with 5 ms at most.

--- a/celerywharf/adapters/_read_budget.py
+++ b/celerywharf/adapters/_read_budget.py
@@ -18,6 +18,9 @@
 # the largest size through at the speed of the link.
 COMMON_BURST_S = 0.1
 COMMON_SHARE = 0.25
+# Reading takes no longer between two charges; the rest is time in which this
+# process did not run.
+MAX_READING_S = 0.005
 
 
 @dataclass(slots=True)
@@ -67,7 +70,7 @@
         now_s = time.perf_counter()
         granted_s = (now_s - usage.updated_s) * OWN_SHARE
         usage.used_s = max(usage.used_s - granted_s, 0)
-        usage.used_s += now_s - self.charged_s
+        usage.used_s += min(now_s - self.charged_s, MAX_READING_S)
         usage.updated_s = now_s
         self.charged_s = now_s
         return usage.used_s > OWN_BURST_S
--- a/tests/adapters/test_read_budget.py
+++ b/tests/adapters/test_read_budget.py
@@ -75,6 +75,14 @@
         assert budget.settle(usage) == 0
 
 
+# A stream that was being read when its process froze was paused for seconds.
+def test_an_answer_is_not_charged_for_a_process_that_did_not_run(clock):
+    budget = ReadBudget()
+    usage = Usage()
+    assert _read(budget, clock, usage, 2)
+    assert budget.settle(usage) == 0
+
+
 @pytest.mark.parametrize('size', [1, 2, 1000, 16_384, 40_000])
 def test_pieces_of_any_size_are_joined(size):
     body = BodyBuffer()
