Charge an answer after each large piece

Callers saw purchases beside 8 streams without a limit of tokens late by up to 2 s, and some refused with 503. The refused calls were not sent: connecting to their server had timed out after 381 and 660 ms instead of 300, as the loop did not run.

Cause: a transfer that is not measured was charged after each 32 pieces. A piece of 4 KiB holds 190 small events, which take 12 ms, and curl read up to 90 KB in one call: calls of 0.09 to 0.2 s by a log in a scratch copy. Transfers that begin while others are measured are not measured themselves, so each new stream could do it.

A piece of 1 KiB or more is charged at once. The new test failed before (27 pieces in a turn, now 2 at most).

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -33,9 +33,11 @@
 # Status lines, headers and trailers of one exchange; curl keeps each of them,
 # with some hundred bytes more.
 MAX_HEAD_LINES = 500
-# Ordinary answers are not measured: lines and pieces are charged in groups, and
-# what is read without any only after a call of curl has taken long.
+# Ordinary answers are not measured: lines and small pieces are charged in
+# groups, and what is read without any only after a call of curl has taken long.
 CHARGED_PIECES = 32
+# A piece of this size can hold many events.
+LARGE_PIECE_BYTES = 1024
 LONG_CALL_S = 0.0005
 MEASURING_S = 0.05
 FIRST_FINAL_STATUS = 200  # 1xx responses are interim
@@ -437,11 +439,12 @@
     def _on_write(self, chunk: bytes) -> None:
         if not self.closed:
             self.sink.on_chunk(chunk)
-            self._charge()
+            self._charge(len(chunk))
 
-    def _charge(self) -> None:
+    def _charge(self, size_bytes: int = 0) -> None:
         self.pieces += 1
-        if self.measured or not self.pieces % CHARGED_PIECES:
+        is_due = not self.pieces % CHARGED_PIECES
+        if is_due or self.measured or size_bytes >= LARGE_PIECE_BYTES:
             self.transport.charge(self)
 
     def _on_progress(self, *_: int) -> None:
--- /dev/null
+++ b/tests/adapters/test_endless_transfers.py
@@ -0,0 +1,78 @@
+"""What the transport reads of answers without end in a turn of the loop."""
+
+import asyncio
+import time
+
+import pytest
+
+from celerywharf.adapters import CurlTransport
+from celerywharf.adapters.transports import HttpRequest
+from standins.endless import EndlessProcess
+
+TRANSFERS = 8
+PIECE_S = 0.01
+START_PERIOD_S = 0.02
+LASTS_S = 2
+# curl may pass on the rest of a piece after its transfer was paused.
+PIECES_PER_TURN = 2
+
+
+class SlowSink:
+    """Uses the processor for a fixed time for each piece of an answer."""
+
+    def __init__(self):
+        self.loop = asyncio.get_running_loop()
+        self.pieces = 0
+        self.pieces_of_turn = 0
+        self.most_of_turn = 0
+
+    def on_headers(self, status, headers):
+        """Ignore the head."""
+
+    def on_chunk(self, chunk):
+        """Use the processor."""
+        if not self.pieces_of_turn:
+            self.loop.call_soon(self._end_turn)
+        self.pieces += 1
+        self.pieces_of_turn += 1
+        self.most_of_turn = max(self.most_of_turn, self.pieces_of_turn)
+        _use_processor(PIECE_S)
+
+    def on_end(self, error):
+        """Ignore the end."""
+
+    def _end_turn(self):
+        self.pieces_of_turn = 0
+
+
+def _use_processor(lasts_s):
+    ends_s = time.thread_time() + lasts_s
+    rounds = 0
+    while time.thread_time() < ends_s:
+        rounds += 1
+
+
+async def _read(addresses):
+    transport = CurlTransport()
+    sinks = []
+    for address in addresses:
+        sinks.append(SlowSink())
+        transport.stream(HttpRequest('GET', f'http://{address}/'), sinks[-1])
+        await asyncio.sleep(START_PERIOD_S)
+    await asyncio.sleep(LASTS_S - TRANSFERS * START_PERIOD_S)
+    transport.close()
+    return sinks
+
+
+@pytest.fixture(scope='module')
+def sinks():
+    engines = EndlessProcess('the same event at full speed', TRANSFERS)
+    try:
+        return asyncio.run(_read(engines.addresses))
+    finally:
+        engines.close()
+
+
+# A stream that began beside others held the event loop for 0.2 s at once.
+def test_an_answer_whose_pieces_take_long_is_paused_after_the_first(sinks):
+    assert max(sink.most_of_turn for sink in sinks) <= PIECES_PER_TURN
