Show that a change of the configuration ends no stream that goes on elsewhere

One engine breaks each stream off after about a second, when the new version has arrived: no route, no service, another service, another key, a shorter time-out, one attempt, 400 and 1,280 routes more.

Requests that wait are not played.

--- a/tests/fronts/test_changes_in_progress.py
+++ b/tests/fronts/test_changes_in_progress.py
@@ -25,6 +25,7 @@
 WORK_MS = 1500
 STARTS_S = 0.6
 SILENT_S = 1.0
+BREAK_AFTER = 24  # events; they take longer than a version needs to arrive
 OK = 200
 FEW_ROUTES = 400
 MANY_ROUTES = 1280
@@ -81,12 +82,14 @@
     return started
 
 
-def _start_callers(rig, answers):
+def _start_callers(
+    rig, answers, requested=(STREAM_PATH, LOOKUP_PATH, CALL_PATH)
+):
     def call(front, path, headers):
         address = rig.fronts[front]
         answers.append((path, send(address, path, headers=headers)))
 
-    paths = (STREAM_PATH, LOOKUP_PATH, CALL_PATH) * CALLERS
+    paths = requested * CALLERS
     threads = [
         threading.Thread(
             target=call,
@@ -134,3 +137,34 @@
         if answer.status != OK or not answer.whole
     ]
     assert not ended, ended
+
+
+# Streams that go on elsewhere follow the version they began with.
+@pytest.mark.parametrize(
+    'kind',
+    [
+        'no routes',
+        'no services',
+        'another service',
+        'another key',
+        'shorter time-outs',
+        'one attempt',
+        'more routes',
+        'many routes',
+    ],
+)
+def test_a_change_of_the_configuration_ends_no_stream_that_goes_on(rig, kind):
+    rig.fleet.control('e1', break_after=BREAK_AFTER)
+    answers = []
+    threads = _start_callers(rig, answers, (STREAM_PATH,))
+    time.sleep(STARTS_S)
+    _change(rig, kind)
+    for thread in threads:
+        thread.join()
+    assert rig.runs('e1')
+    cut = [
+        (answer.status, len(answer.events))
+        for _, answer in answers
+        if not answer.whole or answer.events != list(range(1, EVENTS + 1))
+    ]
+    assert not cut, cut
