--- a/tests/fronts/test_fast_streams.py
+++ b/tests/fronts/test_fast_streams.py
@@ -46,7 +46,7 @@
     ]
 
 
-# A front that reads a stream later than its engine sends it is no proof.
+# A stream that its front had not read for some time was taken for silent.
 @pytest.mark.parametrize('count', [8, 50])
 def test_a_stream_that_waits_to_be_read_is_not_silent(rig, count):
     rig.add_server('n1', 'narrator', event_ms=EVENT_MS)
@@ -75,7 +75,7 @@
     assert ended['sends'] == 1, ended
 
 
-# What is seldom read, because it is much, is silent if it has no events.
+# A stream that is paused for its size is still silent if it has no events.
 def test_a_stream_of_much_without_events_is_silent(rig):
     engines = EndlessProcess('lines of two bytes', 1)
     _register(rig, 'narrator', engines.addresses)
