Check a configuration before it is sent

Operators found out what a configuration does only after hosts had taken or refused it: a hidden prefix, a route to a service that is not listed, or a time-out under its target showed as 404, 503 or late answers of callers.

Not covered: a roll-out to a version without servers, as the check is given no list of servers.

--- a/celerywharf/cli/_config.py
+++ b/celerywharf/cli/_config.py
@@ -1,34 +1,52 @@
-"""celerywharf config: check a settings file or print the reference.
+"""celerywharf config: check settings and configurations.
 
 Usage:
   celerywharf config check [--front] FILE
+  celerywharf config check-routes FILE [--against=FILE] [--json]
   celerywharf config reference [--front]
   celerywharf config (-h | --help)
 
 Commands:
-  check      Check a file; print section, key, value and the allowed values
-             for each error.
-  reference  Print every section and key with its default.
+  check         Check a settings file; print section, key, value and the
+                allowed values for each error.
+  check-routes  Check a configuration of routes, services and keys, in the
+                platform's form, before it is sent.
+  reference     Print every section and key with its default.
 
 Options:
-  --front    Use the settings of a front instead of an entry host.
+  --front         Use the settings of a front instead of an entry host.
+  --against=FILE  Also print what differs from this version.
+  --json          Print JSON.
+
+Exit codes of check-routes: 0 no problem, 1 problems found, 2 unreadable file.
 """
 
 from __future__ import annotations
 
 import sys
 from collections.abc import Iterator, Sequence
+from dataclasses import asdict
+from pathlib import Path
 
 from docopt import docopt
 from pydantic import BaseModel
 
 from celerywharf import settings
 from celerywharf.cli._exits import ExitCode
+from celerywharf.cli._printing import print_json, print_records
+from celerywharf.configuration_checks import Finding, check_configuration
+from celerywharf.exceptions import ProtocolError
+
+COLUMNS = ('kind', 'code', 'entry', 'message')
 
 
 def run(argv: Sequence[str]) -> int:
     """Check a file or print the reference."""
     options = docopt(__doc__, argv=list(argv))
+    if options['check-routes']:
+        return _check_routes(
+            options['FILE'], options['--against'], as_json=options['--json']
+        )
     model = settings.HostSettings
     if options['--front']:
         model = settings.FrontSettings
@@ -57,3 +75,28 @@
             text = '' if default is None else default
             yield f'; {key} = {text}'
         yield ''
+
+
+def _check_routes(path: str, current: str | None, *, as_json: bool) -> int:
+    try:
+        findings = check_configuration(
+            Path(path).read_bytes(),
+            None if current is None else Path(current).read_bytes(),
+        )
+    except (OSError, ProtocolError) as error:
+        sys.stderr.write(f'celerywharf: {error}\n')
+        return ExitCode.usage
+    _print_findings(findings, as_json=as_json)
+    if any(finding.is_problem for finding in findings):
+        return ExitCode.failed
+    return ExitCode.done
+
+
+def _print_findings(findings: Sequence[Finding], *, as_json: bool) -> None:
+    records = [asdict(finding) for finding in findings]
+    if as_json:
+        print_json(records)
+    elif records:
+        print_records(COLUMNS, records)
+    else:
+        sys.stdout.write('nothing found\n')
--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -8,7 +8,7 @@
 Commands:
   serve       Run an entry host.
   front       Run a front on the users' platform.
-  config      Check a settings file or print the settings reference.
+  config      Check settings and configurations, print the settings reference.
   table       Read and change the shared table.
   account     Manage client accounts and their keys.
   service     Manage the services that callers can request.
--- /dev/null
+++ b/celerywharf/configuration_checks/__init__.py
@@ -0,0 +1,6 @@
+"""Checks of a configuration before it is sent to the hosts."""
+
+from celerywharf.configuration_checks._checks import check_configuration
+from celerywharf.configuration_checks._findings import Finding, Kind
+
+__all__ = ('Finding', 'Kind', 'check_configuration')
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -4,9 +4,11 @@
 """
 
 from celerywharf.platform._documents import (
+    configuration_errors,
     decode_backend_server,
     decode_configuration,
     decode_report,
+    list_configuration,
     outlives_copy,
 )
 from celerywharf.platform._eras import Position, StoreEra
@@ -57,9 +59,11 @@
     'TransactionResult',
     'WriteResult',
     'boot_time_s',
+    'configuration_errors',
     'decode_backend_server',
     'decode_configuration',
     'decode_report',
+    'list_configuration',
     'outlives_copy',
     'peer_headers',
     'read_answer_headers',
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -13,8 +13,10 @@
 from celerywharf.exceptions import ProtocolError
 from celerywharf.platform._store import CONFIGURATION_KEY, Row
 from celerywharf.routing import (
+    ClientAccount,
     ClientLimits,
     Configuration,
+    ConfigurationListing,
     EngineMemory,
     Idempotent,
     NonIdempotent,
@@ -24,7 +26,6 @@
     Service,
     SingleStream,
     WeightedService,
-    by_host,
 )
 from celerywharf.structures import Address
 from celerywharf.units import MAX_EXACT_INTEGER
@@ -139,6 +140,10 @@
     name: str
     api_keys: list[str] = Field(default_factory=list)
 
+    def account(self) -> ClientAccount:
+        """Convert to a ``ClientAccount``."""
+        return ClientAccount(self.name, tuple(self.api_keys))
+
 
 class _Configuration(_Document):
     version: int
@@ -179,27 +184,47 @@
 def decode_configuration(text: bytes) -> Configuration:
     """Decode the operator's configuration.
 
+    Raises:
+        ProtocolError: the document is malformed.
+    """
+    return list_configuration(text).configuration()
+
+
+def list_configuration(text: bytes) -> ConfigurationListing:
+    """Decode the entries of the operator's configuration, in their order.
+
     Raises:
         ProtocolError: the document is malformed.
     """
     document = _validated(_Configuration, text)
-    routes = [route.route() for route in document.routes]
-    return Configuration(
+    accounts = document.tenants
+    return ConfigurationListing(
         version=document.version,
-        routes=by_host(routes),
-        services={
-            service.name: service.service() for service in document.services
-        },
-        accounts={
-            key: tenant.name
-            for tenant in document.tenants or ()
-            for key in tenant.api_keys
-        },
-        keys_required=document.tenants is not None,
+        routes=tuple(route.route() for route in document.routes),
+        services=tuple(service.service() for service in document.services),
+        accounts=None
+        if accounts is None
+        else tuple(account.account() for account in accounts),
         limits=_limits(document.limits),
     )
 
 
+def configuration_errors(text: bytes) -> list[tuple[str, str]]:
+    """Return why a configuration cannot be decoded.
+
+    Returns:
+        The place and the description of each error; empty if it can.
+    """
+    try:
+        _Configuration.model_validate_json(text)
+    except ValidationError as error:
+        return [
+            (_place(details), details['msg'][:MAX_NAME])
+            for details in error.errors()
+        ]
+    return []
+
+
 def outlives_copy(row: Row, copied: Row | None) -> bool:
     """Return whether a known configuration is newer than that of a copy.
 
@@ -282,5 +307,8 @@
 
 
 def _describe(error: Mapping[str, Any]) -> str:
-    place = '.'.join(map(str, error['loc']))[:MAX_NAME]
-    return f'{place}: {error["msg"][:MAX_NAME]}'
+    return f'{_place(error)}: {error["msg"][:MAX_NAME]}'
+
+
+def _place(error: Mapping[str, Any]) -> str:
+    return '.'.join(map(str, error['loc']))[:MAX_NAME]
--- a/celerywharf/routing/__init__.py
+++ b/celerywharf/routing/__init__.py
@@ -6,8 +6,10 @@
     ConfigurationCache,
 )
 from celerywharf.routing._configurations import (
+    ClientAccount,
     ClientLimits,
     Configuration,
+    ConfigurationListing,
     EngineMemory,
     Route,
     Service,
@@ -25,9 +27,11 @@
 __all__ = (
     'REWRITE_S',
     'AnswerTiming',
+    'ClientAccount',
     'ClientLimits',
     'Configuration',
     'ConfigurationCache',
+    'ConfigurationListing',
     'EngineMemory',
     'Idempotent',
     'NonIdempotent',
--- a/celerywharf/routing/_configurations.py
+++ b/celerywharf/routing/_configurations.py
@@ -84,6 +84,14 @@
     idle_timeout_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account and its API keys."""
+
+    name: str
+    keys: tuple[str, ...]
+
+
 def by_host(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
     """Group routes by host name, longest prefix first."""
     grouped: dict[str, list[Route]] = {}
@@ -127,3 +135,39 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+
+@dataclass(frozen=True)
+class ConfigurationListing:
+    """The entries of a configuration in the order in which it lists them.
+
+    Entries that no request can match are included.
+
+    Attributes:
+        version: increases with each change.
+        routes: all routes.
+        services: all services.
+        accounts: all client accounts; None if no route requires a key.
+        limits: size and time limits for requests.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    accounts: tuple[ClientAccount, ...] | None
+    limits: ClientLimits
+
+    def configuration(self) -> Configuration:
+        """Return the configuration that hosts apply."""
+        return Configuration(
+            version=self.version,
+            routes=by_host(self.routes),
+            services={service.name: service for service in self.services},
+            accounts={
+                key: account.name
+                for account in self.accounts or ()
+                for key in account.keys
+            },
+            keys_required=self.accounts is not None,
+            limits=self.limits,
+        )
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -27,6 +27,7 @@
       | absent                           | 2    | unknown command     |
       | config check absent.ini          | 3    | cannot be read      |
       | serve --config=absent.ini        | 3    | cannot be read      |
+      | config check-routes absent.json  | 2    | No such file        |
       | status --host=127.0.0.1:1        | 4    | cannot be reached   |
       | usage --host=127.0.0.1:1         | 4    | cannot be reached   |
       | timeline --host=127.0.0.1:1      | 4    | cannot be reached   |
