--- a/celerywharf/configuration_checks/_unreachable.py
+++ b/celerywharf/configuration_checks/_unreachable.py
@@ -91,9 +91,7 @@
             )
     for route in listing.routes:
         yield from _find_targets(route, names)
-    parts = chain.from_iterable(route.services for route in listing.routes)
-    targets = {part.service for part in parts if part.weight > 0}
-    for name in sorted(names.keys() - targets):
+    for name in sorted(names.keys() - _targets(listing.routes)):
         yield _finding(
             'service_without_route',
             service_entry(name),
@@ -101,6 +99,12 @@
         )
 
 
+def _targets(routes: Iterable[Route]) -> set[str]:
+    """Return the services to which any route sends requests."""
+    parts = chain.from_iterable(route.services for route in routes)
+    return {part.service for part in parts if part.weight > 0}
+
+
 def _find_targets(route: Route, names: Container[str]) -> Iterator[Finding]:
     """Yield the targets of a route that no request can reach."""
     for part in route.services:
