Place calls and streams by the pace of machines

Callers of a service that states its pace were placed as if nothing was known of its load: the fourth figure of Engine-Load lost the other three.

The load is read with and without it, from refusals and reports too; what is malformed is counted and leaves what is sound. The cost of a server is the expected time there; how long a stated pace holds is measured from how well each statement predicted the next. Hosts with equal facts share calls by the expected time. Servers that state none are judged by their answers, if these prove steadily slow.

--- a/celerywharf/backends/__init__.py
+++ b/celerywharf/backends/__init__.py
@@ -10,7 +10,11 @@
 )
 from celerywharf.backends._placement import Demand, Placement
 from celerywharf.backends._reachability import Reachability
-from celerywharf.backends._servers import BackendServer, EngineReport
+from celerywharf.backends._servers import (
+    BackendServer,
+    EngineReport,
+    ServerLoad,
+)
 from celerywharf.backends._software_versions import (
     VERSIONS_KEPT_S,
     SoftwareVersions,
@@ -28,6 +32,7 @@
     'Placement',
     'Reachability',
     'ServerHealth',
+    'ServerLoad',
     'SoftwareVersions',
     'Suspicion',
 )
--- a/celerywharf/backends/_loads.py
+++ b/celerywharf/backends/_loads.py
@@ -6,7 +6,12 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
-from celerywharf.backends._servers import EngineReport
+from celerywharf.backends._server_paces import ServerPaces
+from celerywharf.backends._servers import (
+    BackendServer,
+    EngineReport,
+    ServerLoad,
+)
 
 # A load stated in the answer to a call is outdated after this time.
 ANSWER_LOAD_MAX_AGE_S = 0.3
@@ -20,8 +25,8 @@
     requests: int = 0
     prompts: int = 0
     tokens: int = 0
-    answer_load: float = 0
-    answer_load_at_s: float = float('-inf')
+    stated: ServerLoad | None = None
+    stated_at_s: float = float('-inf')
     alive_at_s: float = float('-inf')
     report: EngineReport | None = None
     report_at_s: float = float('-inf')
@@ -35,10 +40,15 @@
 
     Combines what this host has sent them with the load that their answers and
     reports state.
+
+    Attributes:
+        loads: what is known of each server, by its name.
+        paces: pace of each server.
     """
 
     def __init__(self) -> None:
         self.loads: dict[str, _Load] = {}
+        self.paces = ServerPaces()
 
     def started(self, name: str, tokens: int, now_s: float) -> None:
         """Record the start of a request.
@@ -66,17 +76,23 @@
 
     def retain(self, names: Container[str]) -> None:
         """Evict other servers that have no requests of this host."""
+        self.paces.retain(names)
         self.loads = {
             name: load
             for name, load in self.loads.items()
             if load.requests or name in names
         }
 
-    def reported(self, name: str, load: float, now_s: float) -> None:
-        """Record the load stated in an answer, as a fraction of the slots."""
-        record = self._load(name)
-        record.answer_load = load
-        record.answer_load_at_s = now_s
+    def reported(
+        self, server: BackendServer, stated: ServerLoad, now_s: float
+    ) -> None:
+        """Record the load stated in an answer."""
+        record = self._load(server.name)
+        if stated.running is not None:
+            record.stated = stated
+            record.stated_at_s = now_s
+        if stated.pace is not None:
+            self.paces.stated(server, stated.pace, now_s)
 
     def mark_alive(self, name: str, now_s: float) -> None:
         """Record that a server has just responded."""
@@ -128,12 +144,22 @@
     def _has_fresh_report(self, load: _Load, now_s: float) -> bool:
         return now_s - load.report_at_s < ENGINE_REPORT_MAX_AGE_S
 
-    def answer_load(self, name: str, now_s: float) -> float:
-        """Return the load stated in the last answer; 0 if it is outdated."""
-        load = self._load(name)
-        if now_s - load.answer_load_at_s > ANSWER_LOAD_MAX_AGE_S:
-            return 0
-        return load.answer_load
+    def slots_used(self, server: BackendServer, now_s: float) -> float:
+        """Estimate the requests at a server as a fraction of its slots.
+
+        From this host's requests there and, unless it is outdated, the load
+        stated in the last answer.
+        """
+        load = self._load(server.name)
+        own = load.requests / max(server.slots, 1)
+        if now_s - load.stated_at_s > ANSWER_LOAD_MAX_AGE_S:
+            return own
+        stated = load.stated.running + load.stated.waiting
+        if load.stated.pace is not None:
+            stated += sum(
+                sent_s > load.stated_at_s for sent_s in load.sent_at_s
+            )
+        return max(own, stated / load.stated.slots)
 
     def _load(self, name: str) -> _Load:
         return self.loads.setdefault(name, _Load())
--- a/celerywharf/backends/_placement.py
+++ b/celerywharf/backends/_placement.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from celerywharf.backends._costs import ExpectedTime
 from celerywharf.backends._directory import Directory
 from celerywharf.backends._health import ServerHealth
 from celerywharf.backends._loads import Loads
@@ -18,8 +19,6 @@
 # The same for streams, in prompts queued ahead of the stream's prompt.
 STREAM_ZONE_COST = 0.4
 STREAM_REGION_COST = 0.8
-# A running stream delays a prompt as much as a quarter of a prompt would.
-RUNNING_COST = 0.25
 # A server that may have failed with its zone is worse than a loaded one.
 SUSPECT_COST = 4.0
 SUSPECT_BACKUP_COST = 4.0
@@ -27,6 +26,9 @@
 # contains none of the least loaded tenth of a service once in a thousand times.
 MAX_RANKED = 128
 MAX_JITTER = 0.05  # random cost that spreads requests over equal servers
+# Hosts that know the same paces spread calls by the inverse of the expected
+# time to this power.
+SHARE_POWER = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,11 +53,12 @@
 
 
 class Placement:
-    """Chooses the least loaded backend server, preferring nearby ones.
+    """Chooses the server that answers first, preferring nearby ones.
 
     Plain calls, which are short and frequent, are placed by the fraction of
     slots in use.  Streams are placed by the number of unread prompts, which
-    delay their first event, on servers with enough free token memory.
+    delay their first event, on servers with enough free token memory.  Both
+    take longer by the pace of the server's machine.
 
     Attributes:
         directory: the known backend servers.
@@ -81,6 +84,7 @@
         self.availability_zone = availability_zone
         self.regions = regions
         self.random = random
+        self.expected_time = ExpectedTime(loads)
 
     def choose(self, demand: Demand, now_s: float) -> BackendServer | None:
         """Return the best backend server; None if no server is eligible."""
@@ -100,10 +104,18 @@
         healthy = [
             server for server in usable if self.health.usable(server, now_s)
         ]
-        return sorted(
-            healthy or usable,
-            key=lambda server: self._cost(server, demand, now_s),
+        costs = {
+            server.name: self._cost(server, demand, now_s)
+            for server in healthy or usable
+        }
+        ranked = sorted(
+            healthy or usable, key=lambda server: costs[server.name]
         )
+        if not demand.tokens and any(
+            server.name in self.loads.paces.stating for server in ranked[:1]
+        ):
+            self._share(ranked, costs)
+        return ranked
 
     def backups(
         self,
@@ -189,28 +201,40 @@
         demand: Demand,
         now_s: float,
     ) -> float:
-        name = server.name
         base_cost = self.random.random() * MAX_JITTER
         if self.health.suspect(server, now_s):
             base_cost += SUSPECT_COST
+        load_cost = self.expected_time.beyond_work(server, demand.tokens, now_s)
         if demand.tokens:
-            load_cost = (
-                self.loads.prompts(name, now_s)
-                + self.loads.running(name, now_s) * RUNNING_COST
-            )
             distance_cost = self._distance_cost(
                 server, STREAM_ZONE_COST, STREAM_REGION_COST
             )
-            return load_cost + distance_cost + base_cost
-        load_cost = max(
-            self.loads.requests(name) / max(server.slots, 1),
-            self.loads.answer_load(name, now_s),
-        )
-        distance_cost = self._distance_cost(
-            server, CALL_ZONE_COST, CALL_REGION_COST
-        )
+        else:
+            distance_cost = self._distance_cost(
+                server, CALL_ZONE_COST, CALL_REGION_COST
+            )
         return load_cost + distance_cost + base_cost
 
+    def _share(
+        self,
+        ranked: list[BackendServer],
+        costs: dict[str, float],
+    ) -> None:
+        """Move one of the servers as near as the best to the front.
+
+        Each is moved with a probability that falls with its expected time, so
+        that hosts that know the same don't all send to the best one.
+        """
+        zone = ranked[0].availability_zone
+        near = [server for server in ranked if server.availability_zone == zone]
+        shares = [
+            max(1 + costs[server.name], MAX_JITTER) ** -SHARE_POWER
+            for server in near
+        ]
+        chosen = self.random.choices(near, shares)[0]
+        ranked.remove(chosen)
+        ranked.insert(0, chosen)
+
     def _distance_cost(
         self,
         server: BackendServer,
--- a/celerywharf/backends/_servers.py
+++ b/celerywharf/backends/_servers.py
@@ -47,6 +47,24 @@
     return incarnation.rpartition('/')[0]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Load of a server at the moment of an answer, as far as it is stated.
+
+    Attributes:
+        running: requests that hold a slot; None if not known, as are the next
+            two then.
+        waiting: requests in its queue.
+        slots: number of requests it runs concurrently.
+        pace: how long work takes on its machine, 1 as usual; None if unknown.
+    """
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    pace: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class EngineReport:
     """Load of an engine as it was some hundred milliseconds ago.
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -25,8 +25,10 @@
     invalid_answer,
     is_from_server,
     leaving_incarnation,
-    record_load,
+    record_limit,
+    record_stated_load,
     refusal,
+    states_load,
 )
 from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.forwarding._statements import record_availability
@@ -188,9 +190,11 @@
             status,
             self.headers,
         )
+        if states_load(self.request, status, self.headers):
+            record_stated_load(self.context, self.server, self.headers)
         if outcome is None or is_from_server(outcome):
             sent_s = self.detector.started_s
-            record_load(self.context, self.server, self.headers, sent_s)
+            record_limit(self.context, self.server, self.headers, sent_s)
         if outcome is not None:
             self.settle(outcome)
         elif status == HTTPStatus.OK:
--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Callable
 
-from celerywharf.adapters.transports import HttpRequest, Transport
+from celerywharf.adapters.transports import HttpRequest, HttpResponse, Transport
 from celerywharf.backends import (
     BackendServer,
     EngineReport,
@@ -20,7 +20,11 @@
 )
 from celerywharf.forwarding._statements import availability_recorder
 from celerywharf.limits import ServerLimiter
-from celerywharf.platform import PROBE_PATH, decode_report
+from celerywharf.platform import (
+    PROBE_PATH,
+    decode_report,
+    read_answer_headers,
+)
 from celerywharf.structures import Verdict
 from celerywharf.timers import TimerService
 from celerywharf.units import SMALL_MESSAGE_BYTES
@@ -111,7 +115,8 @@
         uses its address; either is recorded in its health.
         """
         try:
-            report = await self._fetch_report(server)
+            response = await self._fetch_report(server)
+            report = decode_report(response.body)
         except (TransportError, ProtocolError) as error:
             logger.info(
                 'no report',
@@ -124,6 +129,9 @@
             self.health.replaced(server, now_s)
             return None
         self.loads.report(server.name, report, now_s)
+        stated = read_answer_headers(response.headers).load
+        if stated is not None:
+            self.loads.reported(server, stated, now_s)
         self.health.reached(server)
         return report
 
@@ -136,7 +144,7 @@
         else:
             self.health.silent(server, now_s)
 
-    async def _fetch_report(self, server: BackendServer) -> EngineReport:
+    async def _fetch_report(self, server: BackendServer) -> HttpResponse:
         request = HttpRequest(
             'GET',
             f'http://{server.address}{PROBE_PATH}',
@@ -147,13 +155,11 @@
         )
         for _ in range(MAX_PROBES - 1):
             try:
-                response = await self.transport.fetch(request)
-                return decode_report(response.body)
+                return await self.transport.fetch(request)
             except TransportError as error:
                 if not error.late:
                     raise
-        response = await self.transport.fetch(request)
-        return decode_report(response.body)
+        return await self.transport.fetch(request)
 
     def _is_stale(self, server: BackendServer) -> bool:
         """Return whether a server should be probed.
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -112,13 +112,37 @@
     return server.incarnation if headers.leaving else ''
 
 
-def record_load(
+def record_stated_load(
+    context: ForwardingContext, server: BackendServer, headers: AnswerHeaders
+) -> None:
+    """Record the load that a server states, as far as it is sound."""
+    if not headers.has_sound_load:
+        context.metrics.count('malformed_loads', service=server.service)
+    if headers.load is not None:
+        context.loads.reported(server, headers.load, context.timers.now())
+
+
+def states_load(
+    request: IncomingRequest, status: int, headers: AnswerHeaders
+) -> bool:
+    """Return whether the load in an answer is that of the server meant.
+
+    An answer that can't be passed on may state it as well.
+    """
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return False
+    if headers.request_id is None:
+        return headers.not_run
+    return headers.request_id == request.headers.request_id
+
+
+def record_limit(
     context: ForwardingContext,
     server: BackendServer,
     headers: AnswerHeaders,
     sent_s: float,
 ) -> None:
-    """Record the load and the limit that a server states.
+    """Record the limit that a server states.
 
     Args:
         context: components of the host.
@@ -126,9 +150,6 @@
         headers: headers of its answer.
         sent_s: when the request was sent, monotonic seconds.
     """
-    if headers.load is not None:
-        now_s = context.timers.now()
-        context.loads.reported(server.name, headers.load, now_s)
     limit_per_s = headers.limit_per_s
     if headers.has_limit and limit_per_s is None:
         return
@@ -204,6 +225,10 @@
     if isinstance(outcome, Answered):
         took_s = context.timers.now() - started_s
         context.metrics.observe('backend_answer', took_s)
+        region = context.placement.regions.get(server.availability_zone, '')
+        context.loads.paces.answered(
+            server, region, took_s, context.timers.now()
+        )
     return outcome
 
 
@@ -277,6 +302,8 @@
         or invalid_answer(request, response.status, headers)
         or Answered(response, headers, leaving_incarnation(server, headers))
     )
+    if states_load(request, response.status, headers):
+        record_stated_load(context, server, headers)
     if is_from_server(outcome):
-        record_load(context, server, headers, sent_s)
+        record_limit(context, server, headers, sent_s)
     return outcome
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass
 
 from celerywharf.adapters.transports import HOP_BY_HOP
+from celerywharf.backends import ServerLoad
 from celerywharf.platform._prompts import shared_parts
+from celerywharf.platform._server_loads import read_server_load
 from celerywharf.structures import Address
 from celerywharf.units import MAX_EXACT_INTEGER
 
@@ -96,8 +98,8 @@
         not_run: the backend server guarantees that it did not run the request.
         encoded: a Content-Encoding other than ``identity`` is set, so the
             body is not as the backend server sent it.
-        load: running and waiting requests divided by slots; None if missing
-            or malformed.
+        load: what is sound of the load it states; None if nothing is.
+        has_sound_load: no part of the stated load is malformed or absurd.
         has_limit: the backend server states a request limit.
         limit_per_s: requests a second that it takes from all hosts together;
             None if it states none or a malformed one.
@@ -113,7 +115,8 @@
     signed: bool
     not_run: bool
     encoded: bool
-    load: float | None
+    load: ServerLoad | None
+    has_sound_load: bool
     has_limit: bool
     limit_per_s: float | None
     leaving: bool
@@ -171,12 +174,14 @@
 def read_answer_headers(headers: Mapping[str, str]) -> AnswerHeaders:
     """Parse a backend server's headers, whose names are in lower case."""
     connection_options = _connection_options(headers)
+    load, has_sound_load = read_server_load(headers.get(LOAD))
     return AnswerHeaders(
         request_id=headers.get(REQUEST_ID),
         signed=bool(headers.get(SERVER_STAMP)),
         not_run=NOT_RUN in headers,
         encoded=headers.get('content-encoding', 'identity') != 'identity',
-        load=_load(headers.get(LOAD)),
+        load=load,
+        has_sound_load=has_sound_load,
         has_limit=LIMIT in headers,
         limit_per_s=_number(headers.get(LIMIT, '')),
         leaving=headers.get(LEAVING, '').strip() == '1',
@@ -278,12 +283,3 @@
     except ValueError:
         return None
     return number if math.isfinite(number) and number >= 0 else None
-
-
-def _load(text: str | None) -> float | None:
-    """Return the load per slot; None if it is missing or malformed."""
-    try:
-        running, waiting, slots = map(_count, (text or '').split(','))
-    except ValueError:
-        return None
-    return (running + waiting) / slots if slots else None
--- a/tests/platform/test_odd_documents.py
+++ b/tests/platform/test_odd_documents.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from celerywharf.backends import ServerLoad
 from celerywharf.exceptions import ProtocolError
 from celerywharf.peers import RELAY_HEADER, read_report
 from celerywharf.platform import (
@@ -183,8 +184,13 @@
 @settings(max_examples=MAX_EXAMPLES, deadline=None)
 def test_headers_of_an_answer_state_finite_numbers(headers):
     answer = read_answer_headers(headers)
+    load = answer.load or ServerLoad(0, 0, 1)
+    assert load.pace is None or 0 < load.pace < math.inf
+    assert load.slots is None or load.slots > 0
     for number in (
-        answer.load,
+        load.running,
+        load.waiting,
+        load.slots,
         answer.limit_per_s,
         answer.pause_s,
         answer.refusals_per_s,
