State the urgency of requests to engines

Callers of urgent routes waited at engines behind those of less urgent ones: the priority of a route was read by nothing, that of a client account was not decoded. Request-Urgency is now stated with each send where priorities of a service differ; streams that have begun go before new ones of their priority.

--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -50,6 +50,7 @@
     remaining_s: float,
     backup: Address | None = None,
     resumption: Resumption | None = None,
+    urgency: int | None = None,
 ) -> HttpRequest:
     """Build the HTTP request to a backend server.
 
@@ -67,6 +68,7 @@
             remaining_s=remaining_s,
             backup=backup,
             resumption=resumption,
+            urgency=urgency,
         ),
         body=request.body,
         target=request.target,
@@ -78,6 +80,37 @@
     )
 
 
+def urgency_at(
+    context: ForwardingContext,
+    request: IncomingRequest,
+    server: BackendServer,
+    *,
+    begun: bool = False,
+) -> int | None:
+    """Return the urgency that is stated to a backend server.
+
+    None for plain applications, and if all requests are equally urgent.
+
+    Args:
+        context: components of the host.
+        request: the caller's request.
+        server: where it is sent.
+        begun: the caller has a part of the answer.
+    """
+    configuration = context.configuration_cache.configuration
+    service = configuration.services.get(server.service)
+    if service is None or service.memory is None:
+        return None
+    urgencies = configuration.urgencies
+    priority = urgencies.priority(request.route, request.account)
+    urgency = urgencies.urgency(server.service, priority, begun=begun)
+    if urgency is not None:
+        context.metrics.count(
+            'stated_urgencies', service=server.service, urgency=str(urgency)
+        )
+    return urgency
+
+
 def refusal(
     request: IncomingRequest,
     status: int,
@@ -188,7 +221,12 @@
         outcome = await _fetch(
             context,
             replace(
-                build_request(request, server, remaining_s),
+                build_request(
+                    request,
+                    server,
+                    remaining_s,
+                    urgency=urgency_at(context, request, server),
+                ),
                 on_headers=availability_recorder(
                     context.health, context.limits, server
                 ),
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -20,7 +20,11 @@
 from celerywharf.forwarding._relays import Progress, StreamRelay
 from celerywharf.forwarding._request_log import RequestLog
 from celerywharf.forwarding._requests import IncomingRequest
-from celerywharf.forwarding._sends import build_request, record_outcome
+from celerywharf.forwarding._sends import (
+    build_request,
+    record_outcome,
+    urgency_at,
+)
 from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.forwarding._stream_placer import StreamPlacer
 from celerywharf.forwarding._stream_sends import StreamPlacement, StreamSend
@@ -127,6 +131,12 @@
                 self.remaining_s(),
                 backup and backup.address,
                 placement.resumption,
+                urgency_at(
+                    context,
+                    self.request,
+                    placement.server,
+                    begun=bool(self.progress.last_event),
+                ),
             ),
             relay,
         )
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -224,6 +224,7 @@
                 extra={
                     'version': configuration.version,
                     'routes': sum(map(len, configuration.routes.values())),
+                    'malformed_priorities': configuration.malformed_priorities,
                 },
             )
 
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Annotated, Any, Literal, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictInt,
+    ValidationError,
+    WrapValidator,
+)
 from pydantic.alias_generators import to_camel
 
 from celerywharf.backends import BackendServer, EngineReport
@@ -25,6 +32,7 @@
     SingleStream,
     WeightedService,
     by_host,
+    collect_urgencies,
 )
 from celerywharf.structures import Address
 from celerywharf.units import MAX_EXACT_INTEGER
@@ -38,6 +46,17 @@
 # The name of a backend server is sent to it in a header.
 SERVER_NAME = re.compile('[!-~]+')
 
+MALFORMED = object()
+
+
+def _drop_malformed(given: Any, validate: Callable[[Any], Any]) -> Any:
+    try:
+        return validate(given)
+    except ValidationError:
+        return MALFORMED
+
+
+Priority = Annotated[StrictInt | None, WrapValidator(_drop_malformed)]
 Name = Annotated[str, Field(max_length=MAX_NAME)]
 Count = Annotated[int, Field(ge=0, le=MAX_EXACT_INTEGER)]
 
@@ -66,7 +85,7 @@
     kind: Literal['idempotent', 'non_idempotent', 'streaming']
     timeout_ms: float
     latency_target_ms: float = 0
-    priority: int = 0
+    priority: Priority = None
     service: str | None = None
     split: list[_Split] = Field(default_factory=list)
     max_attempts: int = 1
@@ -102,7 +121,7 @@
             policy=self.policy(),
             timeout_s=self.timeout_ms / MS_PER_S,
             latency_target_s=self.latency_target_ms / MS_PER_S,
-            priority=self.priority,
+            priority=_sound(self.priority) or 0,
             services=self.services(),
             max_attempts=self.max_attempts,
             public=self.public,
@@ -138,6 +157,7 @@
 class _Tenant(_Document):
     name: str
     api_keys: list[str] = Field(default_factory=list)
+    priority: Priority = None
 
 
 class _Configuration(_Document):
@@ -184,6 +204,12 @@
     """
     document = _validated(_Configuration, text)
     routes = [route.route() for route in document.routes]
+    tenants = document.tenants or ()
+    account_priorities = {
+        tenant.name: tenant.priority
+        for tenant in tenants
+        if _sound(tenant.priority) is not None
+    }
     return Configuration(
         version=document.version,
         routes=by_host(routes),
@@ -191,12 +217,14 @@
             service.name: service.service() for service in document.services
         },
         accounts={
-            key: tenant.name
-            for tenant in document.tenants or ()
-            for key in tenant.api_keys
+            key: tenant.name for tenant in tenants for key in tenant.api_keys
         },
         keys_required=document.tenants is not None,
         limits=_limits(document.limits),
+        urgencies=collect_urgencies(routes, account_priorities),
+        malformed_priorities=sum(
+            part.priority is MALFORMED for part in (*document.routes, *tenants)
+        ),
     )
 
 
@@ -264,6 +292,11 @@
     )
 
 
+def _sound(priority: Any) -> int | None:
+    """Return a priority; None if it is missing or malformed."""
+    return None if priority is MALFORMED else priority
+
+
 def _limits(document: _Limits) -> ClientLimits:
     return ClientLimits(
         header_bytes=document.max_header_bytes,
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -34,6 +34,7 @@
 RETRY_AFTER = 'retry-after'
 BACKUP = 'kv-backup'
 RESUME_FROM = 'kv-from'
+URGENCY = 'request-urgency'
 
 # Headers that only this system may set; dropped from callers' requests.
 RESERVED = frozenset(
@@ -47,7 +48,7 @@
         'hold',
         'pin-ms',
         'kv-fetch',
-        'request-urgency',
+        URGENCY,
         'expect-version',
     )
 )
@@ -198,6 +199,7 @@
     remaining_s: float,
     backup: Address | None = None,
     resumption: Resumption | None = None,
+    urgency: int | None = None,
 ) -> dict[str, str]:
     """Return the headers of a request to a backend server.
 
@@ -209,6 +211,7 @@
         remaining_s: time left until the caller's deadline.
         backup: where to keep a copy of the run's KV cache.
         resumption: given when an interrupted stream is resumed.
+        urgency: from 0, the most urgent, to 9; None if all are equal.
     """
     headers = dict.fromkeys(ADDED_BY_CURL, '')
     headers.update(request.forwarded)
@@ -216,6 +219,8 @@
     headers[INSTANCE] = instance
     if account is not None:
         headers[ACCOUNT] = account
+    if urgency is not None:
+        headers[URGENCY] = str(urgency)
     if backup is not None:
         headers[BACKUP] = str(backup)
     if resumption is not None:
--- a/celerywharf/routing/__init__.py
+++ b/celerywharf/routing/__init__.py
@@ -21,6 +21,7 @@
     ResumableStream,
     SingleStream,
 )
+from celerywharf.routing._urgencies import Urgencies, collect_urgencies
 
 __all__ = (
     'REWRITE_S',
@@ -36,6 +37,8 @@
     'Route',
     'Service',
     'SingleStream',
+    'Urgencies',
     'WeightedService',
     'by_host',
+    'collect_urgencies',
 )
--- a/celerywharf/routing/_configurations.py
+++ b/celerywharf/routing/_configurations.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from celerywharf.routing._policies import Policy
+from celerywharf.routing._urgencies import Urgencies
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +28,7 @@
         policy: whether and how requests may be retried.
         timeout_s: time within which a caller must have its answer.
         latency_target_s: answers that take longer count as late.
-        priority: 0 is the most urgent.
+        priority: 0 is the most urgent; that of a client account precedes it.
         services: one, or several among which requests are split by weight.
         max_attempts: maximum number of sends of one request that may have run.
         public: requests need no API key.
@@ -112,6 +113,8 @@
         accounts: name of the client account by API key.
         keys_required: whether routes that are not public require an API key.
         limits: size and time limits for requests.
+        urgencies: which requests go first at engines.
+        malformed_priorities: how many priorities were dropped as malformed.
     """
 
     version: int
@@ -120,6 +123,8 @@
     accounts: dict[str, str]
     keys_required: bool
     limits: ClientLimits
+    urgencies: Urgencies = field(default_factory=Urgencies)
+    malformed_priorities: int = 0
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -17,6 +17,7 @@
 from tornado.web import Application
 
 from standins import control
+from standins.admitting import DEFAULT_URGENCY, URGENCY, UrgentSlots
 from standins.endless import ANSWERS, EndlessAnswer
 
 OK = 200
@@ -75,6 +76,7 @@
             to write an answer to a request that has it.
         crash_request: account, target and body of a request, with spaces
             between; the process ends as soon as it runs one like it.
+        slots: requests that run at once, others wait; 0 for no limit.
     """
 
     full: bool = False
@@ -102,6 +104,7 @@
     brittle: float | None = None
     crash_on: str = ''
     crash_request: str = ''
+    slots: int = 0
 
 
 @dataclass(slots=True)
@@ -152,6 +155,7 @@
         self.copies: dict[str, int] = {}
         self.refused_s: list[float] = []
         self.probed_s: list[float] = []
+        self.slots = UrgentSlots()
         self.http = AsyncHTTPClient()
 
     def record(self) -> dict[str, Any]:
@@ -182,7 +186,7 @@
         """Return the load in the format of the platform's engines."""
         running = [run for run in self.runs if run.state == 'running']
         return {
-            'queued': 0,
+            'queued': self.slots.waiting,
             'running': len(running),
             'kvUsed': 0,
             'kvTotal': 88000,
@@ -225,6 +229,7 @@
         """Bind the call to its stand-in, before a run is started."""
         super().initialize(standin)
         self.served_run: ServedRun | None = None
+        self.gone = asyncio.get_running_loop().create_future()
 
     async def get(self, *_: Any) -> None:
         await self.serve()
@@ -248,6 +253,16 @@
         if refusal_status:
             await self.refuse(refusal_status)
             return
+        urgency = int(self.request.headers.get(URGENCY, DEFAULT_URGENCY))
+        slots = self.standin.slots
+        if await slots.enter(urgency, self.standin.switches.slots, self.gone):
+            try:
+                await self.serve_run()
+            finally:
+                slots.leave()
+
+    async def serve_run(self) -> None:
+        """Run a request that has a slot."""
         self.served_run = self.start_run()
         await self.crash_if_requested(self.served_run)
         try:
@@ -277,6 +292,8 @@
 
     def on_connection_close(self) -> None:
         """Mark the run as abandoned by its caller."""
+        if not self.gone.done():
+            self.gone.set_result(None)
         if self.served_run is not None and self.served_run.state == 'running':
             self.served_run.state = 'abandoned'
             self.served_run.ended_s = time.monotonic()
--- a/tests/forwarding/test_late_statements.py
+++ b/tests/forwarding/test_late_statements.py
@@ -22,6 +22,7 @@
     _make_context,
     _make_request,
 )
+from tests.routing.test_configuration_cache import make_configuration
 
 FIRST = make_server('e1', address=Address('127.0.0.1', 1))
 SECOND = make_server('e2', 'north-2', address=Address('127.0.0.1', 2))
@@ -77,7 +78,7 @@
     directory.update(FIRST, 0)
     directory.update(SECOND, 0)
     service = Service(SERVICE, '/', EngineMemory(88_000, backups=True))
-    configuration = SimpleNamespace(services={SERVICE: service})
+    configuration = make_configuration(1, services={SERVICE: service})
     return replace(
         context,
         transport=transport,
