--- a/celerywharf/configuration_checks/_contradictions.py
+++ b/celerywharf/configuration_checks/_contradictions.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
 from collections.abc import Iterator
 
 from celerywharf.configuration_checks._findings import (
@@ -86,17 +85,19 @@
 
 
 def _find_idle_priorities(listing: ConfigurationListing) -> Iterator[Finding]:
-    """Yield services whose routes all have one priority that was set."""
-    priorities: dict[str, set[int]] = defaultdict(set)
-    for route in listing.routes:
-        for part in route.services:
-            priorities[part.service].add(route.priority)
-    for name, found in priorities.items():
-        if len(found) == 1 and found != {0}:
+    """Yield the services at which priorities set nothing apart."""
+    if listing.malformed_priorities:
+        yield _finding(
+            'malformed_priorities',
+            'priorities',
+            f'{listing.malformed_priorities} are no integers and are dropped',
+        )
+    for name, found in listing.configuration().urgencies.by_service.items():
+        if len(found) == 1 and found != (0,):
             yield _finding(
                 'priority_without_effect',
                 service_entry(name),
-                f'all of its routes have priority {min(found)}, '
+                f'all requests to it have priority {found[0]}, '
                 'so none goes before another',
             )
 
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Annotated, Any, Literal, TypeVar
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictInt,
+    ValidationError,
+    WrapValidator,
+)
 from pydantic.alias_generators import to_camel
 
 from celerywharf.backends import BackendServer, EngineReport
@@ -39,6 +46,17 @@
 # The name of a backend server is sent to it in a header.
 SERVER_NAME = re.compile('[!-~]+')
 
+MALFORMED = object()
+
+
+def _drop_malformed(given: Any, validate: Callable[[Any], Any]) -> Any:
+    try:
+        return validate(given)
+    except ValidationError:
+        return MALFORMED
+
+
+Priority = Annotated[StrictInt | None, WrapValidator(_drop_malformed)]
 Name = Annotated[str, Field(max_length=MAX_NAME)]
 Count = Annotated[int, Field(ge=0, le=MAX_EXACT_INTEGER)]
 
@@ -67,7 +85,7 @@
     kind: Literal['idempotent', 'non_idempotent', 'streaming']
     timeout_ms: float
     latency_target_ms: float = 0
-    priority: int = 0
+    priority: Priority = None
     service: str | None = None
     split: list[_Split] = Field(default_factory=list)
     max_attempts: int = 1
@@ -103,7 +121,7 @@
             policy=self.policy(),
             timeout_s=self.timeout_ms / MS_PER_S,
             latency_target_s=self.latency_target_ms / MS_PER_S,
-            priority=self.priority,
+            priority=_sound(self.priority) or 0,
             services=self.services(),
             max_attempts=self.max_attempts,
             public=self.public,
@@ -139,10 +157,13 @@
 class _Tenant(_Document):
     name: str
     api_keys: list[str] = Field(default_factory=list)
+    priority: Priority = None
 
     def account(self) -> ClientAccount:
         """Convert to a ``ClientAccount``."""
-        return ClientAccount(self.name, tuple(self.api_keys))
+        return ClientAccount(
+            self.name, tuple(self.api_keys), _sound(self.priority)
+        )
 
 
 class _Configuration(_Document):
@@ -198,6 +219,7 @@
     """
     document = _validated(_Configuration, text)
     accounts = document.tenants
+    prioritized = (*document.routes, *(accounts or ()))
     return ConfigurationListing(
         version=document.version,
         routes=tuple(route.route() for route in document.routes),
@@ -206,6 +228,9 @@
         if accounts is None
         else tuple(account.account() for account in accounts),
         limits=_limits(document.limits),
+        malformed_priorities=sum(
+            entry.priority is MALFORMED for entry in prioritized
+        ),
     )
 
 
@@ -289,6 +314,11 @@
     )
 
 
+def _sound(priority: Any) -> int | None:
+    """Return a priority; None if it is missing or malformed."""
+    return None if priority is MALFORMED else priority
+
+
 def _limits(document: _Limits) -> ClientLimits:
     return ClientLimits(
         header_bytes=document.max_header_bytes,
--- a/celerywharf/routing/_configurations.py
+++ b/celerywharf/routing/_configurations.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from celerywharf.routing._policies import Policy
+from celerywharf.routing._urgencies import Urgencies, collect_urgencies
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +28,7 @@
         policy: whether and how requests may be retried.
         timeout_s: time within which a caller must have its answer.
         latency_target_s: answers that take longer count as late.
-        priority: 0 is the most urgent.
+        priority: 0 is the most urgent; that of a client account precedes it.
         services: one, or several among which requests are split by weight.
         max_attempts: maximum number of sends of one request that may have run.
         public: requests need no API key.
@@ -86,10 +87,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientAccount:
-    """A client account and its API keys."""
+    """A client account.
+
+    Attributes:
+        name: unique name.
+        keys: its API keys.
+        priority: precedes that of routes; None if it has none.
+    """
 
     name: str
     keys: tuple[str, ...]
+    priority: int | None = None
 
 
 def by_host(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
@@ -120,6 +128,8 @@
         accounts: name of the client account by API key.
         keys_required: whether routes that are not public require an API key.
         limits: size and time limits for requests.
+        urgencies: which requests go first at engines.
+        malformed_priorities: how many priorities were dropped as malformed.
     """
 
     version: int
@@ -128,6 +138,8 @@
     accounts: dict[str, str]
     keys_required: bool
     limits: ClientLimits
+    urgencies: Urgencies = field(default_factory=Urgencies)
+    malformed_priorities: int = 0
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
@@ -149,6 +161,7 @@
         services: all services.
         accounts: all client accounts; None if no route requires a key.
         limits: size and time limits for requests.
+        malformed_priorities: how many priorities were dropped as malformed.
     """
 
     version: int
@@ -156,18 +169,29 @@
     services: tuple[Service, ...]
     accounts: tuple[ClientAccount, ...] | None
     limits: ClientLimits
+    malformed_priorities: int = 0
 
     def configuration(self) -> Configuration:
         """Return the configuration that hosts apply."""
+        accounts = self.accounts or ()
         return Configuration(
             version=self.version,
             routes=by_host(self.routes),
             services={service.name: service for service in self.services},
             accounts={
                 key: account.name
-                for account in self.accounts or ()
+                for account in accounts
                 for key in account.keys
             },
             keys_required=self.accounts is not None,
             limits=self.limits,
+            urgencies=collect_urgencies(
+                self.routes,
+                {
+                    account.name: account.priority
+                    for account in accounts
+                    if account.priority is not None
+                },
+            ),
+            malformed_priorities=self.malformed_priorities,
         )
--- a/tests/configuration_checks/test_checks.py
+++ b/tests/configuration_checks/test_checks.py
@@ -148,6 +148,20 @@
     assert (code, entry) in _codes(content)
 
 
+def test_priorities_of_accounts_have_an_effect():
+    content = document(
+        route('a', priority=2), tenants=[{**SHOP, 'priority': 1}]
+    )
+
+    assert not check_configuration(content)
+
+
+def test_malformed_priorities_are_reported():
+    content = document(route('a', priority='high'))
+
+    assert ('malformed_priorities', 'priorities') in _codes(content)
+
+
 def test_priorities_that_differ_have_an_effect():
     content = document(route('a', priority=0), route('b', priority=2))
 
