Take leases of room at engines before streams are sent

Hosts place streams by reports that are some 100 ms old, and do not know each other's sends: engines ran out of memory and read prompts anew. An engine that states holdMs is asked for room before each stream; one that refuses is passed over for the next best.

--- a/celerywharf/forwarding/__init__.py
+++ b/celerywharf/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import ForwardingContext
 from celerywharf.forwarding._forwarder import Forwarder
+from celerywharf.forwarding._leases import Leases
 from celerywharf.forwarding._reports import Reports
 from celerywharf.forwarding._requests import IncomingRequest
 
@@ -11,5 +12,6 @@
     'Forwarder',
     'ForwardingContext',
     'IncomingRequest',
+    'Leases',
     'Reports',
 )
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -7,6 +7,7 @@
 
 from celerywharf.adapters.transports import Transport
 from celerywharf.backends import Loads, Placement, ServerHealth
+from celerywharf.forwarding._leases import Leases
 from celerywharf.forwarding._reports import Reports
 from celerywharf.limits import ServerLimiter
 from celerywharf.metrics import Metrics
@@ -20,7 +21,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardingContext:
-    """Components of the host, shared by all requests."""
+    """Components of the host, shared by all requests.
+
+    Attributes:
+        leases: leases of room at engines; None if this host takes none.
+    """
 
     transport: Transport
     timers: TimerService
@@ -36,3 +41,4 @@
     peers: PeerPaths
     metrics: Metrics
     random: Random
+    leases: Leases | None = None
--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -167,7 +167,7 @@
             self._release(placement)
 
     def _release(self, placement: StreamPlacement) -> None:
-        self.sender.placer.release(placement.server, prefilled=False)
+        self.sender.drop(placement)
 
     def _now(self) -> float:
         return self.sender.context.timers.now()
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -50,6 +50,7 @@
     remaining_s: float,
     backup: Address | None = None,
     resumption: Resumption | None = None,
+    lease: str = '',
 ) -> HttpRequest:
     """Build the HTTP request to a backend server.
 
@@ -67,6 +68,7 @@
             remaining_s=remaining_s,
             backup=backup,
             resumption=resumption,
+            lease=lease,
         ),
         body=request.body,
         target=request.target,
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -11,6 +11,7 @@
 from celerywharf.forwarding._outcomes import Lost, Outcome
 from celerywharf.forwarding._relays import Progress
 from celerywharf.forwarding._requests import IncomingRequest
+from celerywharf.forwarding._rooms import RoomSearch
 from celerywharf.forwarding._stream_sends import RESUMED
 from celerywharf.platform import Resumption
 from celerywharf.structures import Address
@@ -37,6 +38,7 @@
         limited_names: names of engines at their limits, for the current send.
         silent_name: name of the engine whose send is silent and kept; empty if
             there is none.
+        room: looks for an engine with room.
         copy_holder: engine that may hold a copy of the run; None if there is
             none or it has been tried.
     """
@@ -60,11 +62,17 @@
             headers.prompt_tokens + headers.output_tokens,
             self.memory.capacity_tokens if self.memory else 0,
         )
+        self.room = RoomSearch(context.leases, self.demand.tokens, self.memory)
         self.failed_names: set[str] = set()
         self.limited_names: set[str] = set()
         self.silent_name = ''
         self.copy_holder: BackendServer | None = None
 
+    @property
+    def lacks_room(self) -> bool:
+        """Return whether engines are usable, but none has room now."""
+        return self.room.lacks_room
+
     async def place(
         self, is_eligible: EligibilityCheck
     ) -> tuple[BackendServer | None, Resumption]:
@@ -185,9 +193,9 @@
         ]
 
     def _current_demand(self) -> Demand:
-        excluded = self.failed_names | self.limited_names | {self.silent_name}
+        excluded = self.failed_names | self.limited_names | self.room.full_names
         return replace(
             self.demand,
-            excluded=excluded,
+            excluded=excluded | {self.silent_name},
             software_version=self.progress.software_version,
         )
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -6,9 +6,11 @@
 from collections.abc import Sequence
 from typing import Any
 
+from celerywharf.backends import BackendServer
 from celerywharf.forwarding._base import Forwarding
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import ForwardingContext
+from celerywharf.forwarding._leases import Denial, Lease
 from celerywharf.forwarding._outcomes import (
     Answered,
     Lost,
@@ -24,6 +26,7 @@
 from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.forwarding._stream_placer import StreamPlacer
 from celerywharf.forwarding._stream_sends import StreamPlacement, StreamSend
+from celerywharf.platform import Resumption
 from celerywharf.routing import ResumableStream
 
 MILLISECONDS = 1000
@@ -68,12 +71,13 @@
         """Return the log fields that describe the finished stream."""
         progress = self.progress
         if progress.first_at_s is None:
-            return {'events': 0}
+            return {'events': 0, **self.placer.room.details()}
         first_event_s = progress.first_at_s - self.request.arrived_s
         return {
             'events': progress.events,
             'first_event_ms': round(first_event_s * MILLISECONDS),
             'longest_gap_ms': round(progress.longest_gap_s * MILLISECONDS),
+            **self.placer.room.details(),
         }
 
     async def place(self) -> StreamPlacement | None:
@@ -83,24 +87,23 @@
             The placement, with the stream's load added to the engine; None if
             there is no engine.
         """
+        placer = self.placer
+        placer.room.begin()
         while True:
-            server, resumption = await self.placer.place(
+            server, resumption = await placer.place(
                 self.eligibility.is_eligible
             )
-            if server is None:
+            if server is not None:
+                placement = await self._reserve(server, resumption)
+                if placement is not None:
+                    return placement
+            elif not placer.room.end_without_room():
                 return None
-            # Streams placed while the other engine is chosen take this one
-            # into account.
-            self.placer.reserve(server)
-            is_chosen = False
-            try:
-                backup = await self.placer.backup(server, resumption)
-                is_chosen = self.eligibility.may_send(server)
-            finally:
-                if not is_chosen:
-                    self.placer.release(server, prefilled=False)
-            if is_chosen:
-                return StreamPlacement(server, resumption, backup)
+
+    def drop(self, placement: StreamPlacement) -> None:
+        """Give up a placement that is not used."""
+        self.placer.release(placement.server, prefilled=False)
+        self.placer.room.drop(placement.lease)
 
     def start(self, placement: StreamPlacement) -> StreamSend:
         """Send the stream to the engine that was chosen."""
@@ -127,6 +130,7 @@
                 self.remaining_s(),
                 backup and backup.address,
                 placement.resumption,
+                self.placer.room.name_to_use(placement.lease),
             ),
             relay,
         )
@@ -174,6 +178,42 @@
             case _:
                 return DEFAULT_GAP_TARGET_S
 
+    async def _reserve(
+        self, server: BackendServer, resumption: Resumption
+    ) -> StreamPlacement | None:
+        # Streams placed while the other engine is chosen take this one into
+        # account.
+        self.placer.reserve(server)
+        placement = None
+        try:
+            placement = await self._prepare(server, resumption)
+        finally:
+            if placement is None:
+                self.placer.release(server, prefilled=False)
+        return placement
+
+    async def _prepare(
+        self, server: BackendServer, resumption: Resumption
+    ) -> StreamPlacement | None:
+        """Choose an engine for the copy, and take a lease at the other one.
+
+        None if the engine has no room or has said meanwhile that it wants no
+        requests.
+        """
+        backup = await self.placer.backup(server, resumption)
+        lease = None
+        # The copy of a run occupies its room already.
+        if resumption.copy_at is None:
+            match await self.placer.room.ask(server):
+                case Lease() as lease:
+                    pass  # noqa: WPS420
+                case Denial.full | Denial.unreachable:
+                    return None
+        if self.eligibility.may_send(server):
+            return StreamPlacement(server, resumption, backup, lease)
+        self.placer.room.drop(lease)
+        return None
+
     def _release(self, send: StreamSend) -> None:
         self.placer.release(send.server, prefilled=send.relay.events > 0)
 
--- a/celerywharf/forwarding/_stream_sends.py
+++ b/celerywharf/forwarding/_stream_sends.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from celerywharf.backends import BackendServer
+from celerywharf.forwarding._leases import Lease
 from celerywharf.forwarding._outcomes import SILENCE, Recalled
 from celerywharf.forwarding._relays import StreamRelay
 from celerywharf.platform import Resumption
@@ -22,11 +23,13 @@
         server: the engine.
         resumption: the position from which it resumes the stream.
         backup: where a copy of the run is kept; None if nowhere.
+        lease: room for the stream at the engine; None if none was taken.
     """
 
     server: BackendServer
     resumption: Resumption
     backup: BackendServer | None
+    lease: Lease | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -7,7 +7,7 @@
 
 from celerywharf.adapters.transports import Transport
 from celerywharf.backends import Directory, Loads, Placement, ServerHealth
-from celerywharf.forwarding import ForwardingContext, Reports
+from celerywharf.forwarding import ForwardingContext, Leases, Reports
 from celerywharf.fronts._retries import UNSHARED_HOSTS, build_retry_limiter
 from celerywharf.limits import (
     Clocks,
@@ -42,6 +42,7 @@
         FixedShare(1 / UNSHARED_HOSTS),
         Clocks(timers.now, store_time_s),
     )
+    metrics = Metrics()
     return ForwardingContext(
         transport=transport,
         timers=timers,
@@ -62,8 +63,9 @@
         limits=limits,
         origins=StreamOrigins(directory.software_versions, timers.now),
         peers=PeerPaths(settings.front.availability_zone, timers.now, random),
-        metrics=Metrics(),
+        metrics=metrics,
         random=random,
+        leases=Leases(transport, timers, loads, health, limits, metrics),
     )
 
 
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -6,6 +6,7 @@
 from celerywharf.platform._documents import (
     decode_backend_server,
     decode_configuration,
+    decode_lease,
     decode_report,
     outlives_copy,
 )
@@ -21,6 +22,11 @@
     read_request_headers,
     server_headers,
 )
+from celerywharf.platform._leases import (
+    LEASE_PATH,
+    lease_demand,
+    lease_release_path,
+)
 from celerywharf.platform._peer_headers import peer_headers
 from celerywharf.platform._store import (
     CONFIGURATION_KEY,
@@ -39,6 +45,7 @@
 __all__ = (
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
+    'LEASE_PATH',
     'PROBE_PATH',
     'READY_PATH',
     'SERVER_TABLE',
@@ -59,7 +66,10 @@
     'boot_time_s',
     'decode_backend_server',
     'decode_configuration',
+    'decode_lease',
     'decode_report',
+    'lease_demand',
+    'lease_release_path',
     'outlives_copy',
     'peer_headers',
     'read_answer_headers',
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -35,6 +35,7 @@
 MAX_ERRORS = 3  # named for a malformed document
 MAX_SLOTS = 1_000_000
 MAX_WARM_UP_MS = 86_400_000
+MAX_LEASE_MS = 86_400_000
 # The name of a backend server is sent to it in a header.
 SERVER_NAME = re.compile('[!-~]+')
 
@@ -112,6 +113,7 @@
 class _Engine(_Document):
     kv_capacity: int = UNKNOWN_CAPACITY_TOKENS
     backups: bool = False
+    hold_ms: float = Field(default=0, ge=0, le=MAX_LEASE_MS)
 
 
 class _Service(_Document):
@@ -124,6 +126,7 @@
         memory = self.engine and EngineMemory(
             self.engine.kv_capacity,
             self.engine.backups,
+            self.engine.hold_ms / MS_PER_S,
         )
         return Service(self.name, self.health_path, memory)
 
@@ -166,6 +169,10 @@
     version: Name | Count = ''
 
 
+class _Lease(_Document):
+    hold: Name
+
+
 class _Report(_Document):
     queued: Count
     running: Count
@@ -264,6 +271,19 @@
     )
 
 
+def decode_lease(text: bytes) -> str:
+    """Return the name of a lease that an engine has granted.
+
+    Raises:
+        ProtocolError: the document is malformed, or the name is not fit for a
+            header.
+    """
+    name = _validated(_Lease, text).hold
+    if not SERVER_NAME.fullmatch(name):
+        raise ProtocolError('malformed name of a lease')
+    return name
+
+
 def _limits(document: _Limits) -> ClientLimits:
     return ClientLimits(
         header_bytes=document.max_header_bytes,
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -34,6 +34,7 @@
 RETRY_AFTER = 'retry-after'
 BACKUP = 'kv-backup'
 RESUME_FROM = 'kv-from'
+LEASE = 'hold'
 
 # Headers that only this system may set; dropped from callers' requests.
 RESERVED = frozenset(
@@ -44,7 +45,7 @@
         BACKUP,
         RESUME_FROM,
         DEADLINE,
-        'hold',
+        LEASE,
         'pin-ms',
         'kv-fetch',
         'request-urgency',
@@ -198,6 +199,7 @@
     remaining_s: float,
     backup: Address | None = None,
     resumption: Resumption | None = None,
+    lease: str = '',
 ) -> dict[str, str]:
     """Return the headers of a request to a backend server.
 
@@ -209,6 +211,8 @@
         remaining_s: time left until the caller's deadline.
         backup: where to keep a copy of the run's KV cache.
         resumption: given when an interrupted stream is resumed.
+        lease: name of the lease of room for the request; empty if there is
+            none.
     """
     headers = dict.fromkeys(ADDED_BY_CURL, '')
     headers.update(request.forwarded)
@@ -216,6 +220,8 @@
     headers[INSTANCE] = instance
     if account is not None:
         headers[ACCOUNT] = account
+    if lease:
+        headers[LEASE] = lease
     if backup is not None:
         headers[BACKUP] = str(backup)
     if resumption is not None:
--- a/celerywharf/routing/_configurations.py
+++ b/celerywharf/routing/_configurations.py
@@ -53,10 +53,13 @@
         capacity_tokens: total tokens of prompts and outputs that fit at once.
         backups: whether an engine can replicate the memory of a run to another
             engine while the run is in progress.
+        lease_s: longest term for which an engine grants a lease of room,
+            seconds; 0 if engines grant none.
     """
 
     capacity_tokens: int
     backups: bool
+    lease_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
