--- a/celerywharf/forwarding/_rooms.py
+++ b/celerywharf/forwarding/_rooms.py
@@ -60,6 +60,15 @@
         self.granted += isinstance(answer, Lease)
         return answer
 
+    def record_no_server(self, has_usable: bool) -> None:
+        """Record that no engine was found.
+
+        Args:
+            has_usable: engines are usable, but have no room as far as is known.
+        """
+        if self.max_term_s and has_usable:
+            self.lacks_room = True
+
     def end_without_room(self) -> bool:
         """Record that no engine is left to be asked.
 
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -100,7 +100,10 @@
             server = await self.context.reports.best(
                 self._rank_engines, STREAM_CANDIDATES
             )
-            if server is None or await is_eligible(server):
+            if server is None:
+                self.room.record_no_server(self._has_usable_engines())
+                return None, Resumption(last_event)
+            if await is_eligible(server):
                 return server, Resumption(last_event)
             self.limited_names.add(server.name)
         return None, Resumption(last_event)
@@ -177,6 +180,12 @@
         elif resumption.copy_at is None and outcome is not RESUMED:
             self.failed_names.add(server.name)
 
+    def _has_usable_engines(self) -> bool:
+        """Return whether an engine could take the stream, had it room."""
+        now_s = self.context.timers.now()
+        demand = replace(self._current_demand(), tokens=0, capacity_tokens=0)
+        return bool(self.context.placement.ranked(demand, now_s))
+
     def _rank_engines(self) -> list[BackendServer]:
         now_s = self.context.timers.now()
         return self.context.placement.ranked(self._current_demand(), now_s)
--- a/standins/fronts.py
+++ b/standins/fronts.py
@@ -57,6 +57,8 @@
     Attributes:
         version: of the configuration.
         keys: API keys of the client account; `configure` writes them.
+        lease_ms: longest lease that the narrator's servers grant, stated in
+            the configuration; 0 if they grant none.
         store: ``ip:port`` of the store.
         fronts: ``ip:port`` for callers, by name of the front.
         health: ``ip:port`` of the health check, by name of the front.
@@ -66,6 +68,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.version = 0
+        self.lease_ms = 0
         self.keys = [KEY]
         self.store = fleet.start_store().address
         self.fronts: dict[str, str] = {}
@@ -98,7 +101,11 @@
                 {
                     'name': 'narrator',
                     'healthPath': '/healthz',
-                    'engine': {'kvCapacity': 88000, 'backups': True},
+                    'engine': {
+                        'kvCapacity': 88000,
+                        'backups': True,
+                        'holdMs': self.lease_ms,
+                    },
                 },
                 {'name': 'desk', 'healthPath': '/healthz'},
             ],
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import secrets
 import time
 from dataclasses import dataclass, field
 from typing import Any, TextIO
@@ -21,9 +22,11 @@
 
 OK = 200
 BAD_REQUEST = 400
+NOT_FOUND = 404
 MISDIRECTED = 421
 UNAVAILABLE = 503
 TOKENS_PER_EVENT = 7
+LEASE_NAME_BYTES = 4
 MAX_LATE_S = 0.1
 CRASH_DELAY_S = 0.06  # from the first bytes of an answer
 CRASH_EXIT_CODE = 1
@@ -71,6 +74,9 @@
         stale_refusal: id of another request that refusals state.
         brittle: state in each answer that refusing more requests than this in
             a second makes the server fall over.
+        rooms: requests and leases that it holds at a time; None if it grants
+            no leases.
+        forgetful: forget each lease once it is granted, as by a restart.
         crash_on: name of a prompt part; the process ends as soon as it begins
             to write an answer to a request that has it.
         crash_request: account, target and body of a request, with spaces
@@ -100,6 +106,8 @@
     unstated: bool = False
     stale_refusal: str = ''
     brittle: float | None = None
+    rooms: int | None = None
+    forgetful: bool = False
     crash_on: str = ''
     crash_request: str = ''
 
@@ -141,6 +149,9 @@
         copies: events of the streams copied to this server, by request id.
         refused_s: when requests were refused, monotonic seconds.
         probed_s: when reports were fetched.
+        leases: when leases end, monotonic seconds, by name.
+        leases_used: names of the leases that requests have used.
+        leases_dropped: names of the leases that were released.
     """
 
     def __init__(self, name: str, record_file: TextIO | None = None) -> None:
@@ -152,6 +163,9 @@
         self.copies: dict[str, int] = {}
         self.refused_s: list[float] = []
         self.probed_s: list[float] = []
+        self.leases: dict[str, float] = {}
+        self.leases_used: list[str] = []
+        self.leases_dropped: list[str] = []
         self.http = AsyncHTTPClient()
 
     def record(self) -> dict[str, Any]:
@@ -161,6 +175,8 @@
             'born': self.born_ms,
             'refused_s': self.refused_s,
             'probed_s': self.probed_s,
+            'leases_used': self.leases_used,
+            'leases_dropped': self.leases_dropped,
             'runs': [
                 {name: getattr(run, name) for name in run.__slots__}
                 for run in self.runs
@@ -194,6 +210,26 @@
             ],
         }
 
+    def take_lease(self, term_s: float) -> str | None:
+        """Return the name of a new lease; None if there is no room."""
+        now = time.monotonic()
+        self.leases = {
+            name: ends_s for name, ends_s in self.leases.items() if ends_s > now
+        }
+        running = sum(run.state == 'running' for run in self.runs)
+        if running + len(self.leases) >= self.switches.rooms:
+            return None
+        name = secrets.token_hex(LEASE_NAME_BYTES)
+        if not self.switches.forgetful:
+            self.leases[name] = now + term_s
+        return name
+
+    def use_lease(self, name: str) -> bool:
+        """Return whether a request may use a lease, which ends it."""
+        ends_s = self.leases.pop(name, 0)
+        self.leases_used.append(name)
+        return ends_s > time.monotonic()
+
     async def copy(self, address: str, run: ServedRun) -> None:
         """Send the state of a run to another server."""
         body = json.dumps({'id': run.request_id, 'events': run.events})
@@ -211,6 +247,28 @@
         self.answer(OK, self.standin.report())
 
 
+class _LeaseHandler(control.ProtocolHandler):
+    def post(self) -> None:
+        if self.standin.switches.rooms is None:
+            self.answer(NOT_FOUND, {})
+            return
+        term_s = self.read_json()['ttlMs'] / control.MS_PER_S
+        name = self.standin.take_lease(term_s)
+        if name is None:
+            self.answer(UNAVAILABLE, {})
+        else:
+            self.answer(OK, {'hold': name})
+
+
+class _ReleaseHandler(control.ProtocolHandler):
+    SUPPORTED_METHODS = ('DELETE',)
+
+    def delete(self, name: str) -> None:
+        self.standin.leases.pop(name, None)
+        self.standin.leases_dropped.append(name)
+        self.answer(OK, {})
+
+
 class _CopyHandler(control.ProtocolHandler):
     def post(self) -> None:
         copy = self.read_json()
@@ -294,6 +352,9 @@
         copy = headers.get('Kv-From')
         if copy and copy.rpartition('/')[2] not in self.standin.copies:
             return UNAVAILABLE
+        lease = headers.get('Hold')
+        if lease and not self.standin.use_lease(lease):
+            return UNAVAILABLE
         return None
 
     def start_run(self) -> ServedRun:
@@ -492,6 +553,8 @@
         server,
         [
             ('/api/report', _ReportHandler),
+            ('/api/hold-take', _LeaseHandler),
+            ('/api/hold-drop/(.*)', _ReleaseHandler),
             ('/copy', _CopyHandler),
             ('/(.*)', _ServeHandler),
         ],
