Ask the engine of a silent stream before it is replaced

A batch that reads prompts sends events 0.3 s apart, and 220 of 242 successors were recalled as the engine went on; they had used up the copies of the runs. A copy is also tried for a run lost before its first event (trial). Not measured yet.

--- a/celerywharf/backends/_servers.py
+++ b/celerywharf/backends/_servers.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from celerywharf.structures import Address
 
@@ -59,6 +60,7 @@
         capacity_tokens: total token memory.
         born_ms: start of the incarnation, Unix milliseconds; 0 if unknown.
         answering: ids of the requests that have produced an event.
+        events: how many events each of them has produced, by id, if stated.
     """
 
     waiting: int
@@ -68,3 +70,4 @@
     capacity_tokens: int
     born_ms: int
     answering: frozenset[str] = frozenset()
+    events: Mapping[str, int] = field(default_factory=dict)
--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -80,7 +80,7 @@
         """Send and retry the request; return the final step."""
         while True:
             blocking = self.context.quarantine.blocking_trait(self.traits)
-            if blocking is not None:
+            if blocking is not None and not self.is_at_work():
                 self.context.metrics.count('quarantine_refusals')
                 return self.plan.quarantined(blocking)
             self.eligibility.limit_wait_s = math.inf
@@ -159,6 +159,10 @@
         """Return whether the next send is in progress already."""
         return False
 
+    def is_at_work(self) -> bool:
+        """Return whether the next send is answered already."""
+        return False
+
     def suspects(self) -> Sequence[str]:
         """Return the traits that may have crashed the server of a send."""
         return self.traits
--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -27,6 +27,10 @@
 # lost without a trace, so the engine is asked about this stream.
 OWN_FIRST_EVENT_SILENCE_S = 2.5
 
+# An engine that reports that it is at work on a stream is believed for this
+# long since the last event.
+STALLED_S = 2.5
+
 # How long a silent send is kept before a successor is looked for again.
 KEPT_S = 0.5
 
@@ -52,6 +56,23 @@
     return Liveness.dead
 
 
+def assess_run(
+    report: EngineReport, request_id: str, last_event: int
+) -> Liveness:
+    """Assess a stream with events that is silent, by its engine's report.
+
+    Returns:
+        ``alive`` if the engine is at work on the next event; ``suspect`` if it
+        has produced events that have not arrived; ``dead`` if it has no such
+        run any more, or has put it back.
+    """
+    if request_id not in report.answering:
+        return Liveness.dead
+    if report.events.get(request_id, 0) > last_event:
+        return Liveness.suspect
+    return Liveness.alive
+
+
 class SilenceDetector:
     """Compares the silence of a stream with the usual pace of its engine.
 
@@ -63,6 +84,8 @@
         has_events: whether any event has arrived.
         held: this host reads no events because the caller is too slow.
         asked_s: when the engine last reported on a stream without events.
+        at_work_s: when the engine last reported that it works on the next
+            event of the stream.
         excused_until_s: silence before this time has no consequences.
         on_event: called when an event arrives, before it is passed on; None if
             nobody waits for one.
@@ -76,6 +99,7 @@
         self.has_events = False
         self.held = False
         self.asked_s = started_s
+        self.at_work_s = float('-inf')
         self.excused_until_s = float('-inf')
         self.on_event: Callable[[], None] | None = None
 
@@ -94,6 +118,14 @@
         """Record that the engine reported that it works on the stream."""
         self.asked_s = now_s
 
+    def record_at_work(self, now_s: float) -> None:
+        """Record that the engine works on the next event of the stream."""
+        self.at_work_s = now_s
+
+    def is_stalled(self, now_s: float) -> bool:
+        """Return whether the silence is too long for any report."""
+        return now_s - self.last_s >= STALLED_S
+
     def record_event(self, now_s: float) -> None:
         """Record the arrival of an event."""
         if self.has_events:
@@ -137,4 +169,10 @@
         own_limit_s = max(
             self.gap_target_s * OWN_SILENCE_FRACTION, self.limit_s()
         )
-        return min(last_alive_s + self.limit_s(), self.last_s + own_limit_s)
+        silent_until_s = min(
+            last_alive_s + self.limit_s(), self.last_s + own_limit_s
+        )
+        at_work_until_s = min(
+            self.at_work_s + self.limit_s(), self.last_s + STALLED_S
+        )
+        return max(silent_until_s, at_work_until_s)
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -175,8 +175,7 @@
         """Record which engine failed and which may hold a copy of the run."""
         if isinstance(outcome, Lost):
             self.failed_names.add(server.name)
-            # Engines replicate a run from its first event on.
-            self.copy_holder = backup if self.progress.events else None
+            self.copy_holder = backup
         elif resumption.copy_at is None and outcome is not RESUMED:
             self.failed_names.add(server.name)
 
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -8,6 +8,7 @@
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import ForwardingContext
 from celerywharf.forwarding._handover import Handover
+from celerywharf.forwarding._inquiries import Inquiry
 from celerywharf.forwarding._outcomes import (
     Lost,
     Outcome,
@@ -45,6 +46,7 @@
 
     Attributes:
         handover: replaces silent sends.
+        inquiry: asks engines about silent streams.
         successor: the send that has taken over from a silent one; None unless
             there is one.
     """
@@ -59,6 +61,7 @@
     ) -> None:
         super().__init__(context, request, service, request_log, caller)
         self.handover = Handover(self)
+        self.inquiry = Inquiry(context, request)
         self.successor: StreamSend | None = None
         if request.relay is not None:
             self._continue_for(request.relay)
@@ -74,6 +77,10 @@
         """Return whether the next send is in progress already."""
         return self.successor is not None
 
+    def is_at_work(self) -> bool:
+        """Return whether the next send has brought events already."""
+        return self.successor is not None and self.successor.relay.events > 0
+
     async def run(self) -> PassOn | Fail | Done:
         """Send and retry the stream; return the final step."""
         try:
@@ -243,6 +250,8 @@
         liveness = relay.detector.assess(now_s, self._alive_at_s(send))
         if liveness is Liveness.suspect:
             liveness = await self._ask_server(send)
+        elif liveness is Liveness.dead:
+            liveness = await self.inquiry.assess(send)
         if liveness is Liveness.dead and not relay.done.done():
             self.successor = await self.handover.replace(send)
 
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -268,6 +268,7 @@
         capacity_tokens=document.kv_total,
         born_ms=document.born,
         answering=frozenset(str(run[0]) for run in document.runs if run),
+        events=_events_by_run(document.runs),
     )
 
 
@@ -284,6 +285,14 @@
     return name
 
 
+def _events_by_run(runs: list[list[Any]]) -> dict[str, int]:
+    return {
+        str(run[0]): run[2]
+        for run in runs
+        if len(run) > 2 and isinstance(run[2], int)
+    }
+
+
 def _limits(document: _Limits) -> ClientLimits:
     return ClientLimits(
         header_bytes=document.max_header_bytes,
