--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -51,6 +51,7 @@
     backup: Address | None = None,
     resumption: Resumption | None = None,
     urgency: int | None = None,
+    lease: str = '',
 ) -> HttpRequest:
     """Build the HTTP request to a backend server.
 
@@ -69,6 +70,7 @@
             backup=backup,
             resumption=resumption,
             urgency=urgency,
+            lease=lease,
         ),
         body=request.body,
         target=request.target,
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -7,6 +7,7 @@
     configuration_errors,
     decode_backend_server,
     decode_configuration,
+    decode_lease,
     decode_report,
     list_configuration,
     outlives_copy,
@@ -23,6 +24,11 @@
     read_request_headers,
     server_headers,
 )
+from celerywharf.platform._leases import (
+    LEASE_PATH,
+    lease_demand,
+    lease_release_path,
+)
 from celerywharf.platform._peer_headers import peer_headers
 from celerywharf.platform._store import (
     CONFIGURATION_KEY,
@@ -41,6 +47,7 @@
 __all__ = (
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
+    'LEASE_PATH',
     'PROBE_PATH',
     'READY_PATH',
     'SERVER_TABLE',
@@ -62,8 +69,11 @@
     'configuration_errors',
     'decode_backend_server',
     'decode_configuration',
+    'decode_lease',
     'decode_report',
     'list_configuration',
+    'lease_demand',
+    'lease_release_path',
     'outlives_copy',
     'peer_headers',
     'read_answer_headers',
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -43,6 +43,7 @@
 MAX_ERRORS = 3  # named for a malformed document
 MAX_SLOTS = 1_000_000
 MAX_WARM_UP_MS = 86_400_000
+MAX_LEASE_MS = 86_400_000
 # The name of a backend server is sent to it in a header.
 SERVER_NAME = re.compile('[!-~]+')
 
@@ -131,6 +132,7 @@
 class _Engine(_Document):
     kv_capacity: int = UNKNOWN_CAPACITY_TOKENS
     backups: bool = False
+    hold_ms: float = Field(default=0, ge=0, le=MAX_LEASE_MS)
 
 
 class _Service(_Document):
@@ -143,6 +145,7 @@
         memory = self.engine and EngineMemory(
             self.engine.kv_capacity,
             self.engine.backups,
+            self.engine.hold_ms / MS_PER_S,
         )
         return Service(self.name, self.health_path, memory)
 
@@ -192,6 +195,10 @@
     version: Name | Count = ''
 
 
+class _Lease(_Document):
+    hold: Name
+
+
 class _Report(_Document):
     queued: Count
     running: Count
@@ -311,12 +318,32 @@
         capacity_tokens=document.kv_total,
         born_ms=document.born,
         answering=frozenset(str(run[0]) for run in document.runs if run),
+        events=_events_by_run(document.runs),
     )
 
 
 def _sound(priority: Any) -> int | None:
     """Return a priority; None if it is missing or malformed."""
     return None if priority is MALFORMED else priority
+def decode_lease(text: bytes) -> str:
+    """Return the name of a lease that an engine has granted.
+
+    Raises:
+        ProtocolError: the document is malformed, or the name is not fit for a
+            header.
+    """
+    name = _validated(_Lease, text).hold
+    if not SERVER_NAME.fullmatch(name):
+        raise ProtocolError('malformed name of a lease')
+    return name
+
+
+def _events_by_run(runs: list[list[Any]]) -> dict[str, int]:
+    return {
+        str(run[0]): run[2]
+        for run in runs
+        if len(run) > 2 and isinstance(run[2], int)
+    }
 
 
 def _limits(document: _Limits) -> ClientLimits:
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -37,6 +37,7 @@
 BACKUP = 'kv-backup'
 RESUME_FROM = 'kv-from'
 URGENCY = 'request-urgency'
+LEASE = 'hold'
 
 # Headers that only this system may set; dropped from callers' requests.
 RESERVED = frozenset(
@@ -47,7 +48,7 @@
         BACKUP,
         RESUME_FROM,
         DEADLINE,
-        'hold',
+        LEASE,
         'pin-ms',
         'kv-fetch',
         URGENCY,
@@ -205,6 +206,7 @@
     backup: Address | None = None,
     resumption: Resumption | None = None,
     urgency: int | None = None,
+    lease: str = '',
 ) -> dict[str, str]:
     """Return the headers of a request to a backend server.
 
@@ -217,6 +219,8 @@
         backup: where to keep a copy of the run's KV cache.
         resumption: given when an interrupted stream is resumed.
         urgency: from 0, the most urgent, to 9; None if all are equal.
+        lease: name of the lease of room for the request; empty if there is
+            none.
     """
     headers = dict.fromkeys(ADDED_BY_CURL, '')
     headers.update(request.forwarded)
@@ -226,6 +230,8 @@
         headers[ACCOUNT] = account
     if urgency is not None:
         headers[URGENCY] = str(urgency)
+    if lease:
+        headers[LEASE] = lease
     if backup is not None:
         headers[BACKUP] = str(backup)
     if resumption is not None:
