Send large contents compressed, in pieces and by digest

Callers saw: after a configuration of 872 kB, hosts of the region without the store refused everything with 503. Each got the whole row from a reader with 10 Mbit/s, on a clock for the whole transfer, and then from the store.

Rows name large contents by digest; hosts get them in compressed pieces from the reader or from hosts that have them. Meanwhile answers go on to confirm the older configuration and name the keys that are gone. The store's answers are judged by progress.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -44,6 +44,8 @@
 # A time-out that fires this much late shows that this process did not run.
 LATE_S = 0.1
 STATUS_DIGITS = 3
+# The longest transfer that is judged by its progress.
+MAX_TRANSFER_S = 15.0
 LINE_BREAKS = frozenset('\r\n\0')
 ABORT = -1  # returned to curl to end a transfer
 NEVER_SENT_CODES = frozenset(
@@ -87,6 +89,8 @@
             self.loop.create_future(), request, self.response_pool
         )
         transfer = self.stream(request, sink)
+        if request.stall_s is not None and request.timeout_s is not None:
+            sink.expect_progress(request.timeout_s)
         try:
             return await sink.done
         finally:
@@ -396,7 +400,10 @@
         connect_ms = int(request.connect_timeout_s * MS_PER_S)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, connect_ms))
         if request.timeout_s is not None:
-            timeout_ms = int(request.timeout_s * MS_PER_S)
+            timeout_s = request.timeout_s
+            if request.stall_s is not None:
+                timeout_s += MAX_TRANSFER_S
+            timeout_ms = int(timeout_s * MS_PER_S)
             curl.setopt(pycurl.TIMEOUT_MS, max(1, timeout_ms))
 
     def _set_body(self, curl: pycurl.Curl) -> None:
--- a/celerywharf/adapters/_responses.py
+++ b/celerywharf/adapters/_responses.py
@@ -52,6 +52,9 @@
     Attributes:
         done: future of the response.
         body: what has been received.
+        progressed_s: when some of the body was received last, on the clock of
+            the event loop; None before the first.
+        check: checks whether the body makes progress; None without a limit.
     """
 
     def __init__(
@@ -67,6 +70,8 @@
         self.status = 0
         self.headers: Mapping[str, str] = {}
         self.body = BodyBuffer()
+        self.progressed_s: float | None = None
+        self.check: asyncio.TimerHandle | None = None
 
     @property
     def size_bytes(self) -> int:
@@ -85,6 +90,10 @@
         if self.done.done():
             return
         self.body.append(chunk)
+        if self.request.stall_s is not None:
+            self.progressed_s = self.done.get_loop().time()
+        if self.request.on_progress is not None:
+            self.request.on_progress(self.size_bytes)
         if self.pool is not None:
             self.pool.received(self, len(chunk))
         if self.size_bytes > self.max_body_bytes:
@@ -105,12 +114,28 @@
         """Fail because the response takes too much memory."""
         self._fail(ResponseTooLargeError(reason))
 
+    def expect_progress(self, timeout_s: float) -> None:
+        """Fail if the body has not begun by then, or if it stops coming."""
+        loop = self.done.get_loop()
+        self.check = loop.call_later(timeout_s, self._check_progress)
+
     def release(self) -> None:
         """Free what has been received."""
         if self.pool is not None:
             self.pool.finished(self)
+        if self.check is not None:
+            self.check.cancel()
         self.body.clear()
 
+    def _check_progress(self) -> None:
+        if self.progressed_s is not None:
+            stall_s = self.request.stall_s or 0
+            left_s = self.progressed_s + stall_s - self.done.get_loop().time()
+            if left_s > 0:
+                self.expect_progress(left_s)
+                return
+        self._fail(TransportError('the answer has stopped coming'))
+
     def _fail(self, error: TransportError) -> None:
         self.release()
         if not self.done.done():
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -62,6 +62,11 @@
             of the transport; for servers that are not trusted to be sound.
         on_headers: called by ``fetch`` with status and headers, names in lower
             case, when the head of the response has arrived.
+        stall_s: once the body has begun, ``fetch`` fails after this time
+            without a byte of it instead of after ``timeout_s``; None to keep
+            to ``timeout_s``.
+        on_progress: called by ``fetch`` with the size of what has been
+            received of the body, each time there is more.
     """
 
     method: str
@@ -77,6 +82,8 @@
     pooled: bool = True
     connect_only: bool = False
     on_headers: Callable[[int, Mapping[str, str]], None] | None = None
+    stall_s: float | None = None
+    on_progress: Callable[[int], None] | None = None
 
     @classmethod
     def with_json(
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -28,7 +28,7 @@
     decode_backend_server,
     decode_configuration,
 )
-from celerywharf.routing import ConfigurationCache
+from celerywharf.routing import AnswerTiming, ConfigurationCache
 from celerywharf.sharing import SharedStore
 from celerywharf.tasks import Part
 from celerywharf.timers import TimerService
@@ -104,6 +104,9 @@
         """Apply a reading of changed rows."""
         raise NotImplementedError
 
+    def apply_incomplete(self, reading: ReadResult) -> None:
+        """Learn what is known of newer rows whose contents are yet to come."""
+
     def on_store_lost(self) -> None:
         """Called at the first failed call."""
 
@@ -125,17 +128,18 @@
                 await self._back_off(error)
 
     async def _poll_once(self) -> None:
-        if self.position is None:
+        position = self.position
+        if position is None:
             reading = await self.store.read(self.table)
-            self._record_answer()
+        else:
+            reading = await self.store.watch(self.table, position, self.poll_s)
+        self._record_answer()
+        if reading.incomplete:
+            self.apply_incomplete(reading)
+            return
+        if position is None:
             self.apply_all(reading)
         else:
-            reading = await self.store.watch(
-                self.table,
-                self.position,
-                self.poll_s,
-            )
-            self._record_answer()
             self.apply_changes(reading)
         self.position = reading.position
         if reading.rows and not reading.timing.relayed:
@@ -198,11 +202,22 @@
         for row in reading.rows:
             if row.key == CONFIGURATION_KEY and row.content is not None:
                 self._apply_configuration(row.content)
+        self._confirm(reading.timing)
+
+    def apply_incomplete(self, reading: ReadResult) -> None:
+        """Stop to accept removed keys; the others are known to be current."""
+        if reading.removed_keys is None:
+            self.configuration_cache.synchronize(reading.timing)
+            return
+        self.configuration_cache.remove_keys(reading.removed_keys)
+        self._confirm(reading.timing)
+
+    def _confirm(self, timing: AnswerTiming) -> None:
         known = self.configuration_cache.configuration
         if known is not None and self.stored_version == known.version:
-            self.configuration_cache.confirm(reading.timing)
+            self.configuration_cache.confirm(timing)
         else:
-            self.configuration_cache.synchronize(reading.timing)
+            self.configuration_cache.synchronize(timing)
 
     def on_store_restored(self) -> None:
         """Give the operator time to write what the copy lacks."""
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -8,6 +8,7 @@
     decode_configuration,
     decode_report,
     outlives_copy,
+    read_api_keys,
 )
 from celerywharf.platform._eras import Position, StoreEra
 from celerywharf.platform._events import Event, EventSplitter
@@ -61,6 +62,7 @@
     'decode_configuration',
     'decode_report',
     'outlives_copy',
+    'read_api_keys',
     'peer_headers',
     'read_answer_headers',
     'read_request_headers',
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -148,6 +148,10 @@
     tenants: list[_Tenant] | None = None
 
 
+class _KeyHolders(_Document):
+    tenants: list[_Tenant] | None = None
+
+
 class _Versioned(_Document):
     version: int
 
@@ -212,6 +216,20 @@
     return _version(row.content) > _version(copied.content)
 
 
+def read_api_keys(text: bytes) -> frozenset[str] | None:
+    """Return the API keys of a configuration; None if it requires none.
+
+    Also None if it is malformed.
+    """
+    try:
+        tenants = _KeyHolders.model_validate_json(text).tenants
+    except ValidationError:
+        return None
+    if tenants is None:
+        return None
+    return frozenset(key for tenant in tenants for key in tenant.api_keys)
+
+
 def _version(text: bytes) -> int:
     try:
         return _Versioned.model_validate_json(text).version
--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -4,8 +4,9 @@
 
 import base64
 import binascii
+import functools
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -34,6 +35,9 @@
 CALL_TIMEOUT_S = 1.0  # a healthy store answers in a few milliseconds
 # A long poll not answered this long after its wait time is given up.
 POLL_SLACK_S = 0.8
+# An answer that has begun may take longer than its call, as it is as long as
+# the table; it is given up after this time without a byte.
+STALL_S = 0.8
 # A page has at most 1 MB of rows; a configuration of thousands of routes is a
 # few MB.
 MAX_ANSWER_BYTES = DOCUMENT_BYTES
@@ -71,11 +75,17 @@
         rows: the requested rows, or those changed since a version.
         version: version of the table.
         timing: when the store was called and answered.
+        incomplete: newer rows are known to exist, but this host has yet to
+            get a content; the rows are those before.
+        removed_keys: if so, API keys that the newer rows take away; None if
+            that is not known.
     """
 
     rows: tuple[Row, ...]
     version: int
     timing: AnswerTiming
+    incomplete: bool = False
+    removed_keys: tuple[str, ...] | None = None
 
     @property
     def position(self) -> Position:
@@ -155,12 +165,15 @@
 
     Attributes:
         era: the newest era in an answer; answers of earlier ones are refused.
+        on_received: called with the table and the bytes received so far while
+            an answer arrives; None if nobody wants to know.
     """
 
     def __init__(self, transport: Transport, address: Address) -> None:
         self.transport = transport
         self.address = address
         self.era = StoreEra()
+        self.on_received: Callable[[str, int], None] | None = None
 
     async def read_row(self, table: str, key: str) -> ReadResult:
         """Read one row.
@@ -310,10 +323,16 @@
             fresh_connection=fresh_connection,
             max_body_bytes=MAX_ANSWER_BYTES,
             pooled=False,
+            stall_s=STALL_S,
+            on_progress=functools.partial(self._progress, query['table']),
         )
         _, answer, timing = await self._call(call, request)
         return answer, timing
 
+    def _progress(self, table: str, size_bytes: int) -> None:
+        if self.on_received is not None:
+            self.on_received(table, size_bytes)
+
     async def _call(
         self,
         call: str,
--- a/celerywharf/routing/_configuration_cache.py
+++ b/celerywharf/routing/_configuration_cache.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Collection
+from dataclasses import dataclass, replace
 
 from celerywharf.routing._configurations import Configuration
 
@@ -139,6 +140,21 @@
         self.configuration = configuration
         return True
 
+    def remove_keys(self, keys: Collection[str]) -> None:
+        """Stop to accept keys that a newer configuration lacks.
+
+        That configuration is known of but has yet to arrive.
+        """
+        current = self.configuration
+        if current is None or current.accounts.keys().isdisjoint(keys):
+            return
+        accounts = {
+            key: account
+            for key, account in current.accounts.items()
+            if key not in keys
+        }
+        self.configuration = replace(current, accounts=accounts)
+
     def age_s(self, now_s: float) -> float | None:
         """Return the seconds since the configuration was last known current.
 
--- a/celerywharf/sharing/_answers.py
+++ b/celerywharf/sharing/_answers.py
@@ -5,12 +5,15 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from celerywharf.exceptions import CelerywharfError, PlatformUnavailableError
 from celerywharf.platform import HistoryGoneError, Row
+from celerywharf.sharing._contents import MIN_BYTES, ContentCache
 from celerywharf.sharing._freshness import Freshness
 from celerywharf.sharing._mirror import Mirror
+from celerywharf.sharing._removals import Removals
+from celerywharf.units import SMALL_MESSAGE_BYTES
 from celerywharf.wire.sharing import (
     WHOLE_TABLE,
     SharedRow,
@@ -22,6 +25,11 @@
 # that the other fronts read the store themselves in time to see that a server
 # is leaving.
 MAX_STORE_ANSWER_AGE_S = 2.0
+# An answer of the store larger than this may keep a reader from the next one.
+LARGE_ANSWER_BYTES = SMALL_MESSAGE_BYTES
+# A large answer that has stopped coming says nothing.  After it the reader
+# waits for more changes, then calls the store again.
+RECEIVING_S = 0.8
 
 
 @dataclass(slots=True)
@@ -34,12 +42,48 @@
             the table; readings from another front do not count.
         freshness: as of when the table is known, whoever told it.
         changed: set and replaced by a new event at each reading.
+        received_s: when the last bytes of a large answer of the store arrived
+            that is not complete yet, or only just.
+        removals: which API keys are gone since when.
     """
 
     mirror: Mirror = field(default_factory=Mirror)
     store_answer_s: float = float('-inf')
     freshness: Freshness = field(default_factory=Freshness)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    received_s: float = float('-inf')
+    removals: Removals = field(default_factory=Removals)
+
+    def on_store_answer(self, answered_s: float) -> None:
+        """Record a complete answer of the store to this front.
+
+        A large answer is old when it is complete; the next follows soon.
+        """
+        self.store_answer_s = answered_s
+        self.freshness.confirm(answered_s)
+
+    def on_received(self, size_bytes: int, now_s: float) -> None:
+        """Record how much of an answer of the store has arrived."""
+        if size_bytes >= LARGE_ANSWER_BYTES:
+            self.received_s = now_s
+
+    def left_s(self, now_s: float) -> float:
+        """Return how long this host may rely on what is known."""
+        return self.freshness.left_s(now_s)
+
+    def fresh_left_s(self, now_s: float) -> float:
+        """Return how long the last answer of the store may be passed on."""
+        return self.store_answer_s + MAX_STORE_ANSWER_AGE_S - now_s
+
+    def may_answer(self, question: TableQuestion, now_s: float) -> bool:
+        """Return whether what is known answers another host's question."""
+        if self.fresh_left_s(now_s) > 0:
+            return True
+        return question.by_digest and self.is_receiving(now_s)
+
+    def is_receiving(self, now_s: float) -> bool:
+        """Return whether the store is sending a large answer."""
+        return now_s - self.received_s < RECEIVING_S
 
     def notify(self) -> None:
         """Wake up all tasks that wait for a change."""
@@ -52,6 +96,7 @@
     question: TableQuestion,
     now: Callable[[], float],
     era: Callable[[], int] = int,
+    cache: ContentCache | None = None,
 ) -> TableAnswer:
     """Answer another front's request for a table or its changes.
 
@@ -65,6 +110,8 @@
         now: the clock on which ``store_answer_s`` was taken, in seconds.
         era: returns the newest era of the store that is known; a table of an
             earlier one is not sent.
+        cache: compresses large contents; None to send all of them inside
+            the answer.
 
     Raises:
         PlatformUnavailableError: the store has not answered this front within
@@ -74,23 +121,45 @@
     """
     deadline_s = now() + question.wait_s
     while True:
-        reply = _current_answer(table, question, era())
-        fresh_left_s = table.store_answer_s + MAX_STORE_ANSWER_AGE_S - now()
-        wait_left_s = deadline_s - now()
-        if (
-            fresh_left_s > 0
-            and reply is not None
-            and (reply.rows or wait_left_s <= 0)
-        ):
-            return reply
-        if wait_left_s <= 0:
-            raise _failure(table, question, era())
+        now_s = now()
+        left_s = deadline_s - now_s
+        reply = _current_answer(table, question, era(), cache)
+        if _is_ready(table, question, reply, now_s, left_s):
+            return replace(reply, receiving=table.is_receiving(now_s))
+        if left_s <= 0:
+            return _receiving_answer(table, question, now_s, era())
+        fresh_left_s = table.fresh_left_s(now_s)
         await _wait_for_change(
-            table,
-            min(wait_left_s, fresh_left_s) if fresh_left_s > 0 else wait_left_s,
+            table, min(left_s, fresh_left_s) if fresh_left_s > 0 else left_s
         )
 
 
+def _is_ready(
+    table: SharedTable,
+    question: TableQuestion,
+    reply: TableAnswer | None,
+    now_s: float,
+    left_s: float,
+) -> bool:
+    if reply is None or not table.may_answer(question, now_s):
+        return False
+    has_news = reply.rows and table.mirror.last_change > question.known
+    return left_s <= 0 or bool(has_news)
+
+
+def _receiving_answer(
+    table: SharedTable, question: TableQuestion, now_s: float, era: int
+) -> TableAnswer:
+    """Return that the first reading of a table is on its way.
+
+    Raises:
+        CelerywharfError: it is not.
+    """
+    if question.by_digest and table.is_receiving(now_s):
+        return TableAnswer([], WHOLE_TABLE, 0, era=era, receiving=True)
+    raise _failure(table, question, era)
+
+
 def _failure(
     table: SharedTable, question: TableQuestion, era: int
 ) -> CelerywharfError:
@@ -114,6 +183,7 @@
     table: SharedTable,
     question: TableQuestion,
     era: int,
+    cache: ContentCache | None,
 ) -> TableAnswer | None:
     mirror = table.mirror
     if mirror.version is None or mirror.era < era:
@@ -125,32 +195,53 @@
     else:
         raise HistoryGoneError('the reader no longer has these changes')
     version = max(question.after, mirror.version)
+    removed = table.removals.after(question.after) if rows else []
     return TableAnswer(
-        _encode_rows(rows), version, mirror.store_s, era=mirror.era
+        _encode_rows(rows, cache if question.by_digest else None),
+        version,
+        mirror.store_s,
+        era=mirror.era,
+        removals_known=removed is not None,
+        removed_keys=removed or [],
     )
 
 
-def _encode_rows(rows: Iterable[Row]) -> list[SharedRow]:
-    return [
-        SharedRow(
-            row.key,
-            row.content or b'',
-            row.content is not None,
-            row.removed,
-            row.version,
-        )
-        for row in rows
-    ]
+def _encode_rows(
+    rows: Iterable[Row], cache: ContentCache | None
+) -> list[SharedRow]:
+    return [_encode_row(row, cache) for row in rows]
+
 
+def _encode_row(row: Row, cache: ContentCache | None) -> SharedRow:
+    content = row.content or b''
+    encoded = SharedRow(
+        row.key, content, row.content is not None, row.removed, row.version
+    )
+    if cache is None or len(content) < MIN_BYTES:
+        return encoded
+    return replace(encoded, content=b'', digest=cache.pack(content).digest)
 
-def decode_rows(reply: TableAnswer) -> tuple[Row, ...]:
-    """Convert the rows of an answer to rows of the store client."""
+
+def decode_rows(
+    reply: TableAnswer, cache: ContentCache | None = None
+) -> tuple[Row, ...]:
+    """Convert the rows of an answer to rows of the store client.
+
+    Args:
+        reply: the answer.
+        cache: has all contents that the answer names by their digests.
+    """
     return tuple(
         Row(
             row.key,
-            row.content if row.readable else None,
+            _content(row, cache) if row.readable else None,
             row.removed,
             row.version,
         )
         for row in reply.rows
     )
+
+
+def _content(row: SharedRow, cache: ContentCache | None) -> bytes:
+    known = cache and cache.find(row.digest)
+    return known.plain if known else row.content
--- /dev/null
+++ b/celerywharf/sharing/_contents.py
@@ -0,0 +1,81 @@
+"""Large contents of rows, compressed for the links between hosts."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from dataclasses import dataclass
+
+from celerywharf.exceptions import ProtocolError
+from celerywharf.units import DOCUMENT_BYTES, KIBIBYTE
+
+# Smaller contents travel inside the answer: asking for them takes longer.
+MIN_BYTES = 8 * KIBIBYTE
+DIGEST_BYTES = 16
+KEPT = 3  # a host may still be getting one that has been replaced
+
+
+@dataclass(frozen=True, slots=True)
+class Content:
+    """A content in both forms.
+
+    Attributes:
+        digest: identifies the plain content.
+        plain: as in the store.
+        packed: compressed.
+    """
+
+    digest: bytes
+    plain: bytes
+    packed: bytes
+
+
+class ContentCache:
+    """The large contents that this host has, each compressed once.
+
+    Attributes:
+        by_digest: in the order in which they were needed last.
+    """
+
+    def __init__(self) -> None:
+        self.by_digest: dict[bytes, Content] = {}
+        self.by_plain: dict[bytes, Content] = {}
+
+    def pack(self, plain: bytes) -> Content:
+        """Return a content with its compressed form."""
+        known = self.by_plain.get(plain)
+        if known is None:
+            packed = zlib.compress(plain)
+            known = self._keep(Content(_digest(plain), plain, packed))
+        return known
+
+    def find(self, digest: bytes) -> Content | None:
+        """Return a content; None if this host does not have it."""
+        return self.by_digest.get(digest)
+
+    def unpack(self, digest: bytes, packed: bytes) -> Content:
+        """Keep a content that another host has sent.
+
+        Raises:
+            ProtocolError: it is not the content with this digest.
+        """
+        decompressor = zlib.decompressobj()
+        try:
+            plain = decompressor.decompress(packed, DOCUMENT_BYTES)
+        except zlib.error as error:
+            raise ProtocolError(f'content is damaged: {error}') from None
+        if not decompressor.eof or _digest(plain) != digest:
+            raise ProtocolError('content does not match its digest')
+        return self._keep(Content(digest, plain, packed))
+
+    def _keep(self, content: Content) -> Content:
+        self.by_digest[content.digest] = content
+        self.by_plain[content.plain] = content
+        while len(self.by_digest) > KEPT:
+            oldest = self.by_digest.pop(next(iter(self.by_digest)))
+            self.by_plain.pop(oldest.plain, None)
+        return content
+
+
+def _digest(plain: bytes) -> bytes:
+    return hashlib.sha256(plain).digest()[:DIGEST_BYTES]
--- a/celerywharf/sharing/_freshness.py
+++ b/celerywharf/sharing/_freshness.py
@@ -21,6 +21,10 @@
 MIN_POLL_SLACK_S = 0.2  # answers normally take a few milliseconds
 # Time-out of a call on a new connection that replaces outdated knowledge.
 FRESH_CALL_TIMEOUT_S = 0.3
+# While a reader receives a large answer of the store, hosts that called the
+# store as well would only make it slower.
+HOLD_S = 1.2
+MAX_HOLD_S = 3.0
 
 
 class AnswerClock:
@@ -54,15 +58,21 @@
     Attributes:
         confirmed_s: all changes that the store acknowledged before this time
             are known; None before the first reading.
+        held_until_s: the reader is receiving what is newer.
     """
 
     confirmed_s: float | None = None
+    held_until_s: float = -math.inf
 
     def confirm(self, answered_s: float) -> None:
         """Record that the store gave an answer at a time."""
         if self.confirmed_s is None or answered_s > self.confirmed_s:
             self.confirmed_s = answered_s
 
+    def hold(self, now_s: float) -> None:
+        """Record that the reader is receiving what is newer."""
+        self.held_until_s = now_s + HOLD_S
+
     def left_s(self, now_s: float) -> float:
         """Return how long the table may still be relied on.
 
@@ -70,7 +80,9 @@
         """
         if self.confirmed_s is None:
             return math.inf
-        return self.confirmed_s + MAX_AGE_S - now_s
+        ends_s = self.confirmed_s + MAX_AGE_S
+        held_s = min(self.held_until_s, ends_s + MAX_HOLD_S)
+        return max(ends_s, held_s) - now_s
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/sharing/_peer_exchange.py
+++ b/celerywharf/sharing/_peer_exchange.py
@@ -50,7 +50,7 @@
         self.own = own
         self.other_zones = [zone for zone in zones if zone != readers.own_zone]
         self.directory = PeerDirectory(random)
-        shared_store.announcer = self
+        shared_store.inquiries.announcer = self
         shared_store.server.subscribe(PeerQuestion, self._answer)
 
     async def find(self, service: str) -> Sequence[PeerHost]:
--- /dev/null
+++ b/celerywharf/sharing/_reader_calls.py
@@ -0,0 +1,251 @@
+"""A host's questions to the reader of its zone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine, MutableMapping
+from dataclasses import dataclass
+from typing import Any
+
+from celerywharf.exceptions import PeerUnreachableError
+from celerywharf.limits import StatedLimits
+from celerywharf.platform import Position, ReadResult, StoreEra, boot_time_s
+from celerywharf.routing import AnswerTiming
+from celerywharf.sharing._announcers import Announcer
+from celerywharf.sharing._answers import SharedTable, decode_rows
+from celerywharf.sharing._content_exchange import ContentExchange, Source
+from celerywharf.sharing._freshness import Inquiry
+from celerywharf.sharing._limit_messages import from_message
+from celerywharf.sharing._replies import ReplyCheck
+from celerywharf.wire.sharing import WHOLE_TABLE, TableAnswer, TableQuestion
+
+
+@dataclass(slots=True)
+class Arrival:
+    """Rows whose contents are still on their way.
+
+    Attributes:
+        after: position after which they were requested.
+        reply: the newest answer that names them.
+        timing: when the store gave them to the reader.
+        digests: of the contents that were missing.
+        reader: who is asked for them.
+        transfer: gets them.
+    """
+
+    after: Position
+    reply: TableAnswer
+    timing: AnswerTiming
+    digests: tuple[bytes, ...]
+    reader: Source
+    transfer: asyncio.Task[None]
+
+    def is_from(self, reader: Source, missing: tuple[bytes, ...]) -> bool:
+        """Return whether it gets what is missing from a reader."""
+        return (
+            self.reader.link is reader.link
+            and not self.transfer.done()
+            and set(missing) <= set(self.digests)
+        )
+
+
+class ReaderCalls:
+    """Asks the zone's reader for tables.
+
+    Large contents come apart from the rows.  Until they have come, each
+    answer still tells as of when the older rows were the newest but for
+    those, and which API keys are gone.
+
+    Attributes:
+        tables: the tables that this host has read, by name.
+        limits: request limits that servers have stated.
+        exchange: gets large contents.
+        replies: checks the replies of readers.
+        announcer: says what the reader is told of this host; None if that is
+            nothing.
+        arrivals: rows whose contents are on their way, by table.
+    """
+
+    def __init__(
+        self,
+        era: StoreEra,
+        tables: MutableMapping[str, SharedTable],
+        limits: StatedLimits,
+        exchange: ContentExchange,
+    ) -> None:
+        self.era = era
+        self.tables = tables
+        self.limits = limits
+        self.exchange = exchange
+        self.replies = ReplyCheck(era)
+        self.announcer: Announcer | None = None
+        self.arrivals: dict[str, Arrival] = {}
+
+    async def ask(
+        self, reader: Source, table: str, after: Position, inquiry: Inquiry
+    ) -> tuple[ReadResult, int]:
+        """Return the reader's answer and the number of hosts of the zone.
+
+        Raises:
+            HistoryGoneError: the whole table must be read.
+            CelerywharfError: the reader has not answered, or a content has
+                stopped coming.
+        """
+        sent_s = boot_time_s()
+        arrival = self._arrival(table, after)
+        question = TableQuestion(
+            table,
+            after.version,
+            inquiry.wait_s,
+            after.era,
+            self.announcer.announcement() if self.announcer else [],
+            by_digest=True,
+            known=arrival.reply.version if arrival else 0,
+        )
+        reply = await _unless_arrived(
+            reader.link.request(reader.address, question, inquiry.timeout_s),
+            arrival,
+        )
+        if reply is None:
+            return self._arrived(table), 0
+        if reply.version == WHOLE_TABLE:
+            timing = AnswerTiming(sent_s, boot_time_s(), 0, relayed=True)
+            nothing = ReadResult((), after.version, timing, incomplete=True)
+            return nothing, reply.zone_hosts
+        self.replies.check(reply)
+        self._learn_limits(reply)
+        timing = self._confirm(table, reply, sent_s)
+        return self._resolve(reader, table, after, reply, timing), (
+            reply.zone_hosts
+        )
+
+    def drop(self, table: str) -> None:
+        """Stop to wait for the contents of a table."""
+        arrival = self.arrivals.pop(table, None)
+        if arrival is not None:
+            arrival.transfer.cancel()
+
+    def close(self) -> None:
+        """Stop to wait for any contents."""
+        for table in tuple(self.arrivals):
+            self.drop(table)
+
+    def _confirm(
+        self, table: str, reply: TableAnswer, sent_s: float
+    ) -> AnswerTiming:
+        """Record as of when the table is known; return the answer's timing."""
+        received_s = boot_time_s()
+        freshness = self.tables[table].freshness
+        freshness.confirm(min(sent_s + reply.store_answered_s, received_s))
+        if reply.receiving:
+            freshness.hold(received_s)
+        return AnswerTiming(
+            sent_s, received_s, reply.store_s, relayed=True, era=reply.era
+        )
+
+    def _arrival(self, table: str, after: Position) -> Arrival | None:
+        """Return what is on its way of the changes after a position."""
+        arrival = self.arrivals.get(table)
+        if arrival is None:
+            return None
+        if arrival.after != after or arrival.reply.era != self.era.current:
+            self.drop(table)
+            return None
+        if arrival.transfer.done() and arrival.transfer.exception():
+            # Another content has replaced it.
+            self.drop(table)
+            return None
+        return arrival
+
+    def _arrived(self, table: str) -> ReadResult:
+        arrival = self.arrivals.pop(table)
+        return ReadResult(
+            decode_rows(arrival.reply, self.exchange.cache),
+            arrival.reply.version,
+            arrival.timing,
+        )
+
+    def _resolve(
+        self,
+        reader: Source,
+        table: str,
+        after: Position,
+        reply: TableAnswer,
+        timing: AnswerTiming,
+    ) -> ReadResult:
+        """Return the rows, or the older ones while contents are missing."""
+        cache = self.exchange.cache
+        missing = tuple(
+            row.digest
+            for row in reply.rows
+            if row.digest and cache.find(row.digest) is None
+        )
+        if not missing:
+            self.drop(table)
+            return ReadResult(decode_rows(reply, cache), reply.version, timing)
+        arrival = self.arrivals.get(table)
+        if arrival is None or not arrival.is_from(reader, missing):
+            self.drop(table)
+            transfer = asyncio.ensure_future(self._fetch(missing, reader))
+            transfer.add_done_callback(_observe)
+            arrival = Arrival(after, reply, timing, missing, reader, transfer)
+            self.arrivals[table] = arrival
+        arrival.reply = reply
+        arrival.timing = timing
+        return ReadResult(
+            (),
+            after.version,
+            timing,
+            incomplete=True,
+            removed_keys=(
+                tuple(reply.removed_keys) if reply.removals_known else None
+            ),
+        )
+
+    async def _fetch(self, digests: tuple[bytes, ...], reader: Source) -> None:
+        for digest in digests:
+            await self.exchange.fetch(digest, reader)
+
+    def _learn_limits(self, reply: TableAnswer) -> None:
+        for limit in reply.limits:
+            statement = from_message(limit)
+            if statement is not None:
+                self.limits.merge(statement)
+
+
+async def _unless_arrived(
+    question: Coroutine[Any, Any, TableAnswer], arrival: Arrival | None
+) -> TableAnswer | None:
+    """Return the answer; None if all contents have arrived before it.
+
+    Raises:
+        PeerUnreachableError: the contents have stopped coming.
+        CelerywharfError: the reader has not answered.
+    """
+    task = asyncio.ensure_future(question)
+    try:
+        if arrival is not None and await _ends_first(arrival, task):
+            return None
+        return await task
+    finally:
+        task.cancel()
+
+
+async def _ends_first(
+    arrival: Arrival, question: asyncio.Task[TableAnswer]
+) -> bool:
+    await asyncio.wait(
+        {question, arrival.transfer}, return_when=asyncio.FIRST_COMPLETED
+    )
+    if not arrival.transfer.done():
+        return False
+    error = arrival.transfer.exception()
+    if isinstance(error, PeerUnreachableError):
+        raise error
+    return error is None
+
+
+def _observe(transfer: asyncio.Task[None]) -> None:
+    """Take the error of a transfer that nobody waits for any more."""
+    if not transfer.cancelled():
+        transfer.exception()
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -15,6 +15,7 @@
 from celerywharf.limits import StatedLimits
 from celerywharf.metrics import Metrics
 from celerywharf.platform import (
+    CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     HistoryGoneError,
     Position,
@@ -24,14 +25,14 @@
     boot_time_s,
     outlives_copy,
 )
-from celerywharf.routing import AnswerTiming, ConfigurationCache
-from celerywharf.sharing._announcers import Announcer
-from celerywharf.sharing._answers import SharedTable, answer, decode_rows
+from celerywharf.routing import ConfigurationCache
+from celerywharf.sharing._answers import SharedTable, answer
+from celerywharf.sharing._content_exchange import ContentExchange, Source
 from celerywharf.sharing._election import ElectionStep, Reader, ReaderElection
 from celerywharf.sharing._freshness import Inquiry, plan_inquiry
 from celerywharf.sharing._lending import Lending
-from celerywharf.sharing._limit_messages import from_message, to_message
-from celerywharf.sharing._replies import ReplyCheck
+from celerywharf.sharing._limit_messages import to_message
+from celerywharf.sharing._reader_calls import ReaderCalls
 from celerywharf.sharing._store_calls import StoreCalls
 from celerywharf.sharing._store_clock import keep_clock_known
 from celerywharf.sharing._zone_row import ZoneRow
@@ -40,6 +41,7 @@
 from celerywharf.wire import LinkService, Sender, default_codec
 from celerywharf.wire.sharing import (
     WHOLE_TABLE,
+    ContentQuestion,
     RetryQuestion,
     TableAnswer,
     TableQuestion,
@@ -64,14 +66,13 @@
         zone_row: the zone's row in the store, which names its reader.
         reader_answers: the reader answered the last request, if only that it
             does not hear the store.
-        replies: checks the replies of readers.
+        exchange: passes large contents on.
+        inquiries: this front's questions to the reader.
         lending: lends retries to the fronts of the zone.
         configuration_cache: knows the store's clock.
         limits: request limits that servers have stated, shared in the zone.
         server: serves the other fronts, with this front's key.
         client: link to the reader, with the reader's key; None without one.
-        announcer: says what the reader is told of this host; None if that is
-            nothing.
     """
 
     def __init__(
@@ -98,13 +99,19 @@
         self.zone_row = ZoneRow(store, identity, election.candidate)
         self.calls = StoreCalls(store, election.random)
         self.reader_answers = False
-        self.replies = ReplyCheck(store.era)
+        self.exchange = ContentExchange(
+            election.candidate, self._create_link_service, metrics
+        )
+        self.inquiries = ReaderCalls(
+            store.era, self.tables, limits, self.exchange
+        )
+        store.on_received = self._on_received
         self.server = self._create_link_service(election.candidate.key)
         self.server.subscribe(TableQuestion, self._answer_front)
+        self.server.subscribe(ContentQuestion, self.exchange.answer)
         self.server.subscribe(RetryQuestion, lending.answer)
         self.server.on_link_ended = lending.link_ended
         self.client: LinkService | None = None
-        self.announcer: Announcer | None = None
 
     @property
     def era(self) -> StoreEra:
@@ -128,6 +135,7 @@
     async def stop(self) -> None:
         """Stop the tasks and close all links."""
         await super().stop()
+        self.inquiries.close()
         await self.server.close()
         if self.client is not None:
             await self.client.close()
@@ -141,15 +149,16 @@
         await self._wait_for_first_check()
         reader = self.election.reader
         whole = Position(self.era.current, WHOLE_TABLE)
-        inquiry = plan_inquiry(self._left_s(table))
+        inquiry = plan_inquiry(self.tables[table].left_s(boot_time_s()))
         reading = await self._read_from_reader(table, whole, inquiry)
         if reading is None:
             self.calls.check_due()
             reading = await self._read_from_store(
                 table, self.store.read(table), _judged(reader, inquiry)
             )
-        self.tables[table].mirror.replace(reading)
-        self.tables[table].notify()
+        if not reading.incomplete:
+            self.tables[table].mirror.replace(reading)
+            self._note_change(table)
         return reading
 
     async def watch(
@@ -164,7 +173,7 @@
             PlatformUnavailableError: neither the reader nor the store answered.
         """
         reader = self.election.reader
-        inquiry = plan_inquiry(self._left_s(table))
+        inquiry = plan_inquiry(self.tables[table].left_s(boot_time_s()))
         reading = await self._read_from_reader(table, after, inquiry)
         if reading is None:
             self.calls.check_due()
@@ -174,15 +183,16 @@
                     table,
                     after,
                     wait_s,
-                    self._left_s(table),
+                    self.tables[table].left_s(boot_time_s()),
                     has_followers=self.election.has_followers(boot_time_s()),
                 ),
                 _judged(reader, inquiry),
             )
         if reading.timing.era != self.tables[table].mirror.era:
             raise HistoryGoneError('the store has come back from a copy')
-        self.tables[table].mirror.update(reading)
-        self.tables[table].notify()
+        if not reading.incomplete:
+            self.tables[table].mirror.update(reading)
+            self._note_change(table)
         return reading
 
     async def _wait_for_first_check(self) -> None:
@@ -192,9 +202,6 @@
         except TimeoutError:
             logger.info('zone row not checked in time; reading from the store')
 
-    def _left_s(self, table: str) -> float:
-        return self.tables[table].freshness.left_s(boot_time_s())
-
     @property
     def is_reader(self) -> bool:
         """Return whether this front reads the store for the others."""
@@ -223,9 +230,9 @@
             self._report_reader_failure(
                 reader, 'it hears no store, but this front does'
             )
+        self.inquiries.drop(table)
         answered_s = self.calls.answer_clock.answered_s(reading.timing)
-        self.tables[table].store_answer_s = answered_s
-        self.tables[table].freshness.confirm(answered_s)
+        self.tables[table].on_store_answer(answered_s)
         self.metrics.count('table_readings', source='store')
         return reading
 
@@ -244,18 +251,9 @@
             return None
         sent_s = boot_time_s()
         try:
-            reply = await self.client.request(
-                reader.address,
-                TableQuestion(
-                    table,
-                    after.version,
-                    inquiry.wait_s,
-                    after.era,
-                    self.announcer.announcement() if self.announcer else [],
-                ),
-                inquiry.timeout_s,
+            reading, zone_hosts = await self.inquiries.ask(
+                Source(reader.address, self.client), table, after, inquiry
             )
-            self.replies.check(reply)
         except HistoryGoneError:
             raise
         except CelerywharfError as error:
@@ -264,16 +262,9 @@
                 self._assess_failure(reader, error)
             return None
         self.reader_answers = True
-        self.lending.learn_hosts(reply.zone_hosts)
-        self._learn_limits(reply)
+        self.lending.learn_hosts(zone_hosts)
         self.metrics.count('table_readings', source='reader')
-        received_s = boot_time_s()
-        answered_s = min(sent_s + reply.store_answered_s, received_s)
-        self.tables[table].freshness.confirm(answered_s)
-        timing = AnswerTiming(
-            sent_s, received_s, reply.store_s, relayed=True, era=reply.era
-        )
-        return ReadResult(decode_rows(reply), reply.version, timing)
+        return reading
 
     def _assess_failure(self, reader: Reader, error: CelerywharfError) -> None:
         """Record that the reader gave no answer with rows.
@@ -309,13 +300,17 @@
         arrived_s = boot_time_s()
         self.lending.record_host(sender.host)
         self.election.record_request(arrived_s)
-        if self.announcer is not None:
-            self.announcer.on_announced(question.peers)
+        if self.inquiries.announcer is not None:
+            self.inquiries.announcer.on_announced(question.peers)
         if question.era > self.era.current:
             self.era.observe(question.era)
         table = self.tables[question.table]
         reply = await answer(
-            table, question, boot_time_s, lambda: self.era.current
+            table,
+            question,
+            boot_time_s,
+            lambda: self.era.current,
+            self.exchange.cache,
         )
         if question.table == CONFIGURATION_TABLE:
             confirmed_s = self.configuration_cache.confirmed_store_s
@@ -328,11 +323,16 @@
             limits=[to_message(each) for each in self.limits.current(now_s)],
         )
 
-    def _learn_limits(self, reply: TableAnswer) -> None:
-        for limit in reply.limits:
-            statement = from_message(limit)
-            if statement is not None:
-                self.limits.merge(statement)
+    def _note_change(self, table: str) -> None:
+        """Tell the fronts that wait for a change of a table."""
+        shared = self.tables[table]
+        if table == CONFIGURATION_TABLE:
+            row = shared.mirror.rows.get(CONFIGURATION_KEY)
+            shared.removals.learn(shared.mirror.era, row)
+        shared.notify()
+
+    def _on_received(self, table: str, size_bytes: int) -> None:
+        self.tables[table].on_received(size_bytes, boot_time_s())
 
     def _on_store_restored(self) -> None:
         self.election.store_restored(boot_time_s(), is_reader=self.is_reader)
--- a/celerywharf/sharing/_store_calls.py
+++ b/celerywharf/sharing/_store_calls.py
@@ -29,6 +29,8 @@
 # that the store still answers.
 STORE_POLL_S = 1.0
 STORE_ANSWER_SLACK_S = 0.5  # answers normally take a few milliseconds
+# What is left of the time in which other hosts rely on the answers.
+FOLLOWERS_S = 0.5
 ALONE_ANSWER_SLACK_S = 0.8  # without followers
 
 
@@ -80,7 +82,8 @@
         """
         slack_s = ALONE_ANSWER_SLACK_S
         if has_followers:
-            wait_s = min(wait_s, STORE_POLL_S)
+            # An answer that took long to arrive is old already.
+            wait_s = min(wait_s, STORE_POLL_S, left_s - FOLLOWERS_S)
             slack_s = STORE_ANSWER_SLACK_S
         poll = plan_poll(left_s, wait_s, slack_s)
         try:
--- a/celerywharf/wire/schemas/sharing.capnp
+++ b/celerywharf/wire/schemas/sharing.capnp
@@ -8,6 +8,8 @@
   waitS @2 :Float64;
   era @3 :Int64;
   peers @4 :List(Peers.PeerEntry);
+  byDigest @5 :Bool;
+  known @6 :Int64;
 }
 
 struct SharedRow {
@@ -16,6 +18,7 @@
   readable @2 :Bool;
   removed @3 :Bool;
   version @4 :Int64;
+  digest @5 :Data;
 }
 
 struct RetryQuestion {
@@ -38,6 +41,9 @@
   limits @4 :List(ServerLimit);
   era @5 :Int64;
   storeAnsweredS @6 :Float64;
+  receiving @7 :Bool;
+  removalsKnown @8 :Bool;
+  removedKeys @9 :List(Text);
 }
 
 struct ServerLimit {
@@ -61,3 +67,18 @@
 struct LimitNotice {
   limit @0 :ServerLimit;
 }
+
+struct ContentQuestion {
+  digest @0 :Data;
+  offset @1 :Int64;
+  whole @2 :Bool;
+  address @3 :Text;
+  key @4 :Data;
+}
+
+struct ContentAnswer {
+  piece @0 :Data;
+  size @1 :Int64;
+  giverAddress @2 :Text;
+  giverKey @3 :Data;
+}
--- a/celerywharf/wire/sharing.py
+++ b/celerywharf/wire/sharing.py
@@ -38,6 +38,9 @@
         wait_s: longest wait for the first change, seconds.
         era: era of the store of that version; 0 if unknown.
         peers: the asking host, if it takes in requests of others.
+        by_digest: large content may be named by its digest.
+        known: the asking host knows of the rows up to this version, though
+            it lacks contents; they are no reason to answer before ``wait_s``.
     """
 
     table: str
@@ -45,6 +48,8 @@
     wait_s: float
     era: int = 0
     peers: list[PeerEntry] = field(default_factory=list)
+    by_digest: bool = False
+    known: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +62,8 @@
         readable: whether the store's content could be decoded.
         removed: whether the row was removed.
         version: version of the table in which the row was read.
+        digest: digest of the content, if that is to be asked for by a
+            ``ContentQuestion``; empty if it is in ``content``.
     """
 
     key: str
@@ -64,6 +71,7 @@
     readable: bool
     removed: bool
     version: int
+    digest: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +88,11 @@
         era: era of the store in which the rows were read; 0 if unknown.
         store_answered_s: when the store last answered the reader for the table,
             seconds after the question arrived; negative if that was before.
+        receiving: the store is sending the reader a large answer, so the rows
+            may be older than usual.
+        removals_known: ``removed_keys`` are all API keys that the rows take
+            away from the version after which changes were requested.
+        removed_keys: API keys that are not accepted any more.
     """
 
     rows: list[SharedRow]
@@ -89,6 +102,49 @@
     limits: list[ServerLimit] = field(default_factory=list)
     era: int = 0
     store_answered_s: float = 0
+    receiving: bool = False
+    removals_known: bool = False
+    removed_keys: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class ContentQuestion:
+    """Asks for a piece of a content; the reply is a ``ContentAnswer``.
+
+    Asking a reader from the end on says that the host has the whole.
+
+    Attributes:
+        digest: digest of the content.
+        offset: bytes of the compressed content that the host has.
+        whole: the host has all of it.
+        address: where the host serves others, ``ip:port``.
+        key: proves to it that a question comes from a host of the zone.
+    """
+
+    digest: bytes
+    offset: int
+    whole: bool
+    address: str
+    key: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ContentAnswer:
+    """A piece of a content, or who else has it.
+
+    Attributes:
+        piece: the bytes after the offset of the question; empty if there is
+            no turn for the host yet, or another host gives them.
+        size: bytes of the whole compressed content.
+        giver_address: where to ask for the rest, ``ip:port``; empty for the
+            host that answers.
+        giver_key: the key of that host.
+    """
+
+    piece: bytes
+    size: int
+    giver_address: str = ''
+    giver_key: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
