--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -11,6 +11,7 @@
     decode_report,
     list_configuration,
     outlives_copy,
+    read_api_keys,
 )
 from celerywharf.platform._eras import Position, StoreEra
 from celerywharf.platform._events import Event, EventSplitter
@@ -75,6 +76,7 @@
     'lease_demand',
     'lease_release_path',
     'outlives_copy',
+    'read_api_keys',
     'peer_headers',
     'read_answer_headers',
     'read_request_headers',
