Limit what starting and recovering servers get, over all hosts together

Each host allowed 1, 2, 4, 8 requests to a server after an ejection, which many hosts multiply to a flood and one host makes a long wait; new servers had no limit at all. A window now holds for all hosts together: it starts with a quarter of the slots (one request after an ejection), doubles with answers at the usual time and by what the server states to be answering, halves on refusals, failures and slow answers, and is shared by chance and demand. A new incarnation is used at once, whatever the last one failed. No window applies to servers that a host finds at its own start.

--- a/celerywharf/backends/__init__.py
+++ b/celerywharf/backends/__init__.py
@@ -19,6 +19,7 @@
     VERSIONS_KEPT_S,
     SoftwareVersions,
 )
+from celerywharf.backends._windows import WindowChange
 
 __all__ = (
     'VERSIONS_KEPT_S',
@@ -35,4 +36,5 @@
     'ServerLoad',
     'SoftwareVersions',
     'Suspicion',
+    'WindowChange',
 )
--- a/celerywharf/backends/_directory.py
+++ b/celerywharf/backends/_directory.py
@@ -6,6 +6,7 @@
 
 from celerywharf.backends._servers import BackendServer, server_name
 from celerywharf.backends._software_versions import SoftwareVersions
+from celerywharf.backends._starts import ServerStarts
 
 # Servers whose entries expired during an outage of the store publish them again
 # within two seconds after its end.
@@ -36,6 +37,7 @@
         software_versions: those of the servers now and lately.
         outage_ended_s: end of the last outage; None before the first.
         in_outage: whether the store is unavailable.
+        starts: tells of servers that start.
     """
 
     def __init__(self) -> None:
@@ -48,6 +50,7 @@
         self.software_versions = SoftwareVersions()
         self.outage_ended_s: float | None = None
         self.in_outage = False
+        self.starts = ServerStarts()
 
     def outage(self) -> None:
         """Record that the store has become unavailable."""
@@ -84,6 +87,7 @@
         self.missing.discard(server.name)
         if known is None or known.born_ms != server.born_ms:
             self.since_s[server.name] = now_s
+            self.starts.appeared(server, last_removed, now_s)
         if server.draining:
             self._mark_departed(server.incarnation)
         elif self.has_departed(server.incarnation):
@@ -138,6 +142,7 @@
         for name in tuple(self.servers):
             if name not in names:
                 self.removed(name, now_s)
+        self.starts.entries_read(now_s)
 
     def expire(self, now_s: float) -> list[str]:
         """Drop entries still missing after the grace period of an outage.
--- a/celerywharf/backends/_health.py
+++ b/celerywharf/backends/_health.py
@@ -3,17 +3,32 @@
 from __future__ import annotations
 
 import logging
+from random import Random
 
+from celerywharf.backends._demands import ServiceDemand
 from celerywharf.backends._directory import Directory
 from celerywharf.backends._loads import Loads
 from celerywharf.backends._reachability import Reachability
 from celerywharf.backends._servers import BackendServer
+from celerywharf.backends._windows import RecoveryWindows, WindowChange
 from celerywharf.backends._zones import ServiceZone, ZoneFailureDetector
 from celerywharf.backends.outliers import Outliers
 
 logger = logging.getLogger(__name__)
 
 
+def _log_change(change: WindowChange) -> None:
+    logger.info(
+        'window of a server',
+        extra={
+            'event': change.event,
+            'backend_server': change.server.name,
+            'size': change.size,
+            'reason': change.reason.name,
+        },
+    )
+
+
 class ServerHealth:
     """Tracks the health of backend servers by the outcomes of sends.
 
@@ -21,20 +36,32 @@
         directory: the known backend servers.
         loads: their load and when they last responded.
         outliers: ejects servers that fail or are slow.
+        windows: limit what is sent to servers that start or recover.
         zones: detects zones whose servers fail together.
         reachability: detects services to which this host has no path.
     """
 
-    def __init__(self, directory: Directory, loads: Loads) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        loads: Loads,
+        random: Random | None = None,
+    ) -> None:
         self.directory = directory
         self.loads = loads
-        self.outliers = Outliers()
+        self.outliers = Outliers(readmission_limits=())
+        self.windows = RecoveryWindows(
+            loads, ServiceDemand(directory, loads), random or Random()
+        )
+        self.windows.subscribers.append(_log_change)
+        directory.starts.subscribers.append(self._restarted)
         self.zones = ZoneFailureDetector()
         self.reachability = Reachability(directory)
 
     def started(self, server: BackendServer) -> None:
         """Record the start of a send."""
         self.outliers.started(server.name)
+        self.windows.sent(server.name)
 
     def ended(self, server: BackendServer) -> None:
         """Record the end of a send, whatever its outcome."""
@@ -42,7 +69,8 @@
 
     def succeeded(self, server: BackendServer, now_s: float) -> None:
         """Record a successful send."""
-        self.outliers.succeeded(server.name)
+        on_trial = self.windows.is_open(server.name)
+        self.outliers.succeeded(server.name, on_trial=on_trial)
         self.loads.mark_alive(server.name, now_s)
 
     def reached(self, server: BackendServer) -> None:
@@ -51,8 +79,13 @@
 
     def failed(self, server: BackendServer, now_s: float) -> None:
         """Record a failure reported by a server that is still reachable."""
-        if self.outliers.failed(server.name, now_s):
-            logger.info('ejected', extra={'backend_server': server.name})
+        bad = self.windows.failed(server.name, now_s)
+        self._record_error(server, now_s, bad=bad)
+
+    def refused(self, server: BackendServer, now_s: float) -> None:
+        """Record that a server has refused a request."""
+        bad = self.windows.refused(server.name, now_s)
+        self._record_error(server, now_s, bad=bad)
 
     def lost(self, server: BackendServer, now_s: float) -> None:
         """Record that a server broke a connection."""
@@ -90,10 +123,13 @@
         """
         self.outliers.retain(self.directory.servers)
         self.loads.retain(self.directory.servers)
+        self.windows.retain(self.directory.servers)
 
     def usable(self, server: BackendServer, now_s: float) -> bool:
         """Return whether a server may be sent another request."""
-        return self.outliers.usable(server.name, now_s)
+        return self.outliers.usable(server.name, now_s) and self.windows.allows(
+            server.name, now_s
+        )
 
     def suspect(self, server: BackendServer, now_s: float) -> bool:
         """Return whether a server may have failed together with its zone."""
@@ -104,6 +140,23 @@
             now_s,
         )
 
+    def _restarted(self, server: BackendServer, now_s: float) -> None:
+        """Begin anew with an incarnation: the one before it has ended."""
+        self.outliers.restarted(server.name)
+        self.loads.restarted(server.name)
+        self.windows.started(server, now_s)
+
+    def _record_error(
+        self, server: BackendServer, now_s: float, *, bad: bool
+    ) -> None:
+        ejected = self.outliers.failed(server.name, now_s)
+        if bad and not ejected:
+            ejected = self.outliers.eject(server.name, now_s)
+        if ejected:
+            logger.info('ejected', extra={'backend_server': server.name})
+            until_s = self.outliers.ejected_until_s(server.name)
+            self.windows.ejected(server, until_s)
+
     def _record_zone_failure(self, server: BackendServer, now_s: float) -> None:
         zone = server.availability_zone
         peers = [
--- a/celerywharf/backends/_loads.py
+++ b/celerywharf/backends/_loads.py
@@ -35,6 +35,19 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class ServerUse:
+    """Requests at a server, of all hosts.
+
+    Attributes:
+        requests: running and waiting ones.
+        answering: those known to have produced a part of their answer.
+    """
+
+    requests: int
+    answering: int = 0
+
+
 class Loads:
     """Estimates the load of backend servers.
 
@@ -94,6 +107,35 @@
         if stated.pace is not None:
             self.paces.stated(server, stated.pace, now_s)
 
+    def in_use(self, name: str, since_s: float) -> ServerUse | None:
+        """Return what a server last stated, and this host's sends since.
+
+        None if it has stated nothing since ``since_s``, monotonic seconds.
+        """
+        load = self._load(name)
+        at_s = max(load.stated_at_s, load.report_at_s)
+        if at_s < since_s:
+            return None
+        sent = self.sent_since(name, at_s)
+        if load.stated_at_s == at_s:
+            return ServerUse(load.stated.running + load.stated.waiting + sent)
+        report = load.report
+        return ServerUse(
+            report.running + report.waiting + sent,
+            report.running - report.prefilling,
+        )
+
+    def sent_since(self, name: str, since_s: float) -> int:
+        """Count the last requests sent there after a time, at most 16."""
+        return sum(sent_s > since_s for sent_s in self._load(name).sent_at_s)
+
+    def restarted(self, name: str) -> None:
+        """Forget what an earlier incarnation of a server has stated."""
+        load = self._load(name)
+        load.stated_at_s = float('-inf')
+        load.report_at_s = float('-inf')
+        self.paces.restarted(name)
+
     def mark_alive(self, name: str, now_s: float) -> None:
         """Record that a server has just responded."""
         self._load(name).alive_at_s = now_s
@@ -156,9 +198,7 @@
             return own
         stated = load.stated.running + load.stated.waiting
         if load.stated.pace is not None:
-            stated += sum(
-                sent_s > load.stated_at_s for sent_s in load.sent_at_s
-            )
+            stated += self.sent_since(server.name, load.stated_at_s)
         return max(own, stated / load.stated.slots)
 
     def _load(self, name: str) -> _Load:
--- a/celerywharf/backends/_server_paces.py
+++ b/celerywharf/backends/_server_paces.py
@@ -79,6 +79,12 @@
         pace = paces.expected(server.name, now_s)
         return pace if pace >= MIN_SLOW_PACE else UNKNOWN_PACE
 
+    def restarted(self, name: str) -> None:
+        """Forget the pace of an earlier incarnation of a server."""
+        for family in (self.stated_paces, self.judged_paces):
+            for paces in family.values():
+                paces.last.pop(name, None)
+
     def retain(self, names: Container[str]) -> None:
         """Forget all other servers."""
         self.stating = {name for name in self.stating if name in names}
--- a/celerywharf/backends/outliers.py
+++ b/celerywharf/backends/outliers.py
@@ -38,9 +38,17 @@
 
     At most half of the known backend servers are ejected at a time: if most of
     them appear faulty, the cause is elsewhere.
+
+    Attributes:
+        readmission_limits: concurrent requests allowed after an ejection, one
+            step for each success; empty if something else limits them.
+        records: what is known of each server, by its name.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, readmission_limits: tuple[int, ...] = READMISSION_LIMITS
+    ) -> None:
+        self.readmission_limits = readmission_limits
         self.records: dict[str, _Record] = {}
 
     def usable(self, name: str, now: float) -> bool:
@@ -50,9 +58,10 @@
             return True
         if now < record.ejected_until_s:
             return False
-        if record.readmission_step >= len(READMISSION_LIMITS):
+        if record.readmission_step >= len(self.readmission_limits):
             return True
-        return record.in_flight < READMISSION_LIMITS[record.readmission_step]
+        limit = self.readmission_limits[record.readmission_step]
+        return record.in_flight < limit
 
     def started(self, name: str) -> None:
         """Record the start of a request."""
@@ -63,24 +72,46 @@
         record = self._record(name)
         record.in_flight = max(0, record.in_flight - 1)
 
-    def succeeded(self, name: str) -> None:
-        """Record a successful request."""
+    def succeeded(self, name: str, *, on_trial: bool = False) -> None:
+        """Record a successful request.
+
+        Args:
+            name: name of the backend server.
+            on_trial: something else limits the requests to it until it has
+                proved itself.
+        """
         record = self._record(name)
         record.errors = 0
-        if record.readmission_step < len(READMISSION_LIMITS):
+        if record.readmission_step < len(self.readmission_limits):
             record.readmission_step += 1
-        else:
+        elif not on_trial:
             record.ejections = 0
 
     def failed(self, name: str, now: float) -> bool:
         """Record a failed request; return whether the server was ejected."""
         record = self._record(name)
         record.errors += 1
-        readmitting = record.readmission_step < len(READMISSION_LIMITS)
+        readmitting = record.readmission_step < len(self.readmission_limits)
         if record.errors >= MAX_CONSECUTIVE_ERRORS or readmitting:
-            return self._eject(name, now)
+            return self.eject(name, now)
         return False
 
+    def ejected_until_s(self, name: str) -> float:
+        """Return until when a server is not used; 0 if it has not been."""
+        record = self.records.get(name)
+        return record.ejected_until_s if record else 0
+
+    def restarted(self, name: str) -> None:
+        """Use a server again whose new incarnation has failed nothing yet.
+
+        The next ejection is as long as if it had not been restarted.
+        """
+        record = self.records.get(name)
+        if record is not None:
+            record.ejected_until_s = 0
+            record.errors = 0
+            record.samples = 0
+
     def skip(self, name: str, now: float) -> None:
         """Stop using a server for a short time because it does not respond."""
         record = self._record(name)
@@ -118,9 +149,10 @@
         if record.samples < MIN_LATENCY_SAMPLES or not others:
             return False
         limit_s = max(SLOW_FACTOR * statistics.median(others), MIN_SLOW_S)
-        return answer_s > limit_s and self._eject(name, now)
+        return answer_s > limit_s and self.eject(name, now)
 
-    def _eject(self, name: str, now: float) -> bool:
+    def eject(self, name: str, now: float) -> bool:
+        """Stop using a server; return False if too many are ejected."""
         ejected = [
             other
             for other, record in self.records.items()
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -25,6 +25,7 @@
     invalid_answer,
     is_from_server,
     leaving_incarnation,
+    record_first_event,
     record_limit,
     record_stated_load,
     refusal,
@@ -310,7 +311,9 @@
     def _record_liveness(self, now_s: float) -> None:
         self.context.loads.mark_alive(self.server.name, now_s)
         if not self.detector.has_events:
-            self.context.loads.prefilled(self.server.name)
+            record_first_event(
+                self.context, self.server, now_s - self.detector.started_s
+            )
         self.detector.record_event(now_s)
 
     def _record_origin(self) -> None:
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -20,6 +20,7 @@
 )
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._statements import availability_recorder
+from celerywharf.peers import PeerHost
 from celerywharf.platform import (
     AnswerHeaders,
     Resumption,
@@ -122,6 +123,16 @@
         context.loads.reported(server, headers.load, context.timers.now())
 
 
+def record_first_event(
+    context: ForwardingContext, server: BackendServer | PeerHost, took_s: float
+) -> None:
+    """Record that a prompt has been read, and how long that took."""
+    context.loads.prefilled(server.name)
+    if isinstance(server, BackendServer):
+        now_s = context.timers.now()
+        context.health.windows.answered(server, took_s, now_s)
+
+
 def states_load(
     request: IncomingRequest, status: int, headers: AnswerHeaders
 ) -> bool:
@@ -225,6 +236,7 @@
     if isinstance(outcome, Answered):
         took_s = context.timers.now() - started_s
         context.metrics.observe('backend_answer', took_s)
+        context.health.windows.answered(server, took_s, context.timers.now())
         region = context.placement.regions.get(server.availability_zone, '')
         context.loads.paces.answered(
             server, region, took_s, context.timers.now()
@@ -257,7 +269,9 @@
             context.health.lost(server, now_s)
         case Lost(silent=True):
             context.health.silent(server, now_s)
-        case Refused() | Lost():
+        case Refused():
+            context.health.refused(server, now_s)
+        case Lost():
             context.health.failed(server, now_s)
         case Answered() | Finished():
             context.health.succeeded(server, now_s)
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -6,7 +6,13 @@
 from random import Random
 
 from celerywharf.adapters.transports import Transport
-from celerywharf.backends import Directory, Loads, Placement, ServerHealth
+from celerywharf.backends import (
+    Directory,
+    Loads,
+    Placement,
+    ServerHealth,
+    WindowChange,
+)
 from celerywharf.forwarding import ForwardingContext, Reports
 from celerywharf.fronts._retries import UNSHARED_HOSTS, build_retry_limiter
 from celerywharf.limits import (
@@ -20,6 +26,7 @@
 from celerywharf.peers import PeerPaths
 from celerywharf.platform import boot_time_s
 from celerywharf.quarantine import LossRegister, QuarantineGate
+from celerywharf.retries import HostShare
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
 from celerywharf.timers import TimerService
@@ -35,7 +42,11 @@
     """Return the components of a front, with an empty directory."""
     directory = Directory()
     loads = Loads()
-    health = ServerHealth(directory, loads)
+    health = ServerHealth(directory, loads, random)
+    metrics = Metrics()
+    retries = build_retry_limiter(settings, timers.now, random)
+    health.windows.hosts = functools.partial(_hosts, retries.share)
+    health.windows.subscribers.append(functools.partial(_count_change, metrics))
     store_time_s = functools.partial(_store_time_s, configuration_cache)
     limits = ServerLimiter(
         StatedLimits(),
@@ -57,15 +68,31 @@
             random,
         ),
         reports=Reports(transport, timers, loads, health, limits),
-        retries=build_retry_limiter(settings, timers.now, random),
+        retries=retries,
         quarantine=QuarantineGate(LossRegister(random), store_time_s),
         limits=limits,
         origins=StreamOrigins(directory.software_versions, timers.now),
         peers=PeerPaths(settings.front.availability_zone, timers.now, random),
-        metrics=Metrics(),
+        metrics=metrics,
         random=random,
     )
 
 
+def _hosts(share: HostShare | None) -> int:
+    """Return the number of hosts that send to the same servers."""
+    if share is None:
+        return UNSHARED_HOSTS
+    return share.zones * max(share.zone_hosts, 1)
+
+
+def _count_change(metrics: Metrics, change: WindowChange) -> None:
+    metrics.count(
+        'server_windows',
+        service=change.server.service,
+        event=change.event,
+        reason=change.reason.name,
+    )
+
+
 def _store_time_s(configuration_cache: ConfigurationCache) -> float:
     return configuration_cache.store_time_s(boot_time_s())
