Let streams wait at their host while no engine has room

A request for which no engine had room was sent at once and waited in the queue of one engine, which ended the choice. It now waits at its host, ordered by what callers need, and is placed when an engine has room; what surely cannot be served in time is refused. Estimates of waits are shared with admissions.

--- a/celerywharf/admissions/accounts.py
+++ b/celerywharf/admissions/accounts.py
@@ -6,8 +6,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from celerywharf.admissions.estimates import RetrySchedule
 from celerywharf.admissions.tickets import Ticket, TicketId
+from celerywharf.waiting import RetrySchedule
 
 REPORT_TIME_TOLERANCE_S = 0.2
 HISTORY_S = 10.0  # how far back reports can be compared with the grants
--- a/celerywharf/admissions/queues.py
+++ b/celerywharf/admissions/queues.py
@@ -11,7 +11,6 @@
 import math
 
 from celerywharf.admissions.accounts import Account
-from celerywharf.admissions.estimates import DrainRate
 from celerywharf.admissions.ledgers import LEASE_S, Ledger, ShareOf
 from celerywharf.admissions.loads import LoadView
 from celerywharf.admissions.tickets import (
@@ -27,6 +26,7 @@
     Tick,
     Ticket,
 )
+from celerywharf.waiting import DrainRate
 
 REBUILD_WAIT_S = 0.5  # time for the holders to renew at a new owner
 QUEUE_LIMIT_TICKETS = 1000
--- a/celerywharf/admissions/searches.py
+++ b/celerywharf/admissions/searches.py
@@ -5,10 +5,10 @@
 import math
 from dataclasses import dataclass
 
-from celerywharf.admissions.estimates import RETRY_AFTER_MIN_S
 from celerywharf.admissions.selection import Candidates
 from celerywharf.admissions.tickets import Refusal
 from celerywharf.tables import BackendServer
+from celerywharf.waiting import RETRY_AFTER_MIN_S
 
 IMMEDIATE_REQUEST_LIMIT = 3  # in a region, before the request is queued
 RETRY_DELAY_S = 0.1
--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -32,12 +32,12 @@
 from celerywharf.forwarding._request_log import RequestLog
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.peers import PeerHost, Relay
+from celerywharf.waiting import spread_retry_after_s
 
 MAX_PEERS = 3  # hosts that one request is passed to at most
 MIN_RETRY_AFTER_S = 0.2
+UNAVAILABLE_RETRY_AFTER_S = 0.3  # a server is likely to be known by then
 MAX_RETRY_AFTER_S = 3600.0
-# Those who are refused together return at different times.
-RETRY_AFTER_JITTER = 1.0
 
 
 class Forwarding(abc.ABC):
@@ -235,12 +235,29 @@
     def give_up_for_now(self) -> PassOn | Fail:
         """Return the final step if no server may be sent the request now."""
         if math.isinf(self.eligibility.limit_wait_s):
-            return self.plan.give_up('no backend server available')
-        spread = 1 + RETRY_AFTER_JITTER * self.context.random.random()
+            return self.plan.give_up(
+                'no backend server available', self._soon_s()
+            )
+        # Before the end of a pause a retry would be refused as well, so the
+        # time that the caller has left does not bound this wait.
         wait_s = max(self.eligibility.limit_wait_s, MIN_RETRY_AFTER_S)
+        retry_after_s = spread_retry_after_s(
+            min(wait_s, MAX_RETRY_AFTER_S), math.inf, self.context.random
+        )
         return self.plan.give_up(
-            'backend servers are at their limits',
-            min(wait_s, MAX_RETRY_AFTER_S) * spread,
+            'backend servers are at their limits', retry_after_s
+        )
+
+    def _soon_s(self) -> float | None:
+        """Return when a request for which there is no server may return.
+
+        None for a request that another host passed on, which tries elsewhere.
+        """
+        if self.request.relay is not None:
+            return None
+        left_s = self.request.given_up_at_s() - self.context.timers.now()
+        return spread_retry_after_s(
+            UNAVAILABLE_RETRY_AFTER_S, left_s, self.context.random
         )
 
     async def _may_repeat(self) -> bool:
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -16,6 +16,7 @@
 from celerywharf.retries import RetryLimiter
 from celerywharf.routing import ConfigurationCache
 from celerywharf.timers import TimerService
+from celerywharf.waiting import WaitingRequests
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,5 +35,6 @@
     limits: ServerLimiter
     origins: StreamOrigins
     peers: PeerPaths
+    waiting: WaitingRequests
     metrics: Metrics
     random: Random
--- a/celerywharf/forwarding/_forwarder.py
+++ b/celerywharf/forwarding/_forwarder.py
@@ -45,7 +45,7 @@
                     caller,
                 )
                 step = await stream.run()
-                details = stream.details()
+                details = {**stream.details(), **stream.turns.details()}
             case Idempotent() | NonIdempotent():
                 step = await CallForwarding(
                     self.context,
--- a/celerywharf/forwarding/_request_log.py
+++ b/celerywharf/forwarding/_request_log.py
@@ -83,6 +83,21 @@
             },
         )
 
+    def log_waited_in_vain(
+        self, reason: str, now_s: float, expected_s: float
+    ) -> None:
+        """Log why a request that waited for room is refused."""
+        waited_s = now_s - self.request.arrived_s
+        logger.info(
+            'refused while engines lack room',
+            extra={
+                'request_id': self.request.headers.request_id,
+                'reason': str(reason),
+                'waited_ms': round(waited_s * MILLISECONDS),
+                'expected_wait_ms': round(expected_s * MILLISECONDS),
+            },
+        )
+
     def log_relay(self, peer: PeerHost, outcome: Outcome, step: Step) -> None:
         """Log that the request was passed to another host."""
         self.peers.append(peer.name)
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
-from celerywharf.backends import BackendServer, Demand
+from celerywharf.backends import BackendServer, Demand, Loads
 from celerywharf.forwarding._context import ForwardingContext
 from celerywharf.forwarding._outcomes import Lost, Outcome
 from celerywharf.forwarding._relays import Progress
@@ -22,6 +22,7 @@
 ANSWERED_LATELY_S = 0.25
 
 EligibilityCheck = Callable[[BackendServer], Awaitable[bool]]
+RoomCheck = Callable[[Loads, BackendServer, Demand, float], bool]
 
 
 class StreamPlacer:
@@ -39,6 +40,9 @@
             there is none.
         copy_holder: engine that may hold a copy of the run; None if there is
             none or it has been tried.
+        needs_room: tells whether an engine has room; None if the stream is
+            sent even if none has.
+        lacks_room: engines are usable, but none that was found has room.
     """
 
     def __init__(
@@ -64,6 +68,8 @@
         self.limited_names: set[str] = set()
         self.silent_name = ''
         self.copy_holder: BackendServer | None = None
+        self.needs_room: RoomCheck | None = None
+        self.lacks_room = False
 
     async def place(
         self, is_eligible: EligibilityCheck
@@ -88,10 +94,14 @@
         ):
             return copy_holder, Resumption(last_event, copy_holder.address)
         self.limited_names = set()
+        self.lacks_room = False
         for _ in range(MAX_LIMITED):
             server = await self.context.reports.best(
                 self._rank_engines, STREAM_CANDIDATES
             )
+            if server is not None and not self._has_room(server):
+                self.lacks_room = True
+                return None, Resumption(last_event)
             if server is None or await is_eligible(server):
                 return server, Resumption(last_event)
             self.limited_names.add(server.name)
@@ -169,6 +179,14 @@
         elif resumption.copy_at is None and outcome is not RESUMED:
             self.failed_names.add(server.name)
 
+    def _has_room(self, server: BackendServer) -> bool:
+        if self.needs_room is None:
+            return True
+        context = self.context
+        return self.needs_room(
+            context.loads, server, self.demand, context.timers.now()
+        )
+
     def _rank_engines(self) -> list[BackendServer]:
         now_s = self.context.timers.now()
         return self.context.placement.ranked(self._current_demand(), now_s)
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -135,7 +135,6 @@
                     context,
                     self.request,
                     placement.server,
-                    begun=bool(self.progress.last_event),
                 ),
             ),
             relay,
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -31,8 +31,10 @@
 )
 from celerywharf.forwarding._stream_sender import StreamSender
 from celerywharf.forwarding._stream_sends import StreamSend
+from celerywharf.forwarding._turns import StreamTurns
 from celerywharf.peers import PeerHost, Relay
 from celerywharf.structures import Address
+from celerywharf.waiting import Refused as WaitRefused
 
 MIN_WAIT_S = 0.005  # prevents a busy loop when a timer fires late
 # A wait that ends this much late shows that this host did not run for a while.
@@ -47,6 +49,7 @@
         handover: replaces silent sends.
         successor: the send that has taken over from a silent one; None unless
             there is one.
+        turns: lets it wait while no engine has room.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         super().__init__(context, request, service, request_log, caller)
         self.handover = Handover(self)
         self.successor: StreamSend | None = None
+        self.turns = StreamTurns(self)
         if request.relay is not None:
             self._continue_for(request.relay)
 
@@ -94,9 +98,13 @@
                 return self.plan.timed_out()
             if not await self._knows_software_version():
                 return self.plan.give_up(UNKNOWN_VERSION)
-            placement = await self.place()
-            if placement is None:
-                return self.give_up_for_now()
+            placement = await self.turns.place()
+            match placement:
+                case None:
+                    return self.give_up_for_now()
+                case WaitRefused():
+                    return self.turns.refuse(placement)
+            self.turns.sent()
             current = self.start(placement)
         outcome = None
         try:
@@ -105,6 +113,7 @@
             if outcome is None:
                 self.abandon(current)
         step = self.conclude(current, outcome)
+        self.turns.ended(current, outcome)
         if self.successor is not None and isinstance(outcome, Refused):
             return SendAgain()
         return step
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -23,6 +23,7 @@
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
 from celerywharf.timers import TimerService
+from celerywharf.waiting import WaitingRequests
 
 
 def build_context(
@@ -42,6 +43,7 @@
         FixedShare(1 / UNSHARED_HOSTS),
         Clocks(timers.now, store_time_s),
     )
+    metrics = Metrics()
     return ForwardingContext(
         transport=transport,
         timers=timers,
@@ -62,7 +64,8 @@
         limits=limits,
         origins=StreamOrigins(directory.software_versions, timers.now),
         peers=PeerPaths(settings.front.availability_zone, timers.now, random),
-        metrics=Metrics(),
+        waiting=WaitingRequests(timers, metrics, random),
+        metrics=metrics,
         random=random,
     )
 
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -146,6 +146,7 @@
 
     async def drain(self) -> None:
         """Complete requests within the grace time, then stop."""
+        self.context.waiting.stop()
         await self.graceful_stop.run()
         await self.stop()
 
--- a/celerywharf/metrics/_registry.py
+++ b/celerywharf/metrics/_registry.py
@@ -20,6 +20,7 @@
     'resume_silence': 'from the last token before a loss to the next',
     'claim': 'writing the claim of a non-idempotent call',
     'admission_wait': 'from a demand to its grant',
+    'room_wait': 'from the start of a wait for room at engines to the send',
     'table_spread': 'from acceptance of a change to its being in force',
 }
 
--- a/celerywharf/admissions/estimates.py
+++ b/celerywharf/waiting/_estimates.py
@@ -4,11 +4,15 @@
 
 import math
 from dataclasses import dataclass
+from random import Random
 
 SMOOTHING_FACTOR = 0.1
 SPREAD_DEVIATIONS = 2.0  # standard deviations around the expected wait
 RETRY_AFTER_MIN_S = 0.5
 RETRY_AFTER_MAX_S = 60.0
+# Those who are refused together return at different times.
+RETRY_SPREAD = 1.0
+LEFT_TIME_PARTS = 3
 
 
 @dataclass(slots=True)
@@ -91,3 +95,19 @@
         self.updated_s = now
         due_s = overdue_s + self.outstanding / requests_per_s
         return min(max(due_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
+
+
+def spread_retry_after_s(
+    expected_s: float, left_s: float, random: Random
+) -> float:
+    """Return the seconds until a retry, different for those refused together.
+
+    Args:
+        expected_s: when a retry is expected to find room.
+        left_s: how long the caller goes on to wait; at most a third of it is
+            spent before the retry.
+        random: source of the spread.
+    """
+    latest_s = max(left_s, 0) / LEFT_TIME_PARTS
+    earliest_s = min(expected_s, latest_s / (1 + RETRY_SPREAD))
+    return earliest_s * (1 + RETRY_SPREAD * random.random())
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -21,6 +21,7 @@
 from celerywharf.quarantine import LossRegister, QuarantineGate
 from celerywharf.routing import ResumableStream, Route
 from celerywharf.timers import TimerService
+from celerywharf.waiting import WaitingRequests
 from tests.backends.test_directory import make_server
 
 scenarios('relays.feature')
@@ -77,9 +78,11 @@
 def _make_context():
     directory = Directory()
     loads = Loads()
+    timers = TimerService()
+    metrics = Metrics()
     return ForwardingContext(
         transport=None,
-        timers=TimerService(),
+        timers=timers,
         configuration_cache=None,
         loads=loads,
         health=ServerHealth(directory, loads),
@@ -92,7 +95,8 @@
         quarantine=QuarantineGate(LossRegister(Random(1)), time.monotonic),
         origins=StreamOrigins(directory.software_versions, time.monotonic),
         peers=None,
-        metrics=Metrics(),
+        waiting=WaitingRequests(timers, metrics, Random(1)),
+        metrics=metrics,
         random=None,
     )
 
