--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -84,8 +84,6 @@
     context: ForwardingContext,
     request: IncomingRequest,
     server: BackendServer,
-    *,
-    begun: bool = False,
 ) -> int | None:
     """Return the urgency that is stated to a backend server.
 
@@ -95,7 +93,6 @@
         context: components of the host.
         request: the caller's request.
         server: where it is sent.
-        begun: the caller has a part of the answer.
     """
     configuration = context.configuration_cache.configuration
     service = configuration.services.get(server.service)
@@ -103,7 +100,7 @@
         return None
     urgencies = configuration.urgencies
     priority = urgencies.priority(request.route, request.account)
-    urgency = urgencies.urgency(server.service, priority, begun=begun)
+    urgency = urgencies.urgency(server.service, priority)
     if urgency is not None:
         context.metrics.count(
             'stated_urgencies', service=server.service, urgency=str(urgency)
--- a/celerywharf/forwarding/_turns.py
+++ b/celerywharf/forwarding/_turns.py
@@ -133,26 +133,34 @@
         return refused.reason is Reason.leaving and self.sender.in_progress()
 
     def _ticket(self, now_s: float) -> WaitingTicket:
-        sender = self.sender
-        request = sender.request
-        urgencies = sender.context.configuration_cache.configuration.urgencies
-        priority = urgencies.priority(request.route, request.account)
+        request = self.sender.request
         deadline_s = request.deadline_at_s()
         target_s = request.route.latency_target_s or request.route.timeout_s
-        begun = bool(sender.progress.last_event)
-        # The caller of a stream that has begun waits for its next event.
-        patience_s = 0 if begun else max(min(target_s, deadline_s - now_s), 0)
+        urgency = self._urgency()
+        begun = bool(self.sender.progress.last_event)
+        patience_s = max(min(target_s, deadline_s - now_s), 0)
+        if begun or urgency == 0:
+            # The caller of a stream that has begun waits for its next event,
+            # and engines admit what is most urgent before all that wait there.
+            patience_s = 0
         return WaitingTicket(
             number=self.number,
             client_account=request.account or '',
-            rank=urgencies.rank(sender.service, priority) or 0,
+            rank=urgency or 0,
             begun=begun,
-            tokens=sender.placer.demand.tokens,
+            tokens=self.sender.placer.demand.tokens,
             arrived_s=request.arrived_s,
             on_time_until_s=min(request.arrived_s + target_s, deadline_s),
             latest_turn_s=now_s + patience_s * WAIT_SHARE,
             deadline_s=deadline_s,
         )
 
+    def _urgency(self) -> int | None:
+        sender = self.sender
+        request = sender.request
+        urgencies = sender.context.configuration_cache.configuration.urgencies
+        priority = urgencies.priority(request.route, request.account)
+        return urgencies.urgency(sender.service, priority)
+
     def _now(self) -> float:
         return self.sender.context.timers.now()
--- a/celerywharf/routing/_urgencies.py
+++ b/celerywharf/routing/_urgencies.py
@@ -10,8 +10,7 @@
 if TYPE_CHECKING:
     from celerywharf.routing._configurations import Route
 
-MAX_RANKS = 5
-LEVELS_PER_RANK = 2  # one for streams that have begun, one for new requests
+LEVELS = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +19,7 @@
 
     Answers the load of a service whose engines lack room for all kinds of
     requests at once.  Only the order of priorities counts, not their values,
-    so any integers may be configured.  Of more than ``MAX_RANKS`` different
+    so any integers may be configured.  Of more than ``LEVELS`` different
     priorities neighbours share an urgency.
 
     Attributes:
@@ -37,33 +36,20 @@
         """Return the priority of a request; 0 is the most urgent."""
         return self.by_account.get(account or '', route.priority)
 
-    def rank(self, service: str, priority: int) -> int | None:
-        """Return how many ranks of a service are more urgent than a priority.
+    def urgency(self, service: str, priority: int) -> int | None:
+        """Return the urgency of a request at the engines, from 0 to 9.
 
-        None if all requests to the service are equally urgent.
+        0 is the most urgent.  None if all requests to the service are equally
+        urgent.
         """
         priorities = self.by_service.get(service, ())
         if len(priorities) < 2:
             return None
         rank = min(bisect_left(priorities, priority), len(priorities) - 1)
-        if len(priorities) > MAX_RANKS:
-            return rank * MAX_RANKS // len(priorities)
+        if len(priorities) > LEVELS:
+            return rank * LEVELS // len(priorities)
         return rank
 
-    def urgency(
-        self, service: str, priority: int, *, begun: bool
-    ) -> int | None:
-        """Return the urgency of a request at the engines, from 0 to 9.
-
-        0 is the most urgent.  A stream that its caller has a part of goes
-        before new requests of its priority, and after all that are more
-        urgent.  None if all requests to the service are equally urgent.
-        """
-        rank = self.rank(service, priority)
-        if rank is None:
-            return None
-        return rank * LEVELS_PER_RANK + int(not begun)
-
 
 def collect_urgencies(
     routes: Iterable[Route], by_account: Mapping[str, int]
