--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -104,8 +104,8 @@
                     return self.give_up_for_now()
                 case WaitRefused():
                     return self.turns.refuse(placement)
-            self.turns.sent()
             current = self.start(placement)
+            self.turns.sent(placement.server)
         outcome = None
         try:
             outcome = await self._await_outcome(current)
--- a/celerywharf/forwarding/_turns.py
+++ b/celerywharf/forwarding/_turns.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+import functools
+
 from celerywharf.backends import BackendServer, Demand, Loads
-from celerywharf.forwarding._outcomes import Finished, Outcome
+from celerywharf.forwarding._outcomes import Finished, Outcome, Refused
 from celerywharf.forwarding._plans import Fail, PassOn
+from celerywharf.forwarding._stream_placer import RoomCheck
 from celerywharf.forwarding._stream_sender import StreamSender
 from celerywharf.forwarding._stream_sends import StreamPlacement, StreamSend
-from celerywharf.waiting import Reason, Refused, WaitingTicket
-
-# Beyond this an engine reads other prompts first for longer than a host needs
-# to learn that another engine has room.
-MAX_UNREAD_PROMPTS = 2
+from celerywharf.waiting import Reason, WaitingTicket
+from celerywharf.waiting import Refused as WaitRefused
+
+# An engine with fewer unread prompts has room: it would soon be idle.
+MIN_UNREAD_PROMPTS = 2
+# A host learns this late that another engine has room: by a report that is
+# 0.15 s old, reused for 0.2 s and asked for each 0.25 s.
+LEARNS_ROOM_S = 0.6
+# Refusals of one stream after which engines are taken to lack room.
+MIN_REFUSALS = 2
 # Part of the time until a request is late that it may wait for an engine with
 # room.  It then queues at the best engine, which admits by urgency.
 WAIT_SHARE = 0.25
@@ -19,22 +27,35 @@
 
 
 def has_room(
-    loads: Loads, server: BackendServer, demand: Demand, now_s: float
+    reading_s: float,
+    loads: Loads,
+    server: BackendServer,
+    demand: Demand,
+    now_s: float,
 ) -> bool:
     """Estimate whether an engine has room for a stream now.
 
     By its late report and by what this host has sent it since.  An engine on
     which nothing is known to run has room for a stream of any size.
+
+    Args:
+        reading_s: how long an engine reads a prompt; 0 if that is unknown.
+        loads: the load of the engines.
+        server: the engine.
+        demand: what the stream needs.
+        now_s: monotonic seconds.
     """
     name = server.name
     running = loads.running(name, now_s)
-    if not running and not loads.prompts(name, now_s):
+    prompts = loads.prompts(name, now_s)
+    if not running and not prompts:
         return True
-    return (
-        loads.prompts(name, now_s) < MAX_UNREAD_PROMPTS
-        and running < server.slots
-        and loads.tokens(name, now_s) + demand.tokens <= demand.capacity_tokens
+    reads_soon = (
+        prompts < MIN_UNREAD_PROMPTS or prompts * reading_s <= LEARNS_ROOM_S
     )
+    used_tokens = loads.tokens(name, now_s)
+    fits = used_tokens + demand.tokens <= demand.capacity_tokens
+    return reads_soon and fits and running < server.slots
 
 
 class StreamTurns:
@@ -49,6 +70,7 @@
         number: of the stream among those that wait here.
         waited_s: how long the stream has waited, over all its sends.
         sent_s: when its latest send began, monotonic seconds.
+        prompts_ahead: prompts that the engine had to read then, its own too.
     """
 
     def __init__(self, sender: StreamSender) -> None:
@@ -58,8 +80,9 @@
         self.number = next(waiting.numbers)
         self.waited_s: float = 0
         self.sent_s: float = 0
+        self.prompts_ahead = 1
 
-    async def place(self) -> StreamPlacement | Refused | None:
+    async def place(self) -> StreamPlacement | WaitRefused | None:
         """Choose an engine for the next send, after waiting for room.
 
         Returns:
@@ -86,7 +109,7 @@
             return {}
         return {'waited_ms': round(self.waited_s * MILLISECONDS)}
 
-    def refuse(self, refused: Refused) -> PassOn | Fail:
+    def refuse(self, refused: WaitRefused) -> PassOn | Fail:
         """Return the final step of a stream that waited in vain."""
         sender = self.sender
         sender.request_log.log_waited_in_vain(
@@ -101,34 +124,47 @@
             return sender.plan.timed_out()
         return sender.plan.give_up(refused.reason.value, refused.retry_after_s)
 
-    def sent(self) -> None:
+    def sent(self, server: BackendServer) -> None:
         """Record that a send has begun."""
         self.sent_s = self._now()
+        loads = self.sender.context.loads
+        self.prompts_ahead = max(loads.prompts(server.name, self.sent_s), 1)
 
     def ended(self, send: StreamSend, outcome: Outcome) -> None:
-        """Record that a send has ended, which makes room."""
-        if isinstance(outcome, Finished) and (
-            send.placement.resumption.last_event is None
-        ):
-            self.room.queue.stream_ended(self._now() - self.sent_s)
+        """Record that a send has ended, which makes room or shows the lack."""
+        resumption = send.placement.resumption
+        begun_at_s = send.relay.begun_at_s
+        if begun_at_s is not None and resumption.copy_at is None:
+            reading_s = (begun_at_s - self.sent_s) / self.prompts_ahead
+            self.room.reading.record_hold(reading_s)
+        match outcome:
+            case Refused(reached=True, replaced=False):
+                if self.sender.plan.refusals >= MIN_REFUSALS:
+                    self.room.refused()
+                return
+            case Finished() if resumption.last_event is None:
+                self.room.queue.stream_ended(self._now() - self.sent_s)
         self.room.room_came()
 
     async def _place_in_turn(
         self, ticket: WaitingTicket
-    ) -> StreamPlacement | Refused | None:
+    ) -> StreamPlacement | WaitRefused | None:
         placer = self.sender.placer
         while True:
             refused = await self.room.wait(ticket)
             if refused is not None and not self._must_go_on(refused):
                 return refused
             may_wait = refused is None and self._now() < ticket.latest_turn_s
-            placer.needs_room = has_room if may_wait else None
+            placer.needs_room = self._room_check() if may_wait else None
             placement = await self.sender.place()
             if placement is not None or not placer.lacks_room:
                 return placement
             self.room.lacked(ticket)
 
-    def _must_go_on(self, refused: Refused) -> bool:
+    def _room_check(self) -> RoomCheck:
+        return functools.partial(has_room, self.room.reading.mean_held_s)
+
+    def _must_go_on(self, refused: WaitRefused) -> bool:
         """Return whether a stream goes on although this host stops."""
         return refused.reason is Reason.leaving and self.sender.in_progress()
 
--- a/celerywharf/waiting/_rooms.py
+++ b/celerywharf/waiting/_rooms.py
@@ -8,6 +8,7 @@
 
 from celerywharf.metrics import Metrics
 from celerywharf.timers import TimerService
+from celerywharf.waiting._estimates import DrainRate
 from celerywharf.waiting._host_queue import HostQueue
 from celerywharf.waiting._tickets import Refused, WaitingTicket
 
@@ -23,6 +24,7 @@
 
     Attributes:
         queue: decides about the order.
+        reading: average time in which engines read a prompt.
         turns: completed when it is a request's turn, by number.
         searching: number of the request whose turn it is; None if there is
             none.
@@ -42,6 +44,7 @@
         self.timers = timers
         self.metrics = metrics
         self.queue = HostQueue(random)
+        self.reading = DrainRate()
         self.turns: dict[int, asyncio.Future[Refused | None]] = {}
         self.searching: int | None = None
         self.lacks_until_s = float('-inf')
@@ -77,6 +80,10 @@
         if self.searching == ticket.number:
             self.searching = None
 
+    def refused(self) -> None:
+        """Record that several engines have refused a request."""
+        self.lacks_until_s = self.timers.now() + ROOM_CHECK_S
+
     def end(self, ticket: WaitingTicket, *, placed: bool) -> float:
         """Forget a request that is placed, refused or gone.
 
