--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -17,6 +17,7 @@
 from celerywharf.retries import RetryLimiter
 from celerywharf.routing import ConfigurationCache
 from celerywharf.timers import TimerService
+from celerywharf.waiting import WaitingRequests
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,7 @@
     limits: ServerLimiter
     origins: StreamOrigins
     peers: PeerPaths
+    waiting: WaitingRequests
     metrics: Metrics
     random: Random
     leases: Leases | None = None
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
-from celerywharf.backends import BackendServer, Demand
+from celerywharf.backends import BackendServer, Demand, Loads
 from celerywharf.forwarding._context import ForwardingContext
 from celerywharf.forwarding._outcomes import Lost, Outcome
 from celerywharf.forwarding._relays import Progress
@@ -23,6 +23,7 @@
 ANSWERED_LATELY_S = 0.25
 
 EligibilityCheck = Callable[[BackendServer], Awaitable[bool]]
+RoomCheck = Callable[[Loads, BackendServer, Demand, float], bool]
 
 
 class StreamPlacer:
@@ -41,6 +42,8 @@
         room: looks for an engine with room.
         copy_holder: engine that may hold a copy of the run; None if there is
             none or it has been tried.
+        needs_room: tells whether an engine has room; None if the stream is
+            sent even if none has.
     """
 
     def __init__(
@@ -67,12 +70,18 @@
         self.limited_names: set[str] = set()
         self.silent_name = ''
         self.copy_holder: BackendServer | None = None
+        self.needs_room: RoomCheck | None = None
 
     @property
     def lacks_room(self) -> bool:
         """Return whether engines are usable, but none has room now."""
         return self.room.lacks_room
 
+    @property
+    def must_wait(self) -> bool:
+        """Return whether the stream is not sent until an engine has room."""
+        return self.needs_room is not None and self.lacks_room
+
     async def place(
         self, is_eligible: EligibilityCheck
     ) -> tuple[BackendServer | None, Resumption]:
@@ -103,6 +112,9 @@
             if server is None:
                 self.room.record_no_server(self._has_usable_engines())
                 return None, Resumption(last_event)
+            if not self._has_room(server):
+                self.room.lacks_room = True
+                return None, Resumption(last_event)
             if await is_eligible(server):
                 return server, Resumption(last_event)
             self.limited_names.add(server.name)
@@ -185,6 +197,14 @@
         demand = replace(self._current_demand(), tokens=0, capacity_tokens=0)
         return bool(self.context.placement.ranked(demand, now_s))
 
+    def _has_room(self, server: BackendServer) -> bool:
+        if self.needs_room is None:
+            return True
+        context = self.context
+        return self.needs_room(
+            context.loads, server, self.demand, context.timers.now()
+        )
+
     def _rank_engines(self) -> list[BackendServer]:
         now_s = self.context.timers.now()
         return self.context.placement.ranked(self._current_demand(), now_s)
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -89,7 +89,7 @@
 
         Returns:
             The placement, with the stream's load added to the engine; None if
-            there is no engine.
+            there is no engine, or the stream waits for one with room.
         """
         placer = self.placer
         placer.room.begin()
@@ -103,6 +103,8 @@
                     return placement
             elif not placer.room.end_without_room():
                 return None
+            if placer.must_wait:
+                return None
 
     def drop(self, placement: StreamPlacement) -> None:
         """Give up a placement that is not used."""
@@ -138,7 +140,6 @@
                     context,
                     self.request,
                     placement.server,
-                    begun=bool(self.progress.last_event),
                 ),
                 self.placer.room.name_to_use(placement.lease),
             ),
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -32,8 +32,10 @@
 )
 from celerywharf.forwarding._stream_sender import StreamSender
 from celerywharf.forwarding._stream_sends import StreamSend
+from celerywharf.forwarding._turns import StreamTurns
 from celerywharf.peers import PeerHost, Relay
 from celerywharf.structures import Address
+from celerywharf.waiting import Refused as WaitRefused
 
 MIN_WAIT_S = 0.005  # prevents a busy loop when a timer fires late
 # A wait that ends this much late shows that this host did not run for a while.
@@ -49,6 +51,7 @@
         inquiry: asks engines about silent streams.
         successor: the send that has taken over from a silent one; None unless
             there is one.
+        turns: lets it wait while no engine has room.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         self.handover = Handover(self)
         self.inquiry = Inquiry(context, request)
         self.successor: StreamSend | None = None
+        self.turns = StreamTurns(self)
         if request.relay is not None:
             self._continue_for(request.relay)
 
@@ -101,10 +105,14 @@
                 return self.plan.timed_out()
             if not await self._knows_software_version():
                 return self.plan.give_up(UNKNOWN_VERSION)
-            placement = await self.place()
-            if placement is None:
-                return self.give_up_for_now()
+            placement = await self.turns.place()
+            match placement:
+                case None:
+                    return self.give_up_for_now()
+                case WaitRefused():
+                    return self.turns.refuse(placement)
             current = self.start(placement)
+            self.turns.sent(placement.server)
         outcome = None
         try:
             outcome = await self._await_outcome(current)
@@ -112,6 +120,7 @@
             if outcome is None:
                 self.abandon(current)
         step = self.conclude(current, outcome)
+        self.turns.ended(current, outcome)
         if self.successor is not None and isinstance(outcome, Refused):
             return SendAgain()
         return step
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -30,6 +30,7 @@
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
 from celerywharf.timers import TimerService
+from celerywharf.waiting import WaitingRequests
 
 
 def build_context(
@@ -74,6 +75,7 @@
         limits=limits,
         origins=StreamOrigins(directory.software_versions, timers.now),
         peers=PeerPaths(settings.front.availability_zone, timers.now, random),
+        waiting=WaitingRequests(timers, metrics, random),
         metrics=metrics,
         random=random,
         leases=Leases(transport, timers, loads, health, limits, metrics),
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -343,6 +343,8 @@
 def _sound(priority: Any) -> int | None:
     """Return a priority; None if it is missing or malformed."""
     return None if priority is MALFORMED else priority
+
+
 def decode_lease(text: bytes) -> str:
     """Return the name of a lease that an engine has granted.
 
