--- a/celerywharf/backends/_placement.py
+++ b/celerywharf/backends/_placement.py
@@ -41,6 +41,7 @@
         excluded: names of backend servers that must not be chosen.
         software_version: of the backend servers that may be chosen; None if
             all may.
+        excluded_versions: software versions that must not be chosen.
     """
 
     service: str
@@ -48,6 +49,7 @@
     capacity_tokens: int = 0
     excluded: Collection[str] = field(default=())
     software_version: str | None = None
+    excluded_versions: Collection[str] = ()
 
 
 class Placement:
@@ -154,6 +156,12 @@
                 for server in usable
                 if server.software_version == demand.software_version
             ]
+        if demand.excluded_versions:
+            usable = [
+                server
+                for server in usable
+                if server.software_version not in demand.excluded_versions
+            ]
         if len(usable) <= MAX_RANKED:
             return usable
         zone = self.availability_zone
--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -97,6 +97,7 @@
             if not self.counted:
                 self.counted = True
                 self.context.retries.record_request(self.service)
+                self.context.rollouts.record_request(self.service)
             return await self.send()
         self.tried_peers.add(peer.name)
         remaining_s = self.request.deadline_at_s() - self.context.timers.now()
--- a/celerywharf/forwarding/_calls.py
+++ b/celerywharf/forwarding/_calls.py
@@ -16,7 +16,9 @@
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._sends import record_outcome, send_call
 from celerywharf.forwarding._silence import KEPT_S
+from celerywharf.forwarding._version_counts import record_version
 from celerywharf.peers import PeerHost, Relay
+from celerywharf.rollouts import ANY_VERSION, Choice
 
 # Fraction of the remaining time after which an idempotent call that has no
 # answer is sent to a second server.
@@ -43,6 +45,7 @@
     Attributes:
         tried_names: names of the servers it was sent to.
         unreachable_names: those of them that could not be connected to.
+        choice: software versions that the latest server was chosen from.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         super().__init__(context, request, service, request_log)
         self.tried_names: set[str] = set()
         self.unreachable_names: set[str] = set()
+        self.choice = ANY_VERSION
 
     async def send(self) -> Step:
         """Send the call, preferably to a server not tried yet.
@@ -140,14 +144,22 @@
 
     async def _send(self, server: BackendServer) -> Outcome:
         remaining_s = self.remaining_s()
-        with self.sending(server):
-            return await send_call(
-                self.context,
-                self.request,
-                server,
-                remaining_s,
-                max(remaining_s, MIN_ANSWER_TIMEOUT_S),
-            )
+        version_send = self.context.rollouts.started(
+            server, self.request.route.name, counted=self.choice.counted
+        )
+        outcome = None
+        try:
+            with self.sending(server):
+                outcome = await send_call(
+                    self.context,
+                    self.request,
+                    server,
+                    remaining_s,
+                    max(remaining_s, MIN_ANSWER_TIMEOUT_S),
+                )
+        finally:
+            record_version(self.context, server, version_send, outcome)
+        return outcome
 
     def _conclude(self, send: CallSend, outcome: Outcome) -> Step:
         """Record the outcome of a send; return the next step."""
@@ -188,7 +200,26 @@
         return await self._choose_except(self.tried_names)
 
     async def _choose_except(self, names: set[str]) -> BackendServer | None:
+        rollouts = self.context.rollouts
+        choice: Choice | None = rollouts.choose(self.service)
+        server = None
+        while server is None and choice is not None:
+            self.choice = choice
+            server = await self._choose_of(choice, names)
+            if server is None:
+                choice = rollouts.choose_again(choice)
+        return server
+
+    async def _choose_of(
+        self, choice: Choice, names: set[str]
+    ) -> BackendServer | None:
         ranked = self.context.placement.ranked(
-            Demand(self.service, excluded=names), self.context.timers.now()
+            Demand(
+                self.service,
+                excluded=names,
+                software_version=choice.software_version,
+                excluded_versions=choice.excluded,
+            ),
+            self.context.timers.now(),
         )
         return await self.eligibility.first_eligible(ranked)
--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -14,6 +14,7 @@
 from celerywharf.peers import PeerPaths
 from celerywharf.quarantine import QuarantineGate
 from celerywharf.retries import RetryLimiter
+from celerywharf.rollouts import RolloutRegister
 from celerywharf.routing import ConfigurationCache
 from celerywharf.timers import TimerService
 
@@ -36,3 +37,4 @@
     peers: PeerPaths
     metrics: Metrics
     random: Random
+    rollouts: RolloutRegister
--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -66,6 +66,8 @@
         excused_until_s: silence before this time has no consequences.
         on_event: called when an event arrives, before it is passed on; None if
             nobody waits for one.
+        on_progress: called with the time of each event, monotonic seconds;
+            None if nobody counts them.
     """
 
     def __init__(self, gap_target_s: float, started_s: float) -> None:
@@ -78,6 +80,7 @@
         self.asked_s = started_s
         self.excused_until_s = float('-inf')
         self.on_event: Callable[[], None] | None = None
+        self.on_progress: Callable[[float], None] | None = None
 
     def excuse(self, now_s: float) -> None:
         """Record that this host has read no events until now.
@@ -100,6 +103,8 @@
             self.gaps.append(now_s - self.last_s)
         self.has_events = True
         self.last_s = now_s
+        if self.on_progress is not None:
+            self.on_progress(now_s)
         if self.on_event is not None:
             self.on_event()
 
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -13,6 +13,7 @@
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._stream_sends import RESUMED
 from celerywharf.platform import Resumption
+from celerywharf.rollouts import ANY_VERSION, Choice
 from celerywharf.structures import Address
 
 STREAM_CANDIDATES = 2  # engines probed for their load at a time
@@ -37,6 +38,7 @@
         limited_names: names of engines at their limits, for the current send.
         silent_name: name of the engine whose send is silent and kept; empty if
             there is none.
+        choice: software versions that the latest engine was chosen from.
         copy_holder: engine that may hold a copy of the run; None if there is
             none or it has been tried.
     """
@@ -63,6 +65,7 @@
         self.failed_names: set[str] = set()
         self.limited_names: set[str] = set()
         self.silent_name = ''
+        self.choice = ANY_VERSION
         self.copy_holder: BackendServer | None = None
 
     async def place(
@@ -81,21 +84,22 @@
         last_event = self.progress.last_event
         copy_holder = self.copy_holder
         self.copy_holder = None
+        self.choice = self._choose_versions()
         if (
             copy_holder is not None
             and copy_holder.name not in self.failed_names
+            and copy_holder.software_version not in self.choice.excluded
             and await is_eligible(copy_holder)
         ):
             return copy_holder, Resumption(last_event, copy_holder.address)
-        self.limited_names = set()
-        for _ in range(MAX_LIMITED):
-            server = await self.context.reports.best(
-                self._rank_engines, STREAM_CANDIDATES
-            )
-            if server is None or await is_eligible(server):
-                return server, Resumption(last_event)
-            self.limited_names.add(server.name)
-        return None, Resumption(last_event)
+        server = await self._find_engine(is_eligible)
+        while server is None:
+            choice = self.context.rollouts.choose_again(self.choice)
+            if choice is None or self.progress.software_version is not None:
+                break
+            self.choice = choice
+            server = await self._find_engine(is_eligible)
+        return server, Resumption(last_event)
 
     async def has_answered_lately(self, server: BackendServer) -> bool:
         """Return whether an engine has just answered; ask it if not.
@@ -169,6 +173,26 @@
         elif resumption.copy_at is None and outcome is not RESUMED:
             self.failed_names.add(server.name)
 
+    def _choose_versions(self) -> Choice:
+        """Choose any version for a new stream; others keep theirs."""
+        version = self.progress.software_version
+        if version is None:
+            return self.context.rollouts.choose(self.service)
+        return self.context.rollouts.go_on(self.service, version)
+
+    async def _find_engine(
+        self, is_eligible: EligibilityCheck
+    ) -> BackendServer | None:
+        self.limited_names = set()
+        for _ in range(MAX_LIMITED):
+            server = await self.context.reports.best(
+                self._rank_engines, STREAM_CANDIDATES
+            )
+            if server is None or await is_eligible(server):
+                return server
+            self.limited_names.add(server.name)
+        return None
+
     def _rank_engines(self) -> list[BackendServer]:
         now_s = self.context.timers.now()
         return self.context.placement.ranked(self._current_demand(), now_s)
@@ -176,7 +200,9 @@
     def _rank_backups(self, server: BackendServer) -> list[BackendServer]:
         now_s = self.context.timers.now()
         demand = replace(
-            self._current_demand(), software_version=server.software_version
+            self._current_demand(),
+            software_version=server.software_version,
+            excluded_versions=(),
         )
         return [
             backup
@@ -189,5 +215,8 @@
         return replace(
             self.demand,
             excluded=excluded,
-            software_version=self.progress.software_version,
+            software_version=(
+                self.progress.software_version or self.choice.software_version
+            ),
+            excluded_versions=self.choice.excluded,
         )
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -24,6 +24,7 @@
 from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.forwarding._stream_placer import StreamPlacer
 from celerywharf.forwarding._stream_sends import StreamPlacement, StreamSend
+from celerywharf.forwarding._version_counts import record_version
 from celerywharf.routing import ResumableStream
 
 MILLISECONDS = 1000
@@ -131,6 +132,13 @@
             relay,
         )
         relay.transfer = transfer
+        send.version_send = context.rollouts.started(
+            placement.server,
+            self.request.route.name,
+            counted=self.placer.choice.counted,
+        )
+        if send.version_send is not None:
+            relay.detector.on_progress = send.version_send.event
         send.cleanup.callback(transfer.cancel)
         return send
 
@@ -138,6 +146,7 @@
         """Record the outcome of a send that has ended; return the next step."""
         send.close()
         server = send.server
+        record_version(self.context, server, send.version_send, outcome)
         resumption = send.placement.resumption
         match outcome:
             case Refused(reached=True, replaced=False) if resumption.copy_at:
@@ -164,6 +173,7 @@
         """End a send whose outcome nobody waits for."""
         send.close()
         self.relay = send.relay
+        record_version(self.context, send.server, send.version_send, None)
         self.record_given_up(send.server)
 
     def gap_target_s(self) -> float:
--- a/celerywharf/forwarding/_stream_sends.py
+++ b/celerywharf/forwarding/_stream_sends.py
@@ -10,6 +10,7 @@
 from celerywharf.forwarding._outcomes import SILENCE, Recalled
 from celerywharf.forwarding._relays import StreamRelay
 from celerywharf.platform import Resumption
+from celerywharf.rollouts import VersionSend
 
 RESUMED = Recalled('the send before goes on')
 
@@ -36,12 +37,14 @@
     Attributes:
         placement: where it goes.
         relay: receives the answer.
+        version_send: counts it for a roll-out; None if there is none.
         has_unused_copy: the copy of its run has not been resumed from.
         cleanup: what is to be undone when it ends.
     """
 
     placement: StreamPlacement
     relay: StreamRelay
+    version_send: VersionSend | None = None
     has_unused_copy: bool = True
     cleanup: ExitStack = field(default_factory=ExitStack)
 
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -20,6 +20,7 @@
 from celerywharf.peers import PeerPaths
 from celerywharf.platform import boot_time_s
 from celerywharf.quarantine import LossRegister, QuarantineGate
+from celerywharf.rollouts import RolloutRegister
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
 from celerywharf.timers import TimerService
@@ -64,8 +65,21 @@
         peers=PeerPaths(settings.front.availability_zone, timers.now, random),
         metrics=Metrics(),
         random=random,
+        rollouts=RolloutRegister(
+            directory,
+            timers.now,
+            store_time_s,
+            random,
+            is_enabled=_allows_rollouts(settings),
+        ),
     )
 
 
+def _allows_rollouts(settings: FrontSettings) -> bool:
+    """Return whether hosts share counts, and the users allow roll-outs."""
+    is_shared = settings.front.peers is not None
+    return is_shared and settings.bounds.exposure_share is not None
+
+
 def _store_time_s(configuration_cache: ConfigurationCache) -> float:
     return configuration_cache.store_time_s(boot_time_s())
--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -21,6 +21,7 @@
 from celerywharf.fronts._sharing import (
     build_origin_exchange,
     build_relay_gateway,
+    build_rollout_exchange,
     build_shared_store,
     build_zone_readers,
 )
@@ -111,6 +112,13 @@
                 self.zone_readers,
                 random,
             )
+            self.context.rollouts.source = build_rollout_exchange(
+                settings,
+                self.context,
+                self.shared_store,
+                self.zone_readers,
+                random,
+            )
             self.context.origins.source = build_origin_exchange(
                 settings, self.context, self.shared_store, self.zone_readers
             )
@@ -180,6 +188,7 @@
                 self.watchers[1].position is not None,
                 self.quarantine_exchange.has_begun,
                 self.context.origins.has_begun(),
+                self.context.rollouts.has_begun(),
                 self.configuration_cache.accepts_keys(boot_time_s()),
             )
         )
@@ -196,6 +205,7 @@
             self.shared_store,
             self.zone_readers,
             self.context.origins.source,
+            self.context.rollouts.source,
             *parts,
         )
 
--- /dev/null
+++ b/celerywharf/fronts/_rollout_orders.py
@@ -0,0 +1,83 @@
+"""Reads the operator's orders to move services."""
+
+from __future__ import annotations
+
+import logging
+
+from celerywharf.exceptions import ProtocolError
+from celerywharf.platform import Row, decode_order, ordered_service
+from celerywharf.rollouts import RolloutOrder, RolloutRegister
+
+logger = logging.getLogger(__name__)
+
+
+class OrderReader:
+    """Passes orders on to the register; what cannot be read changes nothing.
+
+    Attributes:
+        register: learns the orders.
+        unreadable: version of the row with an unreadable order, by service.
+    """
+
+    def __init__(self, register: RolloutRegister) -> None:
+        self.register = register
+        self.unreadable: dict[str, int] = {}
+
+    def apply_rows(self, rows: list[Row], *, is_whole: bool) -> None:
+        """Learn the orders among rows of the operator's table.
+
+        Args:
+            rows: the rows of a reading.
+            is_whole: orders that are not among the rows do not exist.
+        """
+        named = {ordered_service(row.key): row for row in rows}
+        if is_whole:
+            for service in self.register.services.keys() - named.keys():
+                self._withdraw(service)
+        for service, row in named.items():
+            if service is None:
+                continue
+            if row.removed:
+                self._withdraw(service)
+            else:
+                self._learn(service, row)
+
+    def _learn(self, service: str, row: Row) -> None:
+        try:
+            order = decode_order(row)
+        except ProtocolError as error:
+            self._refuse(service, row, error.message)
+            return
+        if self._known(service) == order or not self.register.is_enabled:
+            return
+        logger.info(
+            'roll-out ordered',
+            extra={
+                'service': service,
+                'to': order.to,
+                'period_s': order.period_s,
+                'order_version': order.version,
+            },
+        )
+        self.register.set_order(service, order)
+
+    def _withdraw(self, service: str) -> None:
+        order = self._known(service)
+        if order is not None:
+            logger.info(
+                'roll-out order withdrawn',
+                extra={'service': service, 'to': order.to},
+            )
+            self.register.set_order(service, None)
+
+    def _refuse(self, service: str, row: Row, reason: str) -> None:
+        if self.unreadable.get(service) != row.version:
+            self.unreadable[service] = row.version
+            logger.error(
+                'roll-out order unreadable',
+                extra={'service': service, 'reason': reason},
+            )
+
+    def _known(self, service: str) -> RolloutOrder | None:
+        state = self.register.services.get(service)
+        return None if state is None else state.order
--- a/celerywharf/fronts/_sharing.py
+++ b/celerywharf/fronts/_sharing.py
@@ -11,6 +11,7 @@
 from celerywharf.fronts._relay_gateway import RelayGateway
 from celerywharf.peers import PeerHost, RelayAdmission
 from celerywharf.platform import StoreClient, boot_time_s
+from celerywharf.rollouts import RolloutBounds
 from celerywharf.settings import FrontSettings
 from celerywharf.sharing import (
     Lending,
@@ -20,6 +21,8 @@
     PeerExchange,
     Reader,
     ReaderElection,
+    RolloutControl,
+    RolloutExchange,
     SharedStore,
     ZoneReaders,
 )
@@ -132,6 +135,30 @@
     )
 
 
+def build_rollout_exchange(
+    settings: FrontSettings,
+    context: ForwardingContext,
+    shared_store: SharedStore,
+    readers: ZoneReaders,
+    random: Random,
+) -> RolloutExchange:
+    """Return what carries out the operator's orders to move services."""
+    bounds = settings.bounds
+    control = RolloutControl(
+        context.rollouts,
+        shared_store.store,
+        readers,
+        RolloutBounds(
+            bounds.exposure_share or 0,
+            bounds.exposure_slack,
+            bounds.rollback_ms / MILLISECONDS,
+        ),
+        context.configuration_cache.has_service,
+        random,
+    )
+    return RolloutExchange(control, shared_store, random)
+
+
 def build_zone_readers(
     settings: FrontSettings, store: StoreClient, shared_store: SharedStore
 ) -> ZoneReaders:
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -14,6 +14,7 @@
 from celerywharf.forwarding import ForwardingContext
 from celerywharf.fronts._loss_probes import LossProbes
 from celerywharf.fronts._path_probes import PathProbes
+from celerywharf.fronts._rollout_orders import OrderReader
 from celerywharf.metrics import Metrics
 from celerywharf.platform import (
     CONFIGURATION_KEY,
@@ -56,6 +57,7 @@
 SWEEP_PERIOD_S = 30.0
 
 TableSource = StoreClient | SharedStore
+RowSubscriber = Callable[..., None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +170,8 @@
     Attributes:
         stored_version: version of the configuration that the store has; None
             before the first.
+        row_subscribers: called with the other rows of the table that a reading
+            has, and whether it is of the whole table.
     """
 
     table = CONFIGURATION_TABLE
@@ -183,11 +187,12 @@
         super().__init__(store, random)
         self.configuration_cache = configuration_cache
         self.stored_version: int | None = None
+        self.row_subscribers: list[RowSubscriber] = []
         store.era.subscribers.append(self.on_store_restored)
 
     def apply_all(self, reading: ReadResult) -> None:
         """Apply the configuration of a whole reading."""
-        self.apply_changes(reading)
+        self._apply(reading, is_whole=True)
 
     def apply_changes(self, reading: ReadResult) -> None:
         """Apply the configuration if it is among the rows.
@@ -195,6 +200,13 @@
         Every reading confirms that the known configuration is current, unless
         the store has come back from a copy that is older.
         """
+        self._apply(reading, is_whole=False)
+
+    def on_store_restored(self) -> None:
+        """Give the operator time to write what the copy lacks."""
+        self.configuration_cache.store_restored(boot_time_s())
+
+    def _apply(self, reading: ReadResult, *, is_whole: bool) -> None:
         for row in reading.rows:
             if row.key == CONFIGURATION_KEY and row.content is not None:
                 self._apply_configuration(row.content)
@@ -203,10 +215,11 @@
             self.configuration_cache.confirm(reading.timing)
         else:
             self.configuration_cache.synchronize(reading.timing)
-
-    def on_store_restored(self) -> None:
-        """Give the operator time to write what the copy lacks."""
-        self.configuration_cache.store_restored(boot_time_s())
+        others = [
+            other for other in reading.rows if other.key != CONFIGURATION_KEY
+        ]
+        for subscriber in self.row_subscribers:
+            subscriber(others, is_whole=is_whole)
 
     def _apply_configuration(self, content: bytes) -> None:
         try:
@@ -348,8 +361,13 @@
 ) -> tuple[ConfigurationWatcher, ServerWatcher, PathProbes, LossProbes]:
     """Return the watchers of the tables, of lost paths and of lost servers."""
     health = context.health
+    configuration = ConfigurationWatcher(
+        source, random, context.configuration_cache
+    )
+    orders = OrderReader(context.rollouts)
+    configuration.row_subscribers.append(orders.apply_rows)
     return (
-        ConfigurationWatcher(source, random, context.configuration_cache),
+        configuration,
         ServerWatcher(source, random, health, context.timers, context.metrics),
         PathProbes(health.reachability, context.transport, random),
         LossProbes(context),
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -22,6 +22,13 @@
     server_headers,
 )
 from celerywharf.platform._peer_headers import peer_headers
+from celerywharf.platform._rollouts import (
+    STATUS_TABLE,
+    decode_order,
+    encode_status,
+    ordered_service,
+    status_key,
+)
 from celerywharf.platform._store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -42,6 +49,7 @@
     'PROBE_PATH',
     'READY_PATH',
     'SERVER_TABLE',
+    'STATUS_TABLE',
     'AnswerHeaders',
     'Event',
     'EventSplitter',
@@ -59,10 +67,14 @@
     'boot_time_s',
     'decode_backend_server',
     'decode_configuration',
+    'decode_order',
     'decode_report',
+    'encode_status',
+    'ordered_service',
     'outlives_copy',
     'peer_headers',
     'read_answer_headers',
     'read_request_headers',
     'server_headers',
+    'status_key',
 )
--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -105,11 +105,13 @@
         key: key of the row.
         content: the new content; None to remove the row.
         expected_version: version of the row; 0 if it must not exist.
+        table: name of its table; empty for that of the transaction.
     """
 
     key: str
     content: bytes | None
     expected_version: int
+    table: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,7 +261,7 @@
     async def transact(
         self, table: str, changes: Sequence[RowChange]
     ) -> TransactionResult:
-        """Change up to 100 rows of a table, all of them or none.
+        """Change up to 100 rows, all of them or none.
 
         Raises:
             PlatformUnavailableError: the store did not answer; the rows may
@@ -271,7 +273,11 @@
             'delete': [],
         }
         for change in changes:
-            name = {'table': table, 'part': '', 'key': change.key}
+            name = {
+                'table': change.table or table,
+                'part': '',
+                'key': change.key,
+            }
             transaction['precondition'].append(
                 {**name, 'apiVersion': change.expected_version}
             )
--- /dev/null
+++ b/celerywharf/rollouts/_decider.py
@@ -0,0 +1,277 @@
+"""Decides the steps of one roll-out."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, replace
+
+from celerywharf.rollouts._bounds import RolloutBounds
+from celerywharf.rollouts._counts import ServiceTally
+from celerywharf.rollouts._evidence import judge
+from celerywharf.rollouts._steps import RolloutOrder, RolloutStep, Stage
+
+# An order is known at most this long after the operator has written it.
+ORDER_LAG_S = 0.7
+# The old servers stop when the last step is written, which takes a call.
+DONE_LEAD_S = 0.3
+# Calls that were sent to the old servers have ended after this time.
+SETTLE_S = 0.4
+# All hosts have learned a step after this time, if no message is lost.
+ANNOUNCE_S = 1.5
+SHORT_ANNOUNCE_S = 0.8
+POSTPONED_S = 0.3
+# Part of the allowed share that the trial uses before its first answers.
+FIRST_PART = 0.35
+FIRST_ANSWERS = 8
+# Later it uses what the move leaves, within these limits.
+MOST_SHARE = 0.2
+TRIAL_PART = 0.9
+# The share is changed when it should be this many times larger or smaller.
+RAISED = 1.25
+LOWERED = 0.6
+MIN_LEFT_S = 3.0  # until the deadline, for a change of the share
+# Part of the slack that is planned to be used.
+SLACK_PART = 0.7
+# Traffic after the move may be this many times that before it.
+GROWTH = 1.3
+MAX_MOVED_PART = 0.5  # of the period
+RATE_WINDOW_S = 3.0
+# After this time a host that has just begun to decide has the counts of all.
+MIN_OBSERVED_S = 1.0
+MIN_SLOTS_PART = 0.5  # of the old servers' slots, that new ones must have
+MIN_EXPOSED = 10  # requests of which at least one must have been answered
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What the deciding host knows.
+
+    Attributes:
+        tally: the counts of all hosts.
+        new_slots: slots of the servers of the new version.
+        old_slots: slots of the others.
+        is_confirmed: the store has answered all the time of late.
+    """
+
+    tally: ServiceTally
+    new_slots: int
+    old_slots: int
+    is_confirmed: bool = True
+
+
+def first_step(
+    order: RolloutOrder, bounds: RolloutBounds, now_s: float
+) -> RolloutStep:
+    """Return the step with which a roll-out begins.
+
+    Args:
+        order: the operator's order.
+        bounds: what the new version may get.
+        now_s: time on the store's clock.
+    """
+    return RolloutStep(
+        order.service,
+        order.to,
+        order.version,
+        order.period_s,
+        now_s,
+        share=bounds.exposure_share * FIRST_PART,
+        reason='ordered',
+    )
+
+
+class StepDecider:
+    """Raises a version's share as long as its answers are good.
+
+    Answers the load of a service that is moved while it is used: until the
+    deadline a bad version must not get more than a share of all requests and
+    a fixed number beyond it, whenever it turns bad.  So all requests go to the
+    new version only once what may arrive until the deadline fits into what is
+    left of both.  All times are seconds on the store's clock.
+
+    Attributes:
+        bounds: what the new version may get.
+        observed: times and numbers of requests, oldest first.
+    """
+
+    def __init__(self, bounds: RolloutBounds) -> None:
+        self.bounds = bounds
+        self.observed: deque[tuple[float, int]] = deque()
+
+    def decide(
+        self, step: RolloutStep, view: View, now_s: float
+    ) -> RolloutStep | None:
+        """Return the next step; None if the last one still holds."""
+        self._observe(now_s, view.tally.requests)
+        if step.stage.is_final:
+            return None
+        is_moved = step.stage is Stage.moving and now_s >= step.move_s
+        verdict = judge(view.tally, loaded=is_moved)
+        if verdict.is_bad:
+            return _counted(
+                replace(step, stage=Stage.rolled_back, reason=verdict.reason),
+                view,
+            )
+        if now_s - self.observed[0][0] < MIN_OBSERVED_S:
+            return None
+        if step.stage is Stage.trial:
+            return self._decide_trial(step, view, now_s)
+        return self._decide_move(step, view, now_s)
+
+    def deadline_s(self, step: RolloutStep) -> float:
+        """Return when the period of the order ends."""
+        return step.started_s - ORDER_LAG_S + step.period_s
+
+    def _decide_trial(
+        self, step: RolloutStep, view: View, now_s: float
+    ) -> RolloutStep | None:
+        deadline_s = self.deadline_s(step)
+        move_s = self._plan_move(step, view, now_s)
+        lack = _lack(view)
+        if not lack and now_s >= move_s - ANNOUNCE_S:
+            move_s = max(move_s, now_s + SHORT_ANNOUNCE_S)
+            return _counted(
+                replace(
+                    step,
+                    stage=Stage.moving,
+                    move_s=move_s,
+                    reason='answers are good',
+                ),
+                view,
+            )
+        if lack and now_s >= deadline_s - DONE_LEAD_S:
+            return _counted(
+                replace(step, stage=Stage.rolled_back, reason=lack), view
+            )
+        if deadline_s - now_s < MIN_LEFT_S:
+            return None
+        share = self._trial_share(step, view, now_s)
+        is_answered = view.tally.ended(is_new=True) >= FIRST_ANSWERS
+        if is_answered and share > step.share * RAISED:
+            reason = 'first answers are good'
+        elif share < step.share * LOWERED:
+            reason = 'more requests'
+        else:
+            return None
+        return _counted(replace(step, share=share, reason=reason), view)
+
+    def _decide_move(
+        self, step: RolloutStep, view: View, now_s: float
+    ) -> RolloutStep | None:
+        if now_s < step.move_s:
+            move_s = self._plan_move(step, view, now_s)
+            if move_s <= step.move_s + POSTPONED_S:
+                return None
+            return _counted(
+                replace(step, move_s=move_s, reason='more requests'), view
+            )
+        if self._exceeds(step, view, now_s):
+            return _counted(
+                replace(
+                    step,
+                    stage=Stage.trial,
+                    share=0,
+                    move_s=0,
+                    reason='more requests',
+                ),
+                view,
+            )
+        done_s = max(
+            step.move_s + SETTLE_S, self.deadline_s(step) - DONE_LEAD_S
+        )
+        if now_s < done_s or not view.is_confirmed:
+            return None
+        return _counted(
+            replace(step, stage=Stage.done, reason='all requests moved'), view
+        )
+
+    def _plan_move(self, step: RolloutStep, view: View, now_s: float) -> float:
+        """Return when all requests may go to the new version at the earliest.
+
+        What may arrive from then on until the deadline fits into what is left.
+        """
+        deadline_s = self.deadline_s(step)
+        left_s = max(deadline_s - now_s, 0)
+        rate = self._rate()
+        exposed = max(view.tally.exposed, step.exposed)
+        trial = step.share * rate
+        left = self._allowed(view, rate * left_s) - exposed - trial * left_s
+        most_s = step.period_s * MAX_MOVED_PART
+        if not rate:
+            return deadline_s - most_s
+        moved_s = left / (rate * GROWTH - trial)
+        return deadline_s - min(max(moved_s, 0), most_s)
+
+    def _allowed(self, view: View, expected: float) -> float:
+        requests = view.tally.requests + expected
+        bounds = self.bounds
+        return (
+            bounds.exposure_share * requests
+            + bounds.exposure_slack * SLACK_PART
+        )
+
+    def _exceeds(self, step: RolloutStep, view: View, now_s: float) -> bool:
+        """Return whether the requests until the deadline would be too many."""
+        left_s = self.deadline_s(step) - now_s
+        if left_s <= ANNOUNCE_S:
+            return False
+        expected = self._rate() * left_s
+        bounds = self.bounds
+        requests = view.tally.requests + expected
+        return view.tally.exposed + expected > (
+            bounds.exposure_share * requests + bounds.exposure_slack
+        )
+
+    def _trial_share(
+        self, step: RolloutStep, view: View, now_s: float
+    ) -> float:
+        """Return the largest share that leaves enough for the move."""
+        expected = self._rate() * (self.deadline_s(step) - now_s)
+        if not expected:
+            return step.share
+        exposed = max(view.tally.exposed, step.exposed)
+        moved = self._rate() * GROWTH * (SETTLE_S + DONE_LEAD_S)
+        left = self._allowed(view, expected) - exposed - moved
+        return min(max(left * TRIAL_PART / expected, 0), MOST_SHARE)
+
+    def _rate(self) -> float:
+        """Return the requests a second, of late or on the whole."""
+        if not self.observed:
+            return 0
+        first_s, first = self.observed[0]
+        last_s, last = self.observed[-1]
+        lately = [entry for entry in self.observed if entry[0] >= last_s - 1]
+        return max(
+            _slope(first_s, first, last_s, last),
+            _slope(lately[0][0], lately[0][1], last_s, last),
+        )
+
+    def _observe(self, now_s: float, requests: int) -> None:
+        if self.observed and requests < self.observed[-1][1]:
+            requests = self.observed[-1][1]
+        self.observed.append((now_s, requests))
+        while self.observed[0][0] < now_s - RATE_WINDOW_S:
+            self.observed.popleft()
+
+
+def _slope(first_s: float, first: int, last_s: float, last: int) -> float:
+    return (last - first) / (last_s - first_s) if last_s > first_s else 0
+
+
+def _lack(view: View) -> str:
+    """Return what the new version lacks to get all requests."""
+    if view.new_slots < view.old_slots * MIN_SLOTS_PART or not view.new_slots:
+        return 'too few servers'
+    tally = view.tally
+    if tally.exposed >= MIN_EXPOSED and not tally.ended(is_new=True):
+        return 'no answers'
+    return ''
+
+
+def _counted(step: RolloutStep, view: View) -> RolloutStep:
+    """Note the counts with which a step was decided."""
+    return replace(
+        step,
+        requests=max(view.tally.requests, step.requests),
+        exposed=max(view.tally.exposed, step.exposed),
+    )
--- /dev/null
+++ b/celerywharf/rollouts/_register.py
@@ -0,0 +1,361 @@
+"""What a host knows of roll-outs, and what it counts."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from celerywharf.backends import BackendServer, Directory
+from celerywharf.rollouts._counts import ServiceTally, bucket_of
+from celerywharf.rollouts._sends import VersionSend
+from celerywharf.rollouts._steps import RolloutOrder, RolloutStep, Stage
+
+# A host that has not heard for longer that a step still holds raises nothing.
+CONFIRMED_S = 1.5
+
+
+class StepSource(Protocol):
+    """Where the steps come from.
+
+    Attributes:
+        has_begun: they have been read, or cannot be.
+    """
+
+    has_begun: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Which software versions a send may go to.
+
+    Attributes:
+        service: name of the service.
+        software_version: the only one; None if there are several.
+        excluded: those that it must not go to.
+        counted: the send is counted as one to the new version already.
+    """
+
+    service: str = ''
+    software_version: str | None = None
+    excluded: frozenset[str] = frozenset()
+    counted: bool = False
+
+
+ANY_VERSION = Choice()
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """What a host knows of the roll-out of one service.
+
+    Attributes:
+        service: name of the service.
+        order: the operator's order; None if it was withdrawn.
+        step: the newest step; None before the first.
+        row_version: version of the row with the step, and the era before it.
+        credit: sends to the new version that are due.
+        is_moved: all requests go to the new version, by the step.
+        abandoned: versions of earlier orders that had no step here.
+        tally: what this host has counted since the order.
+        open_sends: those that have not ended.
+    """
+
+    service: str
+    order: RolloutOrder | None = None
+    step: RolloutStep | None = None
+    row_version: tuple[int, int] = (0, 0)
+    credit: float = 0
+    is_moved: bool = False
+    abandoned: frozenset[str] = frozenset()
+    tally: ServiceTally = field(default_factory=lambda: ServiceTally('', 0))
+    open_sends: set[VersionSend] = field(default_factory=set)
+
+    @property
+    def current_step(self) -> RolloutStep | None:
+        """Return the step of the order, or the last one without an order."""
+        if self.step is None or self.order is None:
+            return self.step
+        return self.step if self.step.carries_out(self.order) else None
+
+    @property
+    def barred(self) -> frozenset[str]:
+        """Return the versions that get nothing, besides the one ordered."""
+        barred = self.abandoned
+        step = self.step
+        if step is not None:
+            barred = barred.union(step.barred)
+            if step.stage is Stage.done:
+                barred = (barred - {step.to}).union(step.replaced)
+            elif step is not self.current_step:
+                barred |= {step.to}
+        return barred - {self.order.to} if self.order else barred
+
+    @property
+    def target(self) -> str | None:
+        """Return the version that is tried; None if it has been accepted."""
+        if self.order is not None:
+            return self.order.to
+        if self.step is None or self.step.stage is Stage.done:
+            return None
+        return self.step.to
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether steps of the order are still to come."""
+        step = self.current_step
+        if self.order is None:
+            return False
+        return step is None or not step.stage.is_final
+
+
+class RolloutRegister:
+    """Chooses versions for sends by the steps of roll-outs, and counts them.
+
+    Answers the load of all callers of a service at this host.  The share of a
+    step is kept host by host: each sends the new version at most that share
+    of its own requests, with a random start, so that the sum over hosts keeps
+    it at any number of hosts and any skew, and hosts with few requests take
+    part.  Between an order and its first step the new version gets nothing.
+
+    Attributes:
+        directory: the known backend servers.
+        now: returns monotonic seconds.
+        store_time_s: returns the time on the store's clock, seconds.
+        is_enabled: the deployment allows roll-outs.
+        services: what is known, by service.
+        confirmed_s: when the steps were last heard to hold, monotonic.
+        subscribers: called when an order has come, changed or gone.
+        source: exchanges steps and counts; None if this host is alone.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        now: Callable[[], float],
+        store_time_s: Callable[[], float],
+        random: Random,
+        *,
+        is_enabled: bool,
+    ) -> None:
+        self.directory = directory
+        self.now = now
+        self.store_time_s = store_time_s
+        self.random = random
+        self.is_enabled = is_enabled
+        self.services: dict[str, ServiceState] = {}
+        self.confirmed_s = float('-inf')
+        self.subscribers: list[Callable[[], None]] = []
+        self.source: StepSource | None = None
+
+    def has_begun(self) -> bool:
+        """Return whether the steps so far are known, or cannot be read."""
+        return self.source is None or self.source.has_begun
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether any roll-out is in progress."""
+        return any(state.is_active for state in self.services.values())
+
+    def orders(self) -> list[RolloutOrder]:
+        """Return the orders that are not carried out yet."""
+        return [
+            state.order
+            for state in self.services.values()
+            if state.order is not None and state.is_active
+        ]
+
+    def set_order(self, service: str, order: RolloutOrder | None) -> None:
+        """Learn an order of the operator, or that there is none."""
+        if not self.is_enabled or not (order or service in self.services):
+            return
+        state = self.services.setdefault(service, ServiceState(service))
+        previous = state.order
+        if order == previous:
+            return
+        if previous is not None and state.current_step is None:
+            state.abandoned |= {previous.to}
+        state.order = order
+        if order is not None:
+            state.is_moved = False
+            state.credit = self.random.random()
+            state.tally = ServiceTally(service, order.version)
+        for subscriber in self.subscribers:
+            subscriber()
+
+    def learn_step(self, step: RolloutStep, row_version: int) -> None:
+        """Learn a step from its row, unless a newer one is known.
+
+        The last step of an order stays, also if the store has come back from
+        an older copy.
+        """
+        if not self.is_enabled:
+            return
+        state = self.services.setdefault(
+            step.service, ServiceState(step.service)
+        )
+        version = (step.era, row_version)
+        if version <= state.row_version:
+            return
+        known = state.step
+        if known is not None and known.stage.is_final:
+            is_same = (known.order_version, known.to) == (
+                step.order_version,
+                step.to,
+            )
+            if is_same and step.stage is not known.stage:
+                return
+        if known is None or known.stage is not step.stage:
+            state.is_moved = False
+        state.step = step
+        state.row_version = version
+
+    def confirm(self, age_s: float = 0) -> None:
+        """Record that the store had no newer step so many seconds ago."""
+        self.confirmed_s = max(self.confirmed_s, self.now() - age_s)
+
+    def choose(self, service: str) -> Choice:
+        """Return which versions the next send to a service may go to."""
+        state = self.services.get(service)
+        if state is None:
+            return ANY_VERSION
+        step = state.current_step
+        if step is None:
+            return self._hold(state)
+        match step.stage:
+            case Stage.done:
+                return Choice(service, excluded=state.barred)
+            case Stage.rolled_back:
+                return Choice(service, excluded=state.barred | {step.to})
+            case Stage.moving if state.order and self._moves(state, step):
+                return Choice(service, step.to)
+        if state.order is not None and state.credit >= 1:
+            state.credit -= 1
+            state.tally.exposed += 1
+            return Choice(service, step.to, counted=True)
+        return self._hold(state)
+
+    def choose_again(self, choice: Choice) -> Choice | None:
+        """Return what else to try if no server of a choice can be used.
+
+        None if there is nothing else.
+        """
+        state = self.services.get(choice.service)
+        if state is None or choice.software_version is None:
+            return None
+        if choice.counted:
+            state.tally.exposed -= 1
+            state.credit = min(state.credit + 1, 1)
+            return self._hold(state)
+        return Choice(choice.service, excluded=state.barred)
+
+    def go_on(self, service: str, version: str) -> Choice:
+        """Return the choice for a stream that a version has begun."""
+        state = self.services.get(service)
+        step = None if state is None else state.current_step
+        if (
+            step is not None
+            and step.stage is Stage.rolled_back
+            and version == step.to
+        ):
+            return Choice(service, excluded=frozenset((version,)))
+        return Choice(service, version)
+
+    def record_request(self, service: str) -> None:
+        """Count a caller's request."""
+        state = self.services.get(service)
+        if state is None or not state.is_active:
+            return
+        state.tally.requests += 1
+        step = state.current_step
+        if step is not None:
+            state.credit += step.share
+
+    def started(
+        self, server: BackendServer, route: str, *, counted: bool
+    ) -> VersionSend | None:
+        """Count a send; None if there is nothing to count.
+
+        Args:
+            server: where it goes.
+            route: name of the route.
+            counted: it was counted when it was chosen.
+        """
+        state = self.services.get(server.service)
+        if state is None or state.order is None or not state.is_active:
+            return None
+        is_new = server.software_version == state.order.to
+        if is_new and not counted:
+            state.tally.exposed += 1
+            state.credit -= 1
+        send = VersionSend(
+            state.tally.routes[route, is_new],
+            self.now(),
+            state.open_sends.discard,
+        )
+        state.open_sends.add(send)
+        return send
+
+    def tallies(self) -> list[ServiceTally]:
+        """Return what was counted for the orders in progress.
+
+        Sends that wait for their first event are counted as late.
+        """
+        return [
+            self._with_waiting(state)
+            for state in self.services.values()
+            if state.is_active
+        ]
+
+    def slots(self, service: str, version: str) -> tuple[int, int]:
+        """Return the slots of a version's servers, and those of the others."""
+        new = 0
+        old = 0
+        for server in self.directory.usable(service):
+            if server.software_version == version:
+                new += server.slots
+            else:
+                old += server.slots
+        return new, old
+
+    def versions(self, service: str) -> frozenset[str]:
+        """Return the versions of a service's servers."""
+        counts = self.directory.software_versions.counts
+        return frozenset(counts.get(service, ()))
+
+    def _with_waiting(self, state: ServiceState) -> ServiceTally:
+        tally = ServiceTally(
+            state.tally.service,
+            state.tally.order_version,
+            state.tally.requests,
+            state.tally.exposed,
+        )
+        copies = {}
+        for name, counted in state.tally.routes.items():
+            tally.routes[name] = copy.deepcopy(counted)
+            copies[id(counted)] = tally.routes[name]
+        now_s = self.now()
+        for send in state.open_sends:
+            copied = copies.get(id(send.tally))
+            if send.first_s is None and copied is not None:
+                copied.late[bucket_of(now_s - send.started_s)] += 1
+        return tally
+
+    def _moves(self, state: ServiceState, step: RolloutStep) -> bool:
+        """Return whether all requests go to the new version by now."""
+        is_fresh = self.now() - self.confirmed_s <= CONFIRMED_S
+        if is_fresh and self.store_time_s() >= step.move_s:
+            state.is_moved = True
+        return state.is_moved
+
+    def _hold(self, state: ServiceState) -> Choice:
+        """Return that a version which is not tried gets nothing."""
+        barred = state.barred
+        target = state.target
+        if target is None:
+            return Choice(state.service, excluded=barred)
+        if self.versions(state.service) - barred - {target}:
+            barred |= {target}
+        return Choice(state.service, excluded=barred)
--- a/celerywharf/routing/_configuration_cache.py
+++ b/celerywharf/routing/_configuration_cache.py
@@ -127,6 +127,11 @@
         """
         return now_s - (self.clock_offset_s or 0)
 
+    def has_service(self, name: str) -> bool:
+        """Return whether the configuration has a service."""
+        configuration = self.configuration
+        return configuration is not None and name in configuration.services
+
     def offer(self, configuration: Configuration) -> bool:
         """Install a configuration if its version is newer.
 
--- a/celerywharf/settings/_front.py
+++ b/celerywharf/settings/_front.py
@@ -107,6 +107,28 @@
         ge=0,
         description='retries allowed beyond the ratio, over all hosts',
     )
+    exposure_share: float | None = Field(
+        default=None,
+        gt=0,
+        le=1,
+        description=(
+            'largest share of the requests to a service that a software '
+            'version on trial gets until the deadline of its roll-out, over '
+            'all hosts; if unset, services are not rolled out by order'
+        ),
+    )
+    exposure_slack: float = Field(
+        default=0,
+        ge=0,
+        description='requests allowed beyond that share, over all hosts',
+    )
+    rollback_ms: Milliseconds = Field(
+        default=5000,
+        description=(
+            'milliseconds after the 50th bad answer of a software version on '
+            'trial within which all hosts stop sending to it'
+        ),
+    )
 
 
 class FrontSettings(Section):
--- a/celerywharf/sharing/__init__.py
+++ b/celerywharf/sharing/__init__.py
@@ -19,6 +19,9 @@
 from celerywharf.sharing._quarantine_exchange import QuarantineExchange
 from celerywharf.sharing._quarantine_rows import read_records, release_trait
 from celerywharf.sharing._readers import ZoneReaders
+from celerywharf.sharing._rollout_control import RolloutControl
+from celerywharf.sharing._rollout_exchange import RolloutExchange
+from celerywharf.sharing._rollout_rows import read_steps
 from celerywharf.sharing._store import SharedStore
 from celerywharf.sharing._trials import TrialSchedule
 
@@ -34,11 +37,14 @@
     'QuarantineExchange',
     'Reader',
     'ReaderElection',
+    'RolloutControl',
+    'RolloutExchange',
     'SharedStore',
     'SharedTable',
     'TrialSchedule',
     'ZoneReaders',
     'answer',
     'read_records',
+    'read_steps',
     'release_trait',
 )
--- /dev/null
+++ b/celerywharf/sharing/_rollout_control.py
@@ -0,0 +1,318 @@
+"""Carries out the operator's orders, on the one host that decides."""
+
+from __future__ import annotations
+
+import logging
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from random import Random
+
+from celerywharf.exceptions import CelerywharfError, PeerUnreachableError
+from celerywharf.platform import (
+    STATUS_TABLE,
+    Row,
+    RowChange,
+    StoreClient,
+    boot_time_s,
+    encode_status,
+    status_key,
+)
+from celerywharf.rollouts import (
+    RolloutBounds,
+    RolloutOrder,
+    RolloutRegister,
+    RolloutStep,
+    ServiceTally,
+    StepDecider,
+    View,
+    first_step,
+)
+from celerywharf.sharing._readers import ZoneReaders
+from celerywharf.sharing._rollout_rows import (
+    STEP_TABLE,
+    decode_step,
+    encode_step,
+    from_messages,
+    to_message,
+)
+from celerywharf.wire import Sender
+from celerywharf.wire.rollouts import RolloutQuestion
+
+logger = logging.getLogger(__name__)
+
+# A decider that answers no other reader for this long is replaced.
+TAKEOVER_S = 1.5
+REPORT_TIMEOUT_S = 0.5
+CONFIRMED_S = 1.0
+FIRST_CHANCE = 0.5  # that one of several readers writes the first step now
+
+
+@dataclass(frozen=True, slots=True)
+class StoredStep:
+    """A step, and the version of its row."""
+
+    step: RolloutStep
+    version: int
+
+
+class RolloutControl:
+    """Decides steps, or reports to the host that does.
+
+    Attributes:
+        register: what this host knows and has counted.
+        store: the platform's store.
+        readers: links to the readers of other zones.
+        bounds: what a new version may get.
+        host: name and incarnation of this host.
+        knows_service: returns whether the configuration has a service.
+        rows: the steps in the store, by service.
+        status_versions: version of the row with the status, by service.
+        deciders: decide the steps, by service and version of the order.
+        host_tallies: counts of the other hosts of the zone, by host.
+        zone_tallies: counts of the other zones.
+        heard_s: when the deciding host last answered, by service and host,
+            seconds of CLOCK_BOOTTIME.
+        unknown: orders of services that the configuration does not have.
+    """
+
+    def __init__(
+        self,
+        register: RolloutRegister,
+        store: StoreClient,
+        readers: ZoneReaders,
+        bounds: RolloutBounds,
+        knows_service: Callable[[str], bool],
+        random: Random,
+    ) -> None:
+        identity = readers.identity
+        self.register = register
+        self.store = store
+        self.readers = readers
+        self.bounds = bounds
+        self.host = f'{identity.name}/{identity.incarnation}'
+        self.knows_service = knows_service
+        self.random = random
+        self.rows: dict[str, StoredStep] = {}
+        self.status_versions: dict[str, int] = {}
+        self.deciders: dict[tuple[str, int], StepDecider] = {}
+        self.host_tallies: dict[str, dict[str, ServiceTally]] = {}
+        self.zone_tallies: dict[str, dict[str, ServiceTally]] = {}
+        self.heard_s: dict[tuple[str, str], float] = {}
+        self.unknown: set[RolloutOrder] = set()
+
+    def apply_rows(self, rows: Iterable[Row]) -> None:
+        """Learn steps from rows of their table."""
+        for row in rows:
+            step = decode_step(row.key, row.content)
+            if row.removed or step is None:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = StoredStep(step, row.version)
+                self.register.learn_step(step, row.version)
+
+    def learn_counts(self, sender: Sender, question: RolloutQuestion) -> None:
+        """Learn the counts of another host or zone.
+
+        Raises:
+            PeerUnreachableError: another zone takes this host for the one that
+                decides, which it is not.
+        """
+        tallies = from_messages(question.counts)
+        zone = question.availability_zone
+        if not zone:
+            name = f'{sender.host}/{sender.incarnation}'
+            self.host_tallies[name] = tallies
+            return
+        if not any(map(self._is_decided_here, tallies)):
+            raise PeerUnreachableError('this host decides no roll-out')
+        known = self.zone_tallies.get(zone, {})
+        for service, tally in tallies.items():
+            _keep_totals(tally, known.get(service))
+        self.zone_tallies[zone] = tallies
+
+    async def attend(self) -> None:
+        """Decide, report or take over, for each order in progress.
+
+        Raises:
+            CelerywharfError: the store did not answer.
+        """
+        for order in self.register.orders():
+            if self.knows_service(order.service):
+                await self._attend_to(order)
+            elif order not in self.unknown:
+                self.unknown.add(order)
+                logger.warning(
+                    'roll-out of an unknown service',
+                    extra={'service': order.service, 'to': order.to},
+                )
+
+    def forget_counts(self) -> None:
+        """Drop what was counted for roll-outs that have ended."""
+        self.deciders.clear()
+        self.host_tallies.clear()
+        self.zone_tallies.clear()
+        self.heard_s.clear()
+
+    async def _attend_to(self, order: RolloutOrder) -> None:
+        stored = self.rows.get(order.service)
+        if stored is None or not stored.step.carries_out(order):
+            if stored is None or self._is_newer(order, stored.step):
+                await self._begin(order, stored)
+        elif stored.step.stage.is_final:
+            self.register.learn_step(stored.step, stored.version)
+        elif stored.step.host == self.host:
+            await self._decide(order, stored)
+        else:
+            await self._report(order, stored)
+
+    def _is_newer(self, order: RolloutOrder, step: RolloutStep) -> bool:
+        """Return whether a step is of an order before this one."""
+        if step.era < self.store.era.current:
+            return True
+        return step.order_version < order.version
+
+    async def _begin(
+        self, order: RolloutOrder, stored: StoredStep | None
+    ) -> None:
+        if self.random.random() > FIRST_CHANCE:
+            return
+        barred = self.register.services[order.service].barred
+        replaced = self.register.versions(order.service) - barred - {order.to}
+        step = replace(
+            first_step(order, self.bounds, self.register.store_time_s()),
+            replaced=tuple(sorted(replaced)),
+            barred=tuple(sorted(barred)),
+        )
+        await self._write(step, stored)
+
+    async def _decide(self, order: RolloutOrder, stored: StoredStep) -> None:
+        decider = self.deciders.setdefault(
+            (order.service, order.version), StepDecider(self.bounds)
+        )
+        tally = self._zone_tally(order)
+        tally.add_all(
+            tallies[order.service]
+            for tallies in self.zone_tallies.values()
+            if order.service in tallies
+        )
+        new_slots, old_slots = self.register.slots(order.service, order.to)
+        unheard_s = self.register.now() - self.register.confirmed_s
+        view = View(tally, new_slots, old_slots, unheard_s <= CONFIRMED_S)
+        now_s = self.register.store_time_s()
+        step = decider.decide(stored.step, view, now_s)
+        if step is not None:
+            await self._write(step, stored, tally)
+
+    async def _report(self, order: RolloutOrder, stored: StoredStep) -> None:
+        """Tell the host that decides; replace it if it does not answer."""
+        step = stored.step
+        now_s = boot_time_s()
+        key = (order.service, step.host)
+        heard_s = self.heard_s.setdefault(key, now_s)
+        is_own_zone = step.availability_zone == self.readers.own_zone
+        if is_own_zone or now_s - heard_s > TAKEOVER_S:
+            await self._write(
+                replace(step, reason='the deciding host did not answer'), stored
+            )
+            return
+        counts = [to_message(self._zone_tally(order))]
+        question = RolloutQuestion(counts, self.readers.own_zone)
+        try:
+            await self.readers.request(
+                step.availability_zone, question, REPORT_TIMEOUT_S
+            )
+        except CelerywharfError as error:
+            logger.info(
+                'no report to the deciding host',
+                extra={'service': order.service, 'reason': error.message},
+            )
+            return
+        self.heard_s[key] = boot_time_s()
+
+    def _zone_tally(self, order: RolloutOrder) -> ServiceTally:
+        """Return the counts of all hosts of the zone."""
+        own = {tally.service: tally for tally in self.register.tallies()}
+        tally = ServiceTally(order.service, order.version)
+        return tally.add_all(
+            tallies[order.service]
+            for tallies in (own, *self.host_tallies.values())
+            if order.service in tallies
+        )
+
+    def _is_decided_here(self, service: str) -> bool:
+        stored = self.rows.get(service)
+        return stored is not None and stored.step.host == self.host
+
+    async def _write(
+        self,
+        step: RolloutStep,
+        stored: StoredStep | None,
+        tally: ServiceTally | None = None,
+    ) -> None:
+        """Write a step and the status, unless another host wrote before."""
+        step = replace(
+            step,
+            host=self.host,
+            availability_zone=self.readers.own_zone,
+            era=self.store.era.current,
+        )
+        changes = [
+            RowChange(
+                step.service, encode_step(step), stored.version if stored else 0
+            )
+        ]
+        if stored is None or encode_status(stored.step) != encode_status(step):
+            changes.append(await self._status_change(step))
+        self.status_versions.pop(step.service, None)
+        written = await self.store.transact(STEP_TABLE, changes)
+        if written.version is None:
+            self._apply_current(step.service, written.current)
+            return
+        self.rows[step.service] = StoredStep(step, written.version)
+        self.register.learn_step(step, written.version)
+        if len(changes) > 1:
+            self.status_versions[step.service] = written.version
+        logger.info('roll-out step', extra=_describe(step, tally))
+
+    async def _status_change(self, step: RolloutStep) -> RowChange:
+        key = status_key(step.service)
+        version = self.status_versions.get(step.service)
+        if version is None:
+            reading = await self.store.read_row(STATUS_TABLE, key)
+            version = next((row.version for row in reading.rows), 0)
+        return RowChange(key, encode_status(step), version, STATUS_TABLE)
+
+    def _apply_current(self, service: str, current: Iterable[Row]) -> None:
+        self.rows.pop(service, None)
+        self.apply_rows(row for row in current if row.key == service)
+
+
+def _keep_totals(tally: ServiceTally, known: ServiceTally | None) -> None:
+    """Keep the totals of a zone whose hosts have been lost meanwhile."""
+    if known is not None and known.order_version == tally.order_version:
+        tally.requests = max(tally.requests, known.requests)
+        tally.exposed = max(tally.exposed, known.exposed)
+
+
+def _describe(
+    step: RolloutStep, tally: ServiceTally | None
+) -> dict[str, object]:
+    fields: dict[str, object] = {
+        'service': step.service,
+        'to': step.to,
+        'stage': step.stage.value,
+        'share': step.share,
+        'move_s': step.move_s,
+        'requests': step.requests,
+        'exposed': step.exposed,
+        'reason': step.reason,
+    }
+    if tally is not None:
+        counts: defaultdict[str, int] = defaultdict(int)
+        for (_, is_new), counted in tally.routes.items():
+            side = 'new' if is_new else 'old'
+            for name in ('ended', 'failed', 'broken'):
+                counts[f'{side}_{name}'] += getattr(counted, name)
+        fields.update(counts)
+    return fields
--- a/celerywharf/wire/_registry.py
+++ b/celerywharf/wire/_registry.py
@@ -16,6 +16,7 @@
     origins,
     peers,
     quarantine,
+    rollouts,
     sharing,
     tables,
     timelines,
@@ -36,6 +37,7 @@
     timelines,
     idempotency,
     journals,
+    rollouts,
 )
 
 
--- a/tests/forwarding/test_relays.py
+++ b/tests/forwarding/test_relays.py
@@ -94,6 +94,7 @@
         peers=None,
         metrics=Metrics(),
         random=None,
+        rollouts=None,
     )
 
 
