--- a/celerywharf/cli/_main.py
+++ b/celerywharf/cli/_main.py
@@ -16,6 +16,7 @@
   host        List and drain entry hosts.
   status      Show the status of a host and the table revision at all hosts.
   quarantine  List and release requests that fronts keep from engines.
+  rollout     List services that move to another software version.
   timeline    Show the events of all processes.
   usage       Show the resources used by each client account.
   explain     Show what log files contain about a request.
@@ -55,6 +56,7 @@
     'host': 'celerywharf.cli._host',
     'status': 'celerywharf.cli._status',
     'quarantine': 'celerywharf.cli._quarantine',
+    'rollout': 'celerywharf.cli._rollout',
     'version': 'celerywharf.cli._version',
 }
 
--- a/celerywharf/rollouts/_evidence.py
+++ b/celerywharf/rollouts/_evidence.py
@@ -12,7 +12,7 @@
 
 # A version whose answers are like those of the others is called bad at most
 # this often, however long it is watched.
-FALSE_ALARM = 0.01
+FALSE_ALARM = 0.05
 # By how much a bad version may fail more, as parts of what doesn't fail yet.
 EXCESSES = (0.15, 0.35, 0.7)
 # A version isn't called bad for failing less often than this.
--- a/standins/fronts.py
+++ b/standins/fronts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import base64
+import json
 import secrets
 import time
 from collections.abc import Mapping
@@ -83,6 +85,20 @@
         row = {'table': table, 'key': key, 'content': content}
         call(self.store, 'POST', '/rows', row)
 
+    def content(self, table: str, key: str) -> Any:
+        """Return the content of a row; None if there is none."""
+        query = f'table={table}&part=&from={key}'
+        _, body = call(self.store, 'GET', f'/api/rows-get?{query}')
+        for row in body['rows']:
+            if row['key'] == key:
+                return json.loads(base64.b64decode(row['value']))
+        return None
+
+    def order(self, service: str, to: str, period_s: float) -> None:
+        """Order that a service is moved to a software version."""
+        content = {'service': service, 'to': to, 'periodS': period_s}
+        self.put('op', f'rollout/{service}', content)
+
     def configuration(self) -> dict[str, Any]:
         """Return the current configuration, in the operator's format."""
         return {
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import time
 from dataclasses import dataclass, field
 from typing import Any, TextIO
@@ -22,6 +23,7 @@
 OK = 200
 BAD_REQUEST = 400
 MISDIRECTED = 421
+FAILURE = 500
 UNAVAILABLE = 503
 TOKENS_PER_EVENT = 7
 MAX_LATE_S = 0.1
@@ -59,6 +61,7 @@
         twice: send a second complete answer after each answer to a call.
         shorten: declare one byte more than the answer to a call has.
         status: HTTP status of the answers to plain calls.
+        fail_share: part of the plain calls that are answered with a failure.
         endless: answer without end; a key of `standins.endless.ANSWERS`.
         limit_per_s: state this request limit in each answer.
         unframed: answer without a length or chunks and close the connection.
@@ -90,6 +93,7 @@
     twice: bool = False
     shorten: bool = False
     status: int = OK
+    fail_share: float = 0
     endless: str = ''
     limit_per_s: float | None = None
     unframed: bool = False
@@ -417,7 +421,8 @@
         if switches.shorten or switches.twice:
             await self.write_raw(body, run)
             return
-        self.set_status(switches.status)
+        fails = random.random() < switches.fail_share
+        self.set_status(FAILURE if fails else switches.status)
         self.finish(body)
 
     async def write_raw(self, body: str, run: ServedRun) -> None:
--- a/tests/settings/reference.feature
+++ b/tests/settings/reference.feature
@@ -12,3 +12,9 @@
   Scenario: the deployment template has only known keys
     When the deployment template is filled in
     Then it loads as settings of a front
+    And services are not rolled out by order
+
+  Scenario: the deployment template has the bounds of roll-outs
+    When the deployment template is filled in with bounds of roll-outs
+    Then it loads as settings of a front
+    And services are rolled out within the bounds
--- a/tests/settings/test_reference.py
+++ b/tests/settings/test_reference.py
@@ -37,6 +37,18 @@
 
 @when('the deployment template is filled in', target_fixture='text')
 def _fill_template():
+    return _filled(has_rollouts=False)
+
+
+@when(
+    'the deployment template is filled in with bounds of roll-outs',
+    target_fixture='text',
+)
+def _fill_whole_template():
+    return _filled(has_rollouts=True)
+
+
+def _filled(*, has_rollouts):
     text = TEMPLATE.read_text()
     text = re.sub(r'{{#zones}}.*{{/zones}}', '    z=r', text, flags=re.DOTALL)
     values = {
@@ -46,7 +58,17 @@
         'listen.ready': '127.0.0.1:2',
         'ip': '127.0.0.1',
         'platform.address': '127.0.0.1:3',
+        'bounds.exposureShare': '0.1',
     }
+    if has_rollouts:
+        text = re.sub(
+            r'{{#([\w.]+)}}(.*?){{/\1}}',
+            lambda section: section[2].replace('.', section[1]),
+            text,
+            flags=re.DOTALL,
+        )
+    else:
+        text = re.sub(r'{{#([\w.]+)}}.*?{{/\1}}', '', text, flags=re.DOTALL)
     return re.sub(
         r'{{([\w.]+)}}', lambda match: values.get(match[1], '7'), text
     )
@@ -60,6 +82,20 @@
     assert loaded.bounds.grace_s == 7
 
 
+@then('services are not rolled out by order')
+def _check_no_rollouts(text):
+    loaded = settings.loads(text, model=settings.FrontSettings)
+    assert loaded.bounds.exposure_share is None
+
+
+@then('services are rolled out within the bounds')
+def _check_rollouts(text):
+    bounds = settings.loads(text, model=settings.FrontSettings).bounds
+    assert str(bounds.exposure_share) == '0.1'
+    assert bounds.exposure_slack == 7
+    assert bounds.rollback_ms == 7
+
+
 @then(parsers.parse('it equals {page}'))
 def _check_page(lines, page):
     assert (ROOT / page).read_text().splitlines() == lines
