--- a/celerywharf/rollouts/_decider.py
+++ b/celerywharf/rollouts/_decider.py
@@ -193,7 +193,7 @@
         deadline_s = self.deadline_s(step)
         left_s = max(deadline_s - now_s, 0)
         rate = self._rate()
-        exposed = max(view.tally.exposed, step.exposed)
+        exposed = self._exposed(step, view)
         trial = step.share * rate
         left = self._allowed(view, rate * left_s) - exposed - trial * left_s
         most_s = step.period_s * MAX_MOVED_PART
@@ -202,6 +202,14 @@
         moved_s = left / (rate * GROWTH - trial)
         return deadline_s - min(max(moved_s, 0), most_s)
 
+    def _exposed(self, step: RolloutStep, view: View) -> float:
+        """Return the requests that have reached the new version.
+
+        Hosts count none before they know the order.
+        """
+        early = step.early_part * self._rate() * ORDER_LAG_S
+        return max(view.tally.exposed, step.exposed) + early
+
     def _allowed(self, view: View, expected: float) -> float:
         requests = view.tally.requests + expected
         bounds = self.bounds
@@ -218,7 +226,7 @@
         expected = self._rate() * left_s
         bounds = self.bounds
         requests = view.tally.requests + expected
-        return view.tally.exposed + expected > (
+        return self._exposed(step, view) + expected > (
             bounds.exposure_share * requests + bounds.exposure_slack
         )
 
@@ -229,7 +237,7 @@
         expected = self._rate() * (self.deadline_s(step) - now_s)
         if not expected:
             return step.share
-        exposed = max(view.tally.exposed, step.exposed)
+        exposed = self._exposed(step, view)
         moved = self._rate() * GROWTH * (SETTLE_S + DONE_LEAD_S)
         left = self._allowed(view, expected) - exposed - moved
         return min(max(left * TRIAL_PART / expected, 0), MOST_SHARE)
--- a/celerywharf/rollouts/_register.py
+++ b/celerywharf/rollouts/_register.py
@@ -56,6 +56,8 @@
         order: the operator's order; None if it was withdrawn.
         step: the newest step; None before the first.
         row_version: version of the row with the step, and the era before it.
+        early_part: part of the slots that the new version had when the order
+            came.
         credit: sends to the new version that are due.
         is_moved: all requests go to the new version, by the step.
         abandoned: versions of earlier orders that had no step here.
@@ -67,6 +69,7 @@
     order: RolloutOrder | None = None
     step: RolloutStep | None = None
     row_version: tuple[int, int] = (0, 0)
+    early_part: float = 0
     credit: float = 0
     is_moved: bool = False
     abandoned: frozenset[str] = frozenset()
@@ -181,6 +184,8 @@
         if order is not None:
             state.is_moved = False
             state.credit = self.random.random()
+            new_slots, old_slots = self.slots(service, order.to)
+            state.early_part = new_slots / max(new_slots + old_slots, 1)
             state.tally = ServiceTally(service, order.version)
         for subscriber in self.subscribers:
             subscriber()
--- a/celerywharf/rollouts/_steps.py
+++ b/celerywharf/rollouts/_steps.py
@@ -64,6 +64,8 @@
         host: who decides, as name and incarnation.
         availability_zone: zone of that host.
         era: era of the store in which the step was written.
+        early_part: of the requests, that reached the new version before the
+            order was known; 0 if it had no servers then.
         requests: to the service since the order, as known at this step.
         exposed: those of them that reached the new version.
         reason: why this step was taken.
@@ -82,6 +84,7 @@
     host: str = ''
     availability_zone: str = ''
     era: int = 0
+    early_part: float = 0
     requests: int = 0
     exposed: int = 0
     reason: str = ''
--- a/celerywharf/sharing/_rollout_control.py
+++ b/celerywharf/sharing/_rollout_control.py
@@ -177,12 +177,14 @@
     ) -> None:
         if self.random.random() > FIRST_CHANCE:
             return
-        barred = self.register.services[order.service].barred
+        state = self.register.services[order.service]
+        barred = state.barred
         replaced = self.register.versions(order.service) - barred - {order.to}
         step = replace(
             first_step(order, self.bounds, self.register.store_time_s()),
             replaced=tuple(sorted(replaced)),
             barred=tuple(sorted(barred)),
+            early_part=state.early_part,
         )
         await self._write(step, stored)
 
--- a/celerywharf/sharing/_rollout_rows.py
+++ b/celerywharf/sharing/_rollout_rows.py
@@ -45,6 +45,7 @@
     host: Name
     availability_zone: Name
     era: Count
+    early_part: float = Field(default=0, ge=0, le=1)
     requests: Count
     exposed: Count
     reason: str
--- a/tests/rollouts/fleets.py
+++ b/tests/rollouts/fleets.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from celerywharf.backends import BackendServer, Directory
@@ -153,7 +153,9 @@
         host.set_order(SERVICE, self.order)
 
     def begin(self):
-        self.tell(first_step(self.order, BOUNDS, self.now_s))
+        early_part = self.hosts[0].services[SERVICE].early_part
+        step = first_step(self.order, BOUNDS, self.now_s)
+        self.tell(replace(step, early_part=early_part))
 
     def tell(self, step):
         self.steps.append((self.now_s - ORDERED_S, step))
