--- a/tests/rollouts/fleets.py
+++ b/tests/rollouts/fleets.py
@@ -153,9 +153,9 @@
         host.set_order(SERVICE, self.order)
 
     def begin(self):
-        early_part = self.hosts[0].services[SERVICE].early_part
+        (state,) = self.hosts[0].services.values()
         step = first_step(self.order, BOUNDS, self.now_s)
-        self.tell(replace(step, early_part=early_part))
+        self.tell(replace(step, early_part=state.early_part))
 
     def tell(self, step):
         self.steps.append((self.now_s - ORDERED_S, step))
