--- a/celerywharf/sharing/_rollout_exchange.py
+++ b/celerywharf/sharing/_rollout_exchange.py
@@ -33,8 +33,11 @@
 MAX_READER_PERIOD_S = 0.25
 # How long the store may wait for a step before it confirms the last one.
 STORE_POLL_S = 0.5
-READER_TIMEOUT_S = 0.5
-BACKOFF_S = 0.3
+READER_TIMEOUT_S = 0.4
+BACKOFF_S = 0.1
+MAX_DOUBLINGS = 2
+# A reader of an earlier release breaks the link at what it does not know.
+MAX_READER_DOUBLINGS = 5
 IDLE_S = 5.0
 UNKNOWN_AGE_S = 3600.0
 
@@ -77,15 +80,20 @@
         if not self.register.is_enabled:
             self.has_begun = True
             return
-        for act in (self._follow, self._ask_reader, self._attend):
-            self.spawn(self._repeat(act))
+        self.spawn(self._repeat(self._follow, MAX_DOUBLINGS))
+        self.spawn(self._repeat(self._attend, MAX_DOUBLINGS))
+        self.spawn(self._repeat(self._ask_reader, MAX_READER_DOUBLINGS))
 
-    async def _repeat(self, act: Callable[[], Awaitable[None]]) -> None:
+    async def _repeat(
+        self, act: Callable[[], Awaitable[None]], max_doublings: int
+    ) -> None:
+        failures = 0
         while True:
             if self.has_begun and not self.register.is_active:
                 await self._wait_for_order()
             try:
                 await act()
+                failures = 0
             except HistoryGoneError:
                 self.position = None
             except CelerywharfError as error:
@@ -94,7 +102,9 @@
                     'no exchange of roll-out steps',
                     extra={'reason': error.message},
                 )
-                await asyncio.sleep(BACKOFF_S * (1 + self.random.random()))
+                wait_s = BACKOFF_S * 2 ** min(failures, max_doublings)
+                failures += 1
+                await asyncio.sleep(wait_s * (1 + self.random.random()))
 
     async def _wait_for_order(self) -> None:
         self.control.forget_counts()
