--- a/celerywharf/forwarding/_context.py
+++ b/celerywharf/forwarding/_context.py
@@ -15,6 +15,7 @@
 from celerywharf.peers import PeerPaths
 from celerywharf.quarantine import QuarantineGate
 from celerywharf.retries import RetryLimiter
+from celerywharf.rollouts import RolloutRegister
 from celerywharf.routing import ConfigurationCache
 from celerywharf.timers import TimerService
 from celerywharf.waiting import WaitingRequests
@@ -43,4 +44,5 @@
     waiting: WaitingRequests
     metrics: Metrics
     random: Random
+    rollouts: RolloutRegister
     leases: Leases | None = None
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -14,6 +14,7 @@
 from celerywharf.forwarding._rooms import RoomSearch
 from celerywharf.forwarding._stream_sends import RESUMED
 from celerywharf.platform import Resumption
+from celerywharf.rollouts import ANY_VERSION, Choice
 from celerywharf.structures import Address
 
 STREAM_CANDIDATES = 2  # engines probed for their load at a time
@@ -40,6 +41,7 @@
         silent_name: name of the engine whose send is silent and kept; empty if
             there is none.
         room: looks for an engine with room.
+        choice: software versions that the latest engine was chosen from.
         copy_holder: engine that may hold a copy of the run; None if there is
             none or it has been tried.
         needs_room: tells whether an engine has room; None if the stream is
@@ -69,6 +71,7 @@
         self.failed_names: set[str] = set()
         self.limited_names: set[str] = set()
         self.silent_name = ''
+        self.choice = ANY_VERSION
         self.copy_holder: BackendServer | None = None
         self.needs_room: RoomCheck | None = None
 
@@ -98,27 +101,22 @@
         last_event = self.progress.last_event
         copy_holder = self.copy_holder
         self.copy_holder = None
+        self.choice = self._choose_versions()
         if (
             copy_holder is not None
             and copy_holder.name not in self.failed_names
+            and copy_holder.software_version not in self.choice.excluded
             and await is_eligible(copy_holder)
         ):
             return copy_holder, Resumption(last_event, copy_holder.address)
-        self.limited_names = set()
-        for _ in range(MAX_LIMITED):
-            server = await self.context.reports.best(
-                self._rank_engines, STREAM_CANDIDATES
-            )
-            if server is None:
-                self.room.record_no_server(self._has_usable_engines())
-                return None, Resumption(last_event)
-            if not self._has_room(server):
-                self.room.lacks_room = True
-                return None, Resumption(last_event)
-            if await is_eligible(server):
-                return server, Resumption(last_event)
-            self.limited_names.add(server.name)
-        return None, Resumption(last_event)
+        server = await self._find_engine(is_eligible)
+        while server is None and not self.must_wait:
+            choice = self.context.rollouts.choose_again(self.choice)
+            if choice is None or self.progress.software_version is not None:
+                break
+            self.choice = choice
+            server = await self._find_engine(is_eligible)
+        return server, Resumption(last_event)
 
     async def has_answered_lately(self, server: BackendServer) -> bool:
         """Return whether an engine has just answered; ask it if not.
@@ -191,6 +189,32 @@
         elif resumption.copy_at is None and outcome is not RESUMED:
             self.failed_names.add(server.name)
 
+    def _choose_versions(self) -> Choice:
+        """Choose any version for a new stream; others keep theirs."""
+        version = self.progress.software_version
+        if version is None:
+            return self.context.rollouts.choose(self.service)
+        return self.context.rollouts.go_on(self.service, version)
+
+    async def _find_engine(
+        self, is_eligible: EligibilityCheck
+    ) -> BackendServer | None:
+        self.limited_names = set()
+        for _ in range(MAX_LIMITED):
+            server = await self.context.reports.best(
+                self._rank_engines, STREAM_CANDIDATES
+            )
+            if server is None:
+                self.room.record_no_server(self._has_usable_engines())
+                return None
+            if not self._has_room(server):
+                self.room.lacks_room = True
+                return None
+            if await is_eligible(server):
+                return server
+            self.limited_names.add(server.name)
+        return None
+
     def _has_usable_engines(self) -> bool:
         """Return whether an engine could take the stream, had it room."""
         now_s = self.context.timers.now()
@@ -212,7 +236,9 @@
     def _rank_backups(self, server: BackendServer) -> list[BackendServer]:
         now_s = self.context.timers.now()
         demand = replace(
-            self._current_demand(), software_version=server.software_version
+            self._current_demand(),
+            software_version=server.software_version,
+            excluded_versions=(),
         )
         return [
             backup
@@ -225,5 +251,8 @@
         return replace(
             self.demand,
             excluded=excluded | {self.silent_name},
-            software_version=self.progress.software_version,
+            software_version=(
+                self.progress.software_version or self.choice.software_version
+            ),
+            excluded_versions=self.choice.excluded,
         )
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -27,6 +27,7 @@
 from celerywharf.platform import boot_time_s
 from celerywharf.quarantine import LossRegister, QuarantineGate
 from celerywharf.retries import HostShare
+from celerywharf.rollouts import RolloutRegister
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
 from celerywharf.timers import TimerService
@@ -78,6 +79,13 @@
         waiting=WaitingRequests(timers, metrics, random),
         metrics=metrics,
         random=random,
+        rollouts=RolloutRegister(
+            directory,
+            timers.now,
+            store_time_s,
+            random,
+            is_enabled=_allows_rollouts(settings),
+        ),
         leases=Leases(transport, timers, loads, health, limits, metrics),
     )
 
@@ -98,5 +106,11 @@
     )
 
 
+def _allows_rollouts(settings: FrontSettings) -> bool:
+    """Return whether hosts share counts, and the users allow roll-outs."""
+    is_shared = settings.front.peers is not None
+    return is_shared and settings.bounds.exposure_share is not None
+
+
 def _store_time_s(configuration_cache: ConfigurationCache) -> float:
     return configuration_cache.store_time_s(boot_time_s())
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -31,6 +31,13 @@
     lease_release_path,
 )
 from celerywharf.platform._peer_headers import peer_headers
+from celerywharf.platform._rollouts import (
+    STATUS_TABLE,
+    decode_order,
+    encode_status,
+    ordered_service,
+    status_key,
+)
 from celerywharf.platform._store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -52,6 +59,7 @@
     'PROBE_PATH',
     'READY_PATH',
     'SERVER_TABLE',
+    'STATUS_TABLE',
     'AnswerHeaders',
     'Event',
     'EventSplitter',
@@ -71,14 +79,18 @@
     'decode_backend_server',
     'decode_configuration',
     'decode_lease',
+    'decode_order',
     'decode_report',
-    'list_configuration',
+    'encode_status',
     'lease_demand',
     'lease_release_path',
+    'list_configuration',
+    'ordered_service',
     'outlives_copy',
-    'read_api_keys',
     'peer_headers',
+    'read_api_keys',
     'read_answer_headers',
     'read_request_headers',
     'server_headers',
+    'status_key',
 )
--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import secrets
 import time
 from dataclasses import dataclass, field
@@ -25,6 +26,7 @@
 BAD_REQUEST = 400
 NOT_FOUND = 404
 MISDIRECTED = 421
+FAILURE = 500
 UNAVAILABLE = 503
 TOKENS_PER_EVENT = 7
 LEASE_NAME_BYTES = 4
@@ -63,6 +65,7 @@
         twice: send a second complete answer after each answer to a call.
         shorten: declare one byte more than the answer to a call has.
         status: HTTP status of the answers to plain calls.
+        fail_share: part of the plain calls that are answered with a failure.
         endless: answer without end; a key of `standins.endless.ANSWERS`.
         limit_per_s: state this request limit in each answer.
         unframed: answer without a length or chunks and close the connection.
@@ -98,6 +101,7 @@
     twice: bool = False
     shorten: bool = False
     status: int = OK
+    fail_share: float = 0
     endless: str = ''
     limit_per_s: float | None = None
     unframed: bool = False
@@ -495,7 +499,8 @@
         if switches.shorten or switches.twice:
             await self.write_raw(body, run)
             return
-        self.set_status(switches.status)
+        fails = random.random() < switches.fail_share
+        self.set_status(FAILURE if fails else switches.status)
         self.finish(body)
 
     async def write_raw(self, body: str, run: ServedRun) -> None:
