--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -28,11 +29,17 @@
     boot_time_s,
     decode_backend_server,
     decode_configuration,
+    decode_large_configuration,
+)
+from celerywharf.routing import (
+    AnswerTiming,
+    Configuration,
+    ConfigurationCache,
 )
-from celerywharf.routing import AnswerTiming, ConfigurationCache
 from celerywharf.sharing import SharedStore
 from celerywharf.tasks import Part
 from celerywharf.timers import TimerService
+from celerywharf.units import SMALL_MESSAGE_BYTES
 
 logger = logging.getLogger(__name__)
 
@@ -47,6 +54,7 @@
 # servers that return after a crash are needed sooner.
 CONFIGURATION_BATCH_S = 0.5
 SERVER_BATCH_S = 0.25
+LARGE_BYTES = SMALL_MESSAGE_BYTES  # decoding more delays other work
 # Waits after failed calls. The last one bounds how long it takes to notice that
 # the store answers again.
 BACKOFF_S = (0.2, 0.4, 0.7)
@@ -98,6 +106,9 @@
         super().start()
         self.spawn(self._follow())
 
+    async def prepare(self, reading: ReadResult) -> None:
+        """Do what takes long before a reading is applied."""
+
     def apply_all(self, reading: ReadResult) -> None:
         """Apply a reading of the whole table."""
         raise NotImplementedError
@@ -139,6 +150,7 @@
         if reading.incomplete:
             self.apply_incomplete(reading)
             return
+        await self.prepare(reading)
         if position is None:
             self.apply_all(reading)
         else:
@@ -176,6 +188,8 @@
             before the first.
         row_subscribers: called with the other rows of the table that a reading
             has, and whether it is of the whole table.
+        decoded: the last document, with the configuration that it is; None
+            before the first that was not malformed.
     """
 
     table = CONFIGURATION_TABLE
@@ -192,8 +206,20 @@
         self.configuration_cache = configuration_cache
         self.stored_version: int | None = None
         self.row_subscribers: list[RowSubscriber] = []
+        self.decoded: tuple[bytes, Configuration] | None = None
         store.era.subscribers.append(self.on_store_restored)
 
+    async def prepare(self, reading: ReadResult) -> None:
+        """Decode a large configuration."""
+        for row in reading.rows:
+            if row.key != CONFIGURATION_KEY or row.content is None:
+                continue
+            if len(row.content) < LARGE_BYTES or self._is_decoded(row.content):
+                continue
+            with contextlib.suppress(ProtocolError):
+                configuration = await decode_large_configuration(row.content)
+                self.decoded = (row.content, configuration)
+
     def apply_all(self, reading: ReadResult) -> None:
         """Apply the configuration of a whole reading."""
         self._apply(reading, is_whole=True)
@@ -240,9 +266,17 @@
         else:
             self.configuration_cache.synchronize(timing)
 
+    def _is_decoded(self, content: bytes) -> bool:
+        return self.decoded is not None and self.decoded[0] == content
+
+    def _decode(self, content: bytes) -> Configuration:
+        if self.decoded is None or not self._is_decoded(content):
+            self.decoded = (content, decode_configuration(content))
+        return self.decoded[1]
+
     def _apply_configuration(self, content: bytes) -> None:
         try:
-            configuration = decode_configuration(content)
+            configuration = self._decode(content)
         except ProtocolError as error:
             logger.error(
                 'configuration unreadable',
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Annotated, Any, Literal, TypeVar
 
 from pydantic import (
@@ -11,10 +12,12 @@
     ConfigDict,
     Field,
     StrictInt,
+    TypeAdapter,
     ValidationError,
     WrapValidator,
 )
 from pydantic.alias_generators import to_camel
+from pydantic_core import from_json
 
 from celerywharf.backends import BackendServer, EngineReport
 from celerywharf.exceptions import ProtocolError
@@ -40,6 +43,7 @@
 MS_PER_S = 1000
 UNKNOWN_CAPACITY_TOKENS = 0
 MAX_NAME = 200
+ROUTES_AT_ONCE = 100  # about a millisecond
 MAX_ERRORS = 3  # named for a malformed document
 MAX_SLOTS = 1_000_000
 MAX_WARM_UP_MS = 86_400_000
@@ -213,6 +217,9 @@
     runs: list[list[Any]] = Field(default_factory=list)
 
 
+ROUTES = TypeAdapter(list[_Route])
+
+
 def decode_configuration(text: bytes) -> Configuration:
     """Decode the operator's configuration.
 
@@ -229,11 +236,41 @@
         ProtocolError: the document is malformed.
     """
     document = _validated(_Configuration, text)
+    return _listing(document, document.routes)
+
+
+async def decode_large_configuration(text: bytes) -> Configuration:
+    """Decode a configuration of many routes between other work.
+
+    Raises:
+        ProtocolError: the document is malformed.
+    """
+    try:
+        members = from_json(text)
+        raw_routes = members.pop('routes')
+    except (ValueError, KeyError, AttributeError):
+        return decode_configuration(text)
+    routes: list[_Route] = []
+    try:
+        document = _Configuration.model_validate({**members, 'routes': []})
+        for start in range(0, len(raw_routes), ROUTES_AT_ONCE):
+            batch = raw_routes[start : start + ROUTES_AT_ONCE]
+            routes.extend(ROUTES.validate_python(batch))
+            await asyncio.sleep(0)
+    except (ValidationError, TypeError):
+        # It tells what is wrong.
+        return decode_configuration(text)
+    return _listing(document, routes).configuration()
+
+
+def _listing(
+    document: _Configuration, routes: Sequence[_Route]
+) -> ConfigurationListing:
     accounts = document.tenants
-    prioritized = (*document.routes, *(accounts or ()))
+    prioritized = (*routes, *(accounts or ()))
     return ConfigurationListing(
         version=document.version,
-        routes=tuple(route.route() for route in document.routes),
+        routes=tuple(route.route() for route in routes),
         services=tuple(service.service() for service in document.services),
         accounts=None
         if accounts is None
