Eject a server again that fails after an ejection; describe windows

A server that fails some requests got out of its trial by one success, or by time alone. Any failure or refusal in the window after an ejection ejects it again, as before windows, and time alone closes none. A server that was ejected more than once stays so when it restarts.

--- a/celerywharf/backends/_health.py
+++ b/celerywharf/backends/_health.py
@@ -10,7 +10,7 @@
 from celerywharf.backends._loads import Loads
 from celerywharf.backends._reachability import Reachability
 from celerywharf.backends._servers import BackendServer
-from celerywharf.backends._windows import RecoveryWindows, WindowChange
+from celerywharf.backends._windows import Reason, RecoveryWindows, WindowChange
 from celerywharf.backends._zones import ServiceZone, ZoneFailureDetector
 from celerywharf.backends.outliers import Outliers
 
@@ -18,7 +18,9 @@
 
 
 def _log_change(change: WindowChange) -> None:
-    logger.info(
+    by_time = change.reason is Reason.no_bad_news
+    logger.log(
+        logging.DEBUG if by_time else logging.INFO,
         'window of a server',
         extra={
             'event': change.event,
--- a/celerywharf/backends/_windows.py
+++ b/celerywharf/backends/_windows.py
@@ -89,9 +89,9 @@
     It starts small and doubles with each answer that comes at the usual time;
     it is raised to twice what the server states to be answering already, and
     grows with time while this host has nothing there.  Refusals, failures and
-    answers that are much slower than usual halve it; a failure before the first
-    answer ends the use of the server.  It closes when answers or statements
-    raise it to the server's slots.
+    answers that are much slower than usual halve it.  A failure before the
+    first answer ends the use of the server, as does any after an ejection.  It
+    closes when answers or statements raise it to the server's slots.
 
     What the server states to have in progress is shared truth, it sums over
     all hosts; the rest of the window is free.  Each host takes part in it by
@@ -183,14 +183,17 @@
         window = self.windows.get(name)
         if window is None:
             return False
-        return self._halve(window, now_s, Reason.refused)
+        was_ejected = window.reason is Reason.ejected
+        return self._halve(window, now_s, Reason.refused) or was_ejected
 
     def failed(self, name: str, now_s: float) -> bool:
         """Record a failure; return whether the server must not be used."""
         window = self.windows.get(name)
         if window is None:
             return False
-        return self._halve(window, now_s, Reason.failed) or not window.proven
+        was_ejected = window.reason is Reason.ejected
+        is_left = self._halve(window, now_s, Reason.failed) or was_ejected
+        return is_left or not window.proven
 
     def retain(self, names: Container[str]) -> None:
         """Evict the windows of other servers."""
@@ -220,7 +223,7 @@
         if rounds > 0 and window.size < slots:
             size = min(window.size * 2 ** min(rounds, MAX_ROUNDS), slots)
             self._resize(window, size, now_s, Reason.no_bad_news)
-        elif rounds >= CLOSING_ROUNDS:
+        elif rounds >= CLOSING_ROUNDS and window.reason is Reason.started:
             self._raise(window, slots, now_s, Reason.no_bad_news)
 
     def _draw(
--- a/celerywharf/backends/outliers.py
+++ b/celerywharf/backends/outliers.py
@@ -104,10 +104,11 @@
     def restarted(self, name: str) -> None:
         """Use a server again whose new incarnation has failed nothing yet.
 
-        The next ejection is as long as if it had not been restarted.
+        One that has been ejected again and again stays so; the next ejection
+        is as long as if it had not been restarted.
         """
         record = self.records.get(name)
-        if record is not None:
+        if record is not None and record.ejections <= 1:
             record.ejected_until_s = 0
             record.errors = 0
             record.samples = 0
--- a/tests/backends/test_windows.py
+++ b/tests/backends/test_windows.py
@@ -286,3 +286,36 @@
         ('raised', 8),
         ('closed', 16),
     ]
+
+
+def _make_fleet():
+    directory = Directory()
+    health = ServerHealth(directory, Loads())
+    servers = [make_server(f's{number}') for number in range(4)]
+    directory.replace_all(servers, START_S)
+    for server in servers:
+        health.started(server)
+    for _ in range(3):
+        health.failed(servers[0], START_S + 10)
+    return health, servers[0]
+
+
+@pytest.mark.parametrize('end', ['failed', 'refused'])
+def test_a_server_that_fails_now_and_then_is_ejected_again(end):
+    health, grey = _make_fleet()
+    now_s = START_S + 13
+    assert health.usable(grey, now_s)
+    health.windows.answered(grey, FIRST_S, now_s)
+    health.succeeded(grey, now_s)
+    getattr(health, end)(grey, now_s)
+    # Longer than the first time.
+    assert not health.usable(grey, now_s + 3.9)
+
+
+def test_a_server_that_was_ejected_twice_stays_so_when_it_restarts():
+    health, flapping = _make_fleet()
+    health.failed(flapping, START_S + 13)
+    restarted = make_server('s0', born_ms=9)
+    health.directory.update(restarted, START_S + 14)
+    assert not health.usable(restarted, START_S + 16)
+    assert health.windows.windows['s0'].size < SLOTS
