--- a/celerywharf/rollouts/_decider.py
+++ b/celerywharf/rollouts/_decider.py
@@ -8,15 +8,17 @@
 from celerywharf.rollouts._bounds import RolloutBounds
 from celerywharf.rollouts._counts import ServiceTally
 from celerywharf.rollouts._evidence import judge
-from celerywharf.rollouts._steps import RolloutOrder, RolloutStep, Stage
+from celerywharf.rollouts._steps import (
+    DONE_LEAD_S,
+    GROWTH,
+    SETTLE_S,
+    RolloutOrder,
+    RolloutStep,
+    Stage,
+)
 
 # All hosts know an order this long after the store has told it.
 ORDER_LAG_S = 0.7
-# The last step is written before the deadline, as the order may have been
-# written before the store told it, and as the write takes a call.
-DONE_LEAD_S = 0.25
-# Calls that were sent to the old servers have ended after this time.
-SETTLE_S = 0.4
 # All hosts have learned a step after this time, if no message is lost.
 ANNOUNCE_S = 1.5
 SHORT_ANNOUNCE_S = 0.8
@@ -33,8 +35,6 @@
 MIN_LEFT_S = 3.0  # until the deadline, for a change of the share
 # Part of the slack that is planned to be used.
 SLACK_PART = 0.8
-# Traffic after the move may be this many times the most that was before it.
-GROWTH = 1.6
 MAX_MOVED_PART = 0.5  # of the period
 RATE_WINDOW_S = 2.0
 # After this time a host that has just begun to decide has the counts of all.
@@ -113,14 +113,10 @@
             return self._decide_trial(step, view, now_s)
         return self._decide_move(step, view, now_s)
 
-    def deadline_s(self, step: RolloutStep) -> float:
-        """Return when the period of the order ends."""
-        return step.started_s + step.period_s
-
     def _decide_trial(
         self, step: RolloutStep, view: View, now_s: float
     ) -> RolloutStep | None:
-        deadline_s = self.deadline_s(step)
+        deadline_s = step.deadline_s
         move_s = self._plan_move(step, view, now_s)
         lack = _lack(view)
         if not lack and now_s >= move_s - ANNOUNCE_S:
@@ -171,9 +167,7 @@
                 ),
                 view,
             )
-        done_s = max(
-            step.move_s + SETTLE_S, self.deadline_s(step) - DONE_LEAD_S
-        )
+        done_s = max(step.move_s + SETTLE_S, step.deadline_s - DONE_LEAD_S)
         if now_s < done_s or not view.is_confirmed:
             return None
         return _counted(
@@ -185,7 +179,7 @@
 
         What may arrive from then on until the deadline fits into what is left.
         """
-        deadline_s = self.deadline_s(step)
+        deadline_s = step.deadline_s
         left_s = max(deadline_s - now_s, 0)
         exposed = self._exposed(step, view)
         trial = step.share * self._rate()
@@ -214,7 +208,7 @@
 
     def _exceeds(self, step: RolloutStep, view: View, now_s: float) -> bool:
         """Return whether the requests until the deadline would be too many."""
-        left_s = self.deadline_s(step) - now_s
+        left_s = step.deadline_s - now_s
         if left_s <= ANNOUNCE_S:
             return False
         expected = self._rate() * left_s
@@ -228,7 +222,7 @@
         self, step: RolloutStep, view: View, now_s: float
     ) -> float:
         """Return the largest share that leaves enough for the move."""
-        left_s = self.deadline_s(step) - now_s
+        left_s = step.deadline_s - now_s
         expected = self._rate() * left_s
         if not expected:
             return step.share
--- a/celerywharf/rollouts/_register.py
+++ b/celerywharf/rollouts/_register.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -59,6 +60,8 @@
         early_part: part of the slots that the new version had when the order
             came.
         credit: sends to the new version that are due.
+        ordered_s: when the order came, monotonic seconds.
+        quota: requests that may still move before the last step.
         is_moved: all requests go to the new version, by the step.
         abandoned: versions of earlier orders that had no step here.
         tally: what this host has counted since the order.
@@ -71,6 +74,8 @@
     row_version: tuple[int, int] = (0, 0)
     early_part: float = 0
     credit: float = 0
+    ordered_s: float = 0
+    quota: float = 0
     is_moved: bool = False
     abandoned: frozenset[str] = frozenset()
     tally: ServiceTally = field(default_factory=lambda: ServiceTally('', 0))
@@ -121,7 +126,9 @@
     step is kept host by host: each sends the new version at most that share
     of its own requests, with a random start, so that the sum over hosts keeps
     it at any number of hosts and any skew, and hosts with few requests take
-    part.  Between an order and its first step the new version gets nothing.
+    part.  Also the requests that move before the last step are limited host by
+    host, to what was planned for them.  Between an order and its first step
+    the new version gets nothing.
 
     Attributes:
         directory: the known backend servers.
@@ -183,6 +190,7 @@
         state.order = order
         if order is not None:
             state.is_moved = False
+            state.ordered_s = self.now()
             state.credit = self.random.random()
             new_slots, old_slots = self.slots(service, order.to)
             state.early_part = new_slots / max(new_slots + old_slots, 1)
@@ -235,7 +243,7 @@
             case Stage.rolled_back:
                 return Choice(service, excluded=state.barred | {step.to})
             case Stage.moving if state.order and self._moves(state, step):
-                return Choice(service, step.to)
+                return self._move(state, step)
         if state.order is not None and state.credit >= 1:
             state.credit -= 1
             state.tally.exposed += 1
@@ -254,6 +262,7 @@
             state.tally.exposed -= 1
             state.credit = min(state.credit + 1, 1)
             return self._hold(state)
+        state.quota += 1
         return Choice(choice.service, excluded=state.barred)
 
     def go_on(self, service: str, version: str) -> Choice:
@@ -348,11 +357,23 @@
                 copied.late[bucket_of(now_s - send.started_s)] += 1
         return tally
 
+    def _move(self, state: ServiceState, step: RolloutStep) -> Choice:
+        if state.quota < 1:
+            return self._hold(state)
+        state.quota -= 1
+        return Choice(state.service, step.to)
+
     def _moves(self, state: ServiceState, step: RolloutStep) -> bool:
         """Return whether all requests go to the new version by now."""
         is_fresh = self.now() - self.confirmed_s <= CONFIRMED_S
-        if is_fresh and self.store_time_s() >= step.move_s:
+        store_s = self.store_time_s()
+        if is_fresh and store_s >= step.move_s and not state.is_moved:
             state.is_moved = True
+            elapsed_s = max(self.now() - state.ordered_s, 1)
+            rate = state.tally.requests / elapsed_s
+            state.quota = step.most_moved(rate) + self.random.random()
+        if store_s >= step.deadline_s:
+            state.quota = math.inf
         return state.is_moved
 
     def _hold(self, state: ServiceState) -> Choice:
--- a/celerywharf/rollouts/_steps.py
+++ b/celerywharf/rollouts/_steps.py
@@ -5,6 +5,14 @@
 import enum
 from dataclasses import dataclass, field
 
+# The last step is written before the deadline, as the order may have been
+# written before the store told it, and as the write takes a call.
+DONE_LEAD_S = 0.25
+# Calls that were sent to the old servers have ended after this time.
+SETTLE_S = 0.4
+# Traffic after the move may be this many times the most that was before it.
+GROWTH = 1.6
+
 
 class Stage(enum.StrEnum):
     """How far a roll-out is; the values are stored.
@@ -91,6 +99,20 @@
     exposed: int = 0
     reason: str = ''
 
+    @property
+    def deadline_s(self) -> float:
+        """Return when the period of the order ends."""
+        return self.started_s + self.period_s
+
+    def most_moved(self, rate: float) -> float:
+        """Return how many requests may move before the last step.
+
+        Args:
+            rate: requests a second before the move.
+        """
+        until_s = max(self.deadline_s - DONE_LEAD_S, self.move_s + SETTLE_S)
+        return rate * GROWTH * (until_s - self.move_s)
+
     def carries_out(self, order: RolloutOrder) -> bool:
         """Return whether this is a step of an order."""
         return (self.order_version, self.to) == (order.version, order.to)
--- a/tests/rollouts/test_register.py
+++ b/tests/rollouts/test_register.py
@@ -137,6 +137,20 @@
     assert _served(register) == {'v1': 0, 'v2': 100, 'v3': 0}
 
 
+def test_no_more_move_before_the_deadline_than_was_planned(register, clock):
+    register.set_order(SERVICE, ORDER)
+    register.learn_step(replace(MOVING, share=0, move_s=8.75), 8)
+    clock.now_s = 8.8
+    for _ in range(88):
+        register.record_request(SERVICE)
+    register.confirm()
+    served = _served(register)
+    assert served['v2'] == pytest.approx(16, abs=2)
+    assert served['v1'] == 100 - served['v2']
+    clock.now_s = 10
+    assert _served(register) == {'v1': 0, 'v2': 100, 'v3': 0}
+
+
 def test_a_host_that_hears_nothing_does_not_move(register, clock):
     register.set_order(SERVICE, ORDER)
     register.learn_step(MOVING, 8)
