--- a/celerywharf/fronts/_gateway.py
+++ b/celerywharf/fronts/_gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from http import HTTPStatus
 
 from tornado.httputil import (
@@ -27,6 +28,7 @@
 from celerywharf.fronts._callers import HttpCaller
 from celerywharf.peers import Relay
 from celerywharf.platform import RequestHeaders, read_request_headers
+from celerywharf.waiting import spread_retry_after_s
 
 logger = logging.getLogger(__name__)
 
@@ -261,7 +263,20 @@
         self.caller.close_after_answer = (
             self.caller.close_after_answer or denied.close_connection
         )
-        self.caller.fail(denied.status, denied.reason, denied.retry_after_s)
+        self.caller.fail(
+            denied.status, denied.reason, self._retry_after_s(denied)
+        )
+
+    def _retry_after_s(self, denied: Denied) -> float | None:
+        """Return when the caller should retry; None if it should not."""
+        if denied.retry_after_s is None:
+            return None
+        left_s = self.headers.deadline_s
+        return spread_retry_after_s(
+            denied.retry_after_s,
+            math.inf if left_s is None else left_s,
+            self.gateway.context.random,
+        )
 
     def _reject_invalid(self, status: HTTPStatus, reason: str) -> None:
         if self.caller.finished:
