--- a/celerywharf/waiting/_rooms.py
+++ b/celerywharf/waiting/_rooms.py
@@ -61,12 +61,13 @@
         if self.is_open or self.timers.now() >= ticket.latest_turn_s:
             return None
         refused = self.queue.enqueue(ticket, self.timers.now())
-        self.began_s.setdefault(ticket.number, self.timers.now())
+        if ticket.number not in self.began_s:
+            self.began_s[ticket.number] = self.timers.now()
+            self.metrics.count('waits', service=self.service)
         if refused is not None:
             return refused
         turn = asyncio.get_running_loop().create_future()
         self.turns[ticket.number] = turn
-        self.metrics.count('waits', service=self.service)
         self._check_later()
         try:
             return await turn
--- a/tests/waiting/test_rooms.py
+++ b/tests/waiting/test_rooms.py
@@ -108,6 +108,7 @@
     host = run_virtually(check)
     assert host.placed == [4, 1, 2, 3]
     assert host.is_clean()
+    assert host.metrics.total('waits') == 4
     assert host.metrics.total('waits_ended') == 4
 
 
