--- a/celerywharf/forwarding/_handover.py
+++ b/celerywharf/forwarding/_handover.py
@@ -89,6 +89,7 @@
         if sender.is_quarantined():
             return sender.keep('quarantined')
         sender.placer.silent_name = silent.server.name
+        sender.placer.lost_zones.add(silent.server.availability_zone)
         sender.placer.copy_holder = (
             silent.copy_holder if silent.relay.events else None
         )
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -35,6 +35,7 @@
             unknown or has none.
         demand: what the stream needs from an engine.
         failed_names: names of engines that failed or refused this stream.
+        lost_zones: zones whose engines this stream has lost or found silent.
         limited_names: names of engines at their limits, for the current send.
         silent_name: name of the engine whose send is silent and kept; empty if
             there is none.
@@ -64,6 +65,7 @@
         )
         self.room = RoomSearch(context.leases, self.demand.tokens, self.memory)
         self.failed_names: set[str] = set()
+        self.lost_zones: set[str] = set()
         self.limited_names: set[str] = set()
         self.silent_name = ''
         self.copy_holder: BackendServer | None = None
@@ -175,7 +177,9 @@
         """Record which engine failed and which may hold a copy of the run."""
         if isinstance(outcome, Lost):
             self.failed_names.add(server.name)
-            self.copy_holder = backup
+            self.lost_zones.add(server.availability_zone)
+            # Engines replicate a run from its first event on.
+            self.copy_holder = backup if self.progress.events else None
         elif resumption.copy_at is None and outcome is not RESUMED:
             self.failed_names.add(server.name)
 
@@ -194,11 +198,16 @@
         demand = replace(
             self._current_demand(), software_version=server.software_version
         )
-        return [
+        backups = [
             backup
             for backup in self.context.placement.backups(server, demand, now_s)
             if not self.context.limits.is_paused(backup.incarnation)
         ]
+        # Engines of a zone that has just failed may fail again, or be gone.
+        return sorted(
+            backups,
+            key=lambda backup: backup.availability_zone in self.lost_zones,
+        )
 
     def _current_demand(self) -> Demand:
         excluded = self.failed_names | self.limited_names | self.room.full_names
