--- a/celerywharf/forwarding/_rooms.py
+++ b/celerywharf/forwarding/_rooms.py
@@ -24,6 +24,8 @@
         max_term_s: longest term of a lease, seconds; 0 if the service's
             engines grant none.
         full_names: names of engines that have refused a lease in this search.
+        may_wait: the stream waits at this host if no engine has room, instead
+            of going to one without a lease.
         lacks_room: no engine that was asked has room.
         granted: leases taken, over all searches.
         denied: engines asked in vain, over all searches.
@@ -36,6 +38,7 @@
         self.tokens = tokens
         self.max_term_s = memory.lease_s if memory else 0
         self.full_names: set[str] = set()
+        self.may_wait = False
         self.lacks_room = False
         self.granted = 0
         self.denied = 0
@@ -45,6 +48,11 @@
         self.full_names = set()
         self.lacks_room = False
 
+    @property
+    def must_wait(self) -> bool:
+        """Return whether the stream is not to be sent now."""
+        return self.may_wait and self.lacks_room
+
     async def ask(self, server: BackendServer) -> Lease | Denial:
         """Ask an engine for room, unless no lease is needed any more."""
         if self.leases is None or not (self.tokens and self.max_term_s):
@@ -77,8 +85,10 @@
         """
         if not self.full_names:
             return False
-        self.full_names = set()
         self.lacks_room = True
+        if self.may_wait:
+            return False
+        self.full_names = set()
         return True
 
     def drop(self, lease: Lease | None) -> None:
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -99,6 +99,8 @@
                     return placement
             elif not placer.room.end_without_room():
                 return None
+            if placer.room.must_wait:
+                return None
 
     def drop(self, placement: StreamPlacement) -> None:
         """Give up a placement that is not used."""
--- a/tests/forwarding/test_leases.py
+++ b/tests/forwarding/test_leases.py
@@ -127,6 +127,22 @@
     assert fleet.calls['hold-take'] == MAX_DENIALS
 
 
+@pytest.mark.parametrize('engines', [2, 12])
+def test_a_stream_that_may_wait_is_not_sent_without_a_lease(engines):
+    fleet = Fleet(1, leases=True, engines=engines)
+    for engine in fleet.engines.values():
+        engine.tokens = CAPACITY_TOKENS
+
+    async def main():
+        stream = fleet.make_stream(fleet.contexts[0])
+        stream.placer.room.may_wait = True
+        placement = await stream.place()
+        return placement, stream.placer.lacks_room
+
+    assert run_virtually(main) == (None, True)
+    assert not fleet.contexts[0].loads.requests('e0')
+
+
 def test_a_lease_that_is_not_used_is_released_at_once():
     fleet = Fleet(1, leases=True, engines=1)
 
