--- a/tests/platform/test_room_documents.py
+++ b/tests/platform/test_room_documents.py
@@ -26,7 +26,7 @@
         b'{"hold": null}',
         b'{"hold": ""}',
         b'{"hold": "a b"}',
-        b'{"hold": "a\\r\\nTenant: x"}',
+        rb'{"hold": "a\r\nTenant: x"}',
         b'{"hold": "%b"}' % (b'h' * 201),
     ],
 )
