--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -37,6 +37,7 @@
             unknown or has none.
         demand: what the stream needs from an engine.
         failed_names: names of engines that failed or refused this stream.
+        lost_zones: zones whose engines this stream has lost or found silent.
         limited_names: names of engines at their limits, for the current send.
         silent_name: name of the engine whose send is silent and kept; empty if
             there is none.
@@ -69,6 +70,7 @@
         )
         self.room = RoomSearch(context.leases, self.demand.tokens, self.memory)
         self.failed_names: set[str] = set()
+        self.lost_zones: set[str] = set()
         self.limited_names: set[str] = set()
         self.silent_name = ''
         self.choice = ANY_VERSION
@@ -80,10 +82,15 @@
         """Return whether engines are usable, but none has room now."""
         return self.room.lacks_room
 
-    @property
-    def must_wait(self) -> bool:
-        """Return whether the stream is not sent until an engine has room."""
-        return self.needs_room is not None and self.lacks_room
+    def require_room(self, has_room: RoomCheck | None) -> None:
+        """Set whether the stream is sent only to an engine with room.
+
+        Args:
+            has_room: estimates whether an engine has room; None if the stream
+                is sent even if none has.
+        """
+        self.needs_room = has_room
+        self.room.may_wait = has_room is not None
 
     async def place(
         self, is_eligible: EligibilityCheck
@@ -110,7 +117,7 @@
         ):
             return copy_holder, Resumption(last_event, copy_holder.address)
         server = await self._find_engine(is_eligible)
-        while server is None and not self.must_wait:
+        while server is None and not self.room.must_wait:
             choice = self.context.rollouts.choose_again(self.choice)
             if choice is None or self.progress.software_version is not None:
                 break
@@ -185,7 +192,9 @@
         """Record which engine failed and which may hold a copy of the run."""
         if isinstance(outcome, Lost):
             self.failed_names.add(server.name)
-            self.copy_holder = backup
+            self.lost_zones.add(server.availability_zone)
+            # Engines replicate a run from its first event on.
+            self.copy_holder = backup if self.progress.events else None
         elif resumption.copy_at is None and outcome is not RESUMED:
             self.failed_names.add(server.name)
 
@@ -240,11 +249,16 @@
             software_version=server.software_version,
             excluded_versions=(),
         )
-        return [
+        backups = [
             backup
             for backup in self.context.placement.backups(server, demand, now_s)
             if not self.context.limits.is_paused(backup.incarnation)
         ]
+        # Engines of a zone that has just failed may fail again, or be gone.
+        return sorted(
+            backups,
+            key=lambda backup: backup.availability_zone in self.lost_zones,
+        )
 
     def _current_demand(self) -> Demand:
         excluded = self.failed_names | self.limited_names | self.room.full_names
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -104,7 +104,7 @@
                     return placement
             elif not placer.room.end_without_room():
                 return None
-            if placer.must_wait:
+            if placer.room.must_wait:
                 return None
 
     def drop(self, placement: StreamPlacement) -> None:
--- a/celerywharf/forwarding/_turns.py
+++ b/celerywharf/forwarding/_turns.py
@@ -101,7 +101,7 @@
         try:
             placement = await self._place_in_turn(ticket)
         finally:
-            placer.needs_room = None
+            placer.require_room(None)
             self.waited_s += self.room.end(
                 ticket, placed=isinstance(placement, StreamPlacement)
             )
@@ -159,7 +159,7 @@
             if refused is not None and not self._must_go_on(refused):
                 return refused
             may_wait = refused is None and self._now() < ticket.latest_turn_s
-            placer.needs_room = self._room_check() if may_wait else None
+            placer.require_room(self._room_check() if may_wait else None)
             placement = await self.sender.place()
             if placement is not None or not placer.lacks_room:
                 return placement
