--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -210,24 +210,36 @@
     Raises:
         ProtocolError: the document is malformed.
     """
+    decoded: list[Route] = []
     try:
-        members = from_json(text)
-        raw_routes = members.pop('routes')
-    except (ValueError, KeyError, AttributeError):
-        return decode_configuration(text)
-    routes: list[Route] = []
-    try:
-        document = _Configuration.model_validate({**members, 'routes': []})
-        for start in range(0, len(raw_routes), ROUTES_AT_ONCE):
-            batch = raw_routes[start : start + ROUTES_AT_ONCE]
-            routes.extend(
-                route.route() for route in ROUTES.validate_python(batch)
-            )
+        document, routes = _split(text)
+        for start in range(0, len(routes), ROUTES_AT_ONCE):
+            decoded += _routes(routes[start : start + ROUTES_AT_ONCE])
             await asyncio.sleep(0)
-    except (ValidationError, TypeError):
+    except ValueError:
         # It tells what is wrong.
         return decode_configuration(text)
-    return _configuration(document, routes)
+    return _configuration(document, decoded)
+
+
+def _routes(documents: list[Any]) -> list[Route]:
+    return [each.route() for each in ROUTES.validate_python(documents)]
+
+
+def _split(text: bytes) -> tuple[_Configuration, list[Any]]:
+    """Return a configuration without routes, and the routes undecoded.
+
+    Raises:
+        ValueError: it is malformed.
+    """
+    members = from_json(text)
+    if not isinstance(members, dict):
+        raise ValueError('not an object')
+    routes = members.pop('routes', None)
+    if not isinstance(routes, list):
+        raise ValueError('no list of routes')
+    members['routes'] = []
+    return _Configuration.model_validate(members), routes
 
 
 def _configuration(
--- a/celerywharf/sharing/_freshness.py
+++ b/celerywharf/sharing/_freshness.py
@@ -73,6 +73,12 @@
         """Record that the reader is receiving what is newer."""
         self.held_until_s = now_s + HOLD_S
 
+    def ends_s(self) -> float:
+        """Return when what is known becomes too old, if nobody is slow."""
+        if self.confirmed_s is None:
+            return math.inf
+        return self.confirmed_s + MAX_AGE_S
+
     def left_s(self, now_s: float) -> float:
         """Return how long the table may still be relied on.
 
@@ -80,7 +86,7 @@
         """
         if self.confirmed_s is None:
             return math.inf
-        ends_s = self.confirmed_s + MAX_AGE_S
+        ends_s = self.ends_s()
         held_s = min(self.held_until_s, ends_s + MAX_HOLD_S)
         return max(ends_s, held_s) - now_s
 
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -175,6 +175,7 @@
             PlatformUnavailableError: neither the reader nor the store answered.
         """
         reader = self.election.reader
+        known_until_s = self.tables[table].freshness.ends_s()
         inquiry = plan_inquiry(self.tables[table].left_s(boot_time_s()))
         reading = await self._read_from_reader(table, after, inquiry)
         if reading is None and await self._has_next_reader(table):
@@ -192,6 +193,8 @@
                 ),
                 _judged(reader, inquiry),
             )
+        if boot_time_s() > known_until_s:
+            self.metrics.count('tables_confirmed_late', table=table)
         if reading.timing.era != self.tables[table].mirror.era:
             raise HistoryGoneError('the store has come back from a copy')
         if not reading.incomplete:
--- a/tests/fronts/sharing.feature
+++ b/tests/fronts/sharing.feature
@@ -42,3 +42,11 @@
     When 5 s pass
     And the reader is resumed
     Then no purchase at any front is answered with 200
+
+  Scenario: a large configuration arrives over slow links
+    When the links to the store carry 500 kB a second each
+    And the configuration grows by 1700 routes
+    Then each front serves the last of its routes in time
+    And the configuration left the store for the reader only
+    And the other fronts got it compressed
+    And no purchase at any front was refused meanwhile
--- a/tests/fronts/test_sharing.py
+++ b/tests/fronts/test_sharing.py
@@ -17,9 +17,13 @@
 POLL_S = 0.1
 MEASURED_S = 3.0
 SETTLE_S = 0.5
+LARGE_BYTES = 200_000
 METRIC = re.compile(
     r'table_readings\w*\{[^}]*source="(\w+)"[^}]*\} ([\d.e+]+)',
 )
+CONTENT_BYTES = re.compile(
+    r'^celerywharf_content_bytes_received\S* ([\d.e+]+)', re.MULTILINE
+)
 
 
 def _link(name):
@@ -59,16 +63,35 @@
 
     def readings(self, name):
         """Return the number of table readings of a front, by source."""
+        found = METRIC.findall(self.metrics(name))
+        return {source: float(count) for source, count in found}
+
+    def content_bytes(self, name):
+        """Return what a front has received of large contents from others."""
+        return sum(map(float, CONTENT_BYTES.findall(self.metrics(name))))
+
+    def metrics(self, name):
+        """Return the exposition of a front."""
         url = f'http://{self.rig.health[name]}/metrics'
         with urlopen(url) as response:
-            text = response.read().decode()
-        return {source: float(count) for source, count in METRIC.findall(text)}
+            return response.read().decode()
 
     def signal_reader(self, number):
         """Send a signal to the first reader."""
         member = self.fleet.members[self.reader]
         member.process.send_signal(number)
 
+    def serves_added(self, name):
+        """Return whether a front serves the last added route."""
+        address = self.rig.fronts[name]
+        path = f'{self.added}1'
+        return send(address, path, headers=request_headers()).status == 200
+
+    def received_bytes(self, name):
+        """Return what a front has received from the store."""
+        record = self.fleet.record(_link(name))
+        return sum(record['received_bytes'].values())
+
     def buy(self, name):
         """Send a purchase to a front; return the HTTP status."""
         address = self.rig.fronts[name]
@@ -200,3 +223,50 @@
 def _nowhere_accepted(zone):
     for name in FRONTS:
         assert zone.buy(name) in {401, 503}
+
+
+@when(parsers.parse('the links to the store carry {rate:d} kB a second each'))
+def _slow_links(zone, rate):
+    for name in FRONTS:
+        zone.fleet.control(_link(name), bytes_per_s=rate * 1000)
+
+
+@when(parsers.parse('the configuration grows by {count:d} routes'))
+def _grows(zone, count):
+    known = zone.rig.configuration()['routes']
+    routes = [
+        {**known[1], 'name': f'grown-{number}', 'prefix': f'/{number}/'}
+        for number in range(count)
+    ]
+    zone.added = routes[-1]['prefix']
+    zone.rig.configure(routes=known + routes)
+
+
+@then('each front serves the last of its routes in time')
+def _all_serve(zone):
+    ends_s = time.monotonic() + TIMEOUT_S
+    zone.purchases = set()
+    for name in FRONTS:
+        while not zone.serves_added(name):
+            zone.purchases.add(zone.buy(name))
+            assert time.monotonic() < ends_s
+            time.sleep(POLL_S)
+
+
+@then('the configuration left the store for the reader only')
+def _read_once(zone):
+    records = {name: zone.received_bytes(name) for name in FRONTS}
+    assert records[zone.reader] > LARGE_BYTES
+    for name in zone.others():
+        assert records[name] < LARGE_BYTES
+
+
+@then('the other fronts got it compressed')
+def _compressed(zone):
+    for name in zone.others():
+        assert 0 < zone.content_bytes(name) < LARGE_BYTES / 4
+
+
+@then('no purchase at any front was refused meanwhile')
+def _none_refused(zone):
+    assert zone.purchases <= {200}
