--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -245,22 +245,33 @@
     Raises:
         ProtocolError: the document is malformed.
     """
+    decoded: list[_Route] = []
     try:
-        members = from_json(text)
-        raw_routes = members.pop('routes')
-    except (ValueError, KeyError, AttributeError):
-        return decode_configuration(text)
-    routes: list[_Route] = []
-    try:
-        document = _Configuration.model_validate({**members, 'routes': []})
-        for start in range(0, len(raw_routes), ROUTES_AT_ONCE):
-            batch = raw_routes[start : start + ROUTES_AT_ONCE]
-            routes.extend(ROUTES.validate_python(batch))
+        document, routes = _split(text)
+        for start in range(0, len(routes), ROUTES_AT_ONCE):
+            batch = routes[start : start + ROUTES_AT_ONCE]
+            decoded += ROUTES.validate_python(batch)
             await asyncio.sleep(0)
-    except (ValidationError, TypeError):
+    except ValueError:
         # It tells what is wrong.
         return decode_configuration(text)
-    return _listing(document, routes).configuration()
+    return _listing(document, decoded).configuration()
+
+
+def _split(text: bytes) -> tuple[_Configuration, list[Any]]:
+    """Return a configuration without routes, and the routes undecoded.
+
+    Raises:
+        ValueError: it is malformed.
+    """
+    members = from_json(text)
+    if not isinstance(members, dict):
+        raise ValueError('not an object')
+    routes = members.pop('routes', None)
+    if not isinstance(routes, list):
+        raise ValueError('no list of routes')
+    members['routes'] = []
+    return _Configuration.model_validate(members), routes
 
 
 def _listing(
