--- a/celerywharf/forwarding/_base.py
+++ b/celerywharf/forwarding/_base.py
@@ -241,7 +241,8 @@
         """Return the final step if no server may be sent the request now."""
         if math.isinf(self.eligibility.limit_wait_s):
             return self.plan.give_up(
-                'no backend server available', self._soon_s()
+                'no backend server available',
+                _retry_after_s(self.context, self.request),
             )
         # Before the end of a pause a retry would be refused as well, so the
         # time that the caller has left does not bound this wait.
@@ -253,18 +254,6 @@
             'backend servers are at their limits', retry_after_s
         )
 
-    def _soon_s(self) -> float | None:
-        """Return when a request for which there is no server may return.
-
-        None for a request that another host passed on, which tries elsewhere.
-        """
-        if self.request.relay is not None:
-            return None
-        left_s = self.request.given_up_at_s() - self.context.timers.now()
-        return spread_retry_after_s(
-            UNAVAILABLE_RETRY_AFTER_S, left_s, self.context.random
-        )
-
     async def _may_repeat(self) -> bool:
         if not self.plan.delivered or self.has_successor():
             return True
@@ -272,3 +261,18 @@
             self.retry_taken = False
             return True
         return await self.take_retry()
+
+
+def _retry_after_s(
+    context: ForwardingContext, request: IncomingRequest
+) -> float | None:
+    """Return when a request for which there is no server may return.
+
+    None for a request that another host passed on, which tries elsewhere.
+    """
+    if request.relay is not None:
+        return None
+    left_s = request.given_up_at_s() - context.timers.now()
+    return spread_retry_after_s(
+        UNAVAILABLE_RETRY_AFTER_S, left_s, context.random
+    )
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -10,6 +10,7 @@
 from celerywharf.adapters.transports import HttpRequest, HttpResponse
 from celerywharf.backends import BackendServer
 from celerywharf.exceptions import ResponseTooLargeError, TransportError
+from celerywharf.forwarding._admission import engine_admission
 from celerywharf.forwarding._context import ForwardingContext
 from celerywharf.forwarding._outcomes import (
     Answered,
@@ -23,6 +24,7 @@
 from celerywharf.peers import PeerHost
 from celerywharf.platform import (
     AnswerHeaders,
+    EngineAdmission,
     Resumption,
     read_answer_headers,
     server_headers,
@@ -51,8 +53,7 @@
     remaining_s: float,
     backup: Address | None = None,
     resumption: Resumption | None = None,
-    urgency: int | None = None,
-    lease: str = '',
+    admission: EngineAdmission | None = None,
 ) -> HttpRequest:
     """Build the HTTP request to a backend server.
 
@@ -70,8 +71,7 @@
             remaining_s=remaining_s,
             backup=backup,
             resumption=resumption,
-            urgency=urgency,
-            lease=lease,
+            admission=admission,
         ),
         body=request.body,
         target=request.target,
@@ -83,34 +83,6 @@
     )
 
 
-def urgency_at(
-    context: ForwardingContext,
-    request: IncomingRequest,
-    server: BackendServer,
-) -> int | None:
-    """Return the urgency that is stated to a backend server.
-
-    None for plain applications, and if all requests are equally urgent.
-
-    Args:
-        context: components of the host.
-        request: the caller's request.
-        server: where it is sent.
-    """
-    configuration = context.configuration_cache.configuration
-    service = configuration.services.get(server.service)
-    if service is None or service.memory is None:
-        return None
-    urgencies = configuration.urgencies
-    priority = urgencies.priority(request.route, request.account)
-    urgency = urgencies.urgency(server.service, priority)
-    if urgency is not None:
-        context.metrics.count(
-            'stated_urgencies', service=server.service, urgency=str(urgency)
-        )
-    return urgency
-
-
 def refusal(
     request: IncomingRequest,
     status: int,
@@ -256,7 +228,7 @@
                     request,
                     server,
                     remaining_s,
-                    urgency=urgency_at(context, request, server),
+                    admission=engine_admission(context, request, server),
                 ),
                 on_headers=availability_recorder(
                     context.health, context.limits, server
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from celerywharf.backends import BackendServer
+from celerywharf.forwarding._admission import engine_admission
 from celerywharf.forwarding._base import Forwarding
 from celerywharf.forwarding._caller import Caller
 from celerywharf.forwarding._context import ForwardingContext
@@ -25,7 +26,6 @@
 from celerywharf.forwarding._sends import (
     build_request,
     record_outcome,
-    urgency_at,
 )
 from celerywharf.forwarding._silence import SilenceDetector
 from celerywharf.forwarding._stream_placer import StreamPlacer
@@ -137,12 +137,12 @@
                 self.remaining_s(),
                 backup and backup.address,
                 placement.resumption,
-                urgency_at(
+                engine_admission(
                     context,
                     self.request,
                     placement.server,
+                    self.placer.room.name_to_use(placement.lease),
                 ),
-                self.placer.room.name_to_use(placement.lease),
             ),
             relay,
         )
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -127,6 +127,20 @@
     forwarded: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class EngineAdmission:
+    """How an engine is to admit a request.
+
+    Attributes:
+        urgency: from 0, the most urgent, to 9; None if all are equal.
+        lease: name of the lease of room for the request; empty if there is
+            none.
+    """
+
+    urgency: int | None = None
+    lease: str = ''
+
+
 @dataclass(frozen=True, slots=True)
 class Resumption:
     """Where to resume an interrupted stream.
@@ -205,8 +219,7 @@
     remaining_s: float,
     backup: Address | None = None,
     resumption: Resumption | None = None,
-    urgency: int | None = None,
-    lease: str = '',
+    admission: EngineAdmission | None = None,
 ) -> dict[str, str]:
     """Return the headers of a request to a backend server.
 
@@ -218,9 +231,7 @@
         remaining_s: time left until the caller's deadline.
         backup: where to keep a copy of the run's KV cache.
         resumption: given when an interrupted stream is resumed.
-        urgency: from 0, the most urgent, to 9; None if all are equal.
-        lease: name of the lease of room for the request; empty if there is
-            none.
+        admission: how an engine is to admit it; None if it is told nothing.
     """
     headers = dict.fromkeys(ADDED_BY_CURL, '')
     headers.update(request.forwarded)
@@ -228,10 +239,10 @@
     headers[INSTANCE] = instance
     if account is not None:
         headers[ACCOUNT] = account
-    if urgency is not None:
-        headers[URGENCY] = str(urgency)
-    if lease:
-        headers[LEASE] = lease
+    if admission is not None and admission.urgency is not None:
+        headers[URGENCY] = str(admission.urgency)
+    if admission is not None and admission.lease:
+        headers[LEASE] = admission.lease
     if backup is not None:
         headers[BACKUP] = str(backup)
     if resumption is not None:
--- a/tests/platform/test_priorities.py
+++ b/tests/platform/test_priorities.py
@@ -5,6 +5,7 @@
 import pytest
 
 from celerywharf.platform import (
+    EngineAdmission,
     decode_configuration,
     read_request_headers,
     server_headers,
@@ -73,7 +74,11 @@
         [('Attempt-Id', 'x'), ('Request-Urgency', '0')]
     )
     headers = server_headers(
-        request, account=None, instance='e', remaining_s=1, urgency=urgency
+        request,
+        account=None,
+        instance='e',
+        remaining_s=1,
+        admission=EngineAdmission(urgency),
     )
     expected = None if urgency is None else str(urgency)
     assert headers.get('request-urgency') == expected
