Start the new servers before they are ordered, so that no step is missed

In the scenario with the store away the roll-back came 1.3 s after the order, while servers were still being started and nobody looked for a trial.

--- a/tests/fronts/test_rollouts.py
+++ b/tests/fronts/test_rollouts.py
@@ -67,11 +67,19 @@
             thread.join()
 
     def add_servers(self, service, version, names, **switches):
-        for number, name in enumerate(names):
+        self.start_servers(version, names, **switches)
+        self.register(service, version, names)
+
+    def start_servers(self, version, names, **switches):
+        for name in names:
             self.versions[name] = version
             self.rig.servers[name] = self.rig.start_server(name)
             self.rig.fleet.control(name, **switches)
-            self.rig.register(name, service, ZONES[number % 2], version=version)
+
+    def register(self, service, version, names):
+        for number, name in enumerate(names):
+            zone = ZONES[number % 2]
+            self.rig.register(name, service, zone, version=version)
 
     def order(self, service, period_s, to='v2'):
         self.period_s = period_s
@@ -181,9 +189,10 @@
 
 @when(parsers.parse('v2 is ordered within {period:g} s and its desks come'))
 def _order(load, bad, period):
-    load.order('desk', period)
     names = [f'new-{number}' for number in range(6)]
-    load.add_servers('desk', 'v2', names, **{'work_ms': WORK_MS, **bad})
+    load.start_servers('v2', names, **{'work_ms': WORK_MS, **bad})
+    load.order('desk', period)
+    load.register('desk', 'v2', names)
 
 
 @when(parsers.parse('v2 is ordered within {period:g} s and its engines come'))
