Limit what recovering servers get only where settings ask for it

The windows are kept as a setting of a front, recovery_windows, which is off; without it readmission after an ejection is as before.

--- a/celerywharf/backends/_health.py
+++ b/celerywharf/backends/_health.py
@@ -12,7 +12,7 @@
 from celerywharf.backends._servers import BackendServer
 from celerywharf.backends._windows import Reason, RecoveryWindows, WindowChange
 from celerywharf.backends._zones import ServiceZone, ZoneFailureDetector
-from celerywharf.backends.outliers import Outliers
+from celerywharf.backends.outliers import READMISSION_LIMITS, Outliers
 
 logger = logging.getLogger(__name__)
 
@@ -38,7 +38,8 @@
         directory: the known backend servers.
         loads: their load and when they last responded.
         outliers: ejects servers that fail or are slow.
-        windows: limit what is sent to servers that start or recover.
+        windows: limit what is sent to servers that start or recover; none is
+            opened if this host limits only readmission after an ejection.
         zones: detects zones whose servers fail together.
         reachability: detects services to which this host has no path.
     """
@@ -48,10 +49,15 @@
         directory: Directory,
         loads: Loads,
         random: Random | None = None,
+        *,
+        has_recovery_windows: bool = True,
     ) -> None:
         self.directory = directory
         self.loads = loads
-        self.outliers = Outliers(readmission_limits=())
+        self.has_recovery_windows = has_recovery_windows
+        self.outliers = Outliers(
+            () if has_recovery_windows else READMISSION_LIMITS
+        )
         self.windows = RecoveryWindows(
             loads, ServiceDemand(directory, loads), random or Random()
         )
@@ -144,9 +150,10 @@
 
     def _restarted(self, server: BackendServer, now_s: float) -> None:
         """Begin anew with an incarnation: the one before it has ended."""
-        self.outliers.restarted(server.name)
         self.loads.restarted(server.name)
-        self.windows.started(server, now_s)
+        if self.has_recovery_windows:
+            self.outliers.restarted(server.name)
+            self.windows.started(server, now_s)
 
     def _record_error(
         self, server: BackendServer, now_s: float, *, bad: bool
@@ -156,6 +163,7 @@
             ejected = self.outliers.eject(server.name, now_s)
         if ejected:
             logger.info('ejected', extra={'backend_server': server.name})
+        if ejected and self.has_recovery_windows:
             until_s = self.outliers.ejected_until_s(server.name)
             self.windows.ejected(server, until_s)
 
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -44,7 +44,12 @@
     """Return the components of a front, with an empty directory."""
     directory = Directory()
     loads = Loads()
-    health = ServerHealth(directory, loads, random)
+    health = ServerHealth(
+        directory,
+        loads,
+        random,
+        has_recovery_windows=settings.backends.recovery_windows,
+    )
     metrics = Metrics()
     retries = build_retry_limiter(settings, timers.now, random)
     health.windows.hosts = functools.partial(_hosts, retries.share)
@@ -55,7 +60,6 @@
         FixedShare(1 / UNSHARED_HOSTS),
         Clocks(timers.now, store_time_s),
     )
-    metrics = Metrics()
     return ForwardingContext(
         transport=transport,
         timers=timers,
--- a/celerywharf/settings/_front.py
+++ b/celerywharf/settings/_front.py
@@ -131,6 +131,20 @@
     )
 
 
+class BackendSection(Section):
+    """``[backends]``: how backend servers are used."""
+
+    recovery_windows: bool = Field(
+        default=False,
+        description=(
+            'limit what all hosts together have in progress at a backend '
+            'server that has just started or recovered, until its answers '
+            'are sound; if not, each host limits its own requests after an '
+            'ejection'
+        ),
+    )
+
+
 class FrontSettings(Section):
     """All settings of a front."""
 
@@ -138,4 +152,5 @@
     store: StoreSection
     zones: ZoneSection = Field(default_factory=ZoneSection)
     bounds: BoundSection = Field(default_factory=BoundSection)
+    backends: BackendSection = Field(default_factory=BackendSection)
     log: LogSection = Field(default_factory=LogSection)
