Mend what the reviews of the joined parts found

Found by reading and trials, each mended with the smallest change: - a stream that fits on no engine kept smaller ones behind it; a lack of room of one stream (bound to a version, refused by the free engines) closed the service for all at this host; only the best engine was looked at; engines that did not answer counted as full; the time of a replaced send was measured; - a version chosen for a send that was not made used up its share; - closing a link while it connects ended the watcher of the configuration for good; the time of a confirmation without content was passed on without the keys it takes away; a transfer of a lost reader was blamed on the next one; - counts of two roll-outs overwrote each other; the exchange ran without an order; steps were raised without counts of all zones; a step could be written with an older era; versions replaced were refused with nothing else left. The test's own bound on a version that turns bad is judged after the end, too.

--- a/celerywharf/forwarding/_rooms.py
+++ b/celerywharf/forwarding/_rooms.py
@@ -23,10 +23,12 @@
         tokens: token memory that the stream needs.
         max_term_s: longest term of a lease, seconds; 0 if the service's
             engines grant none.
-        full_names: names of engines that have refused a lease in this search.
+        full_names: names of engines that have granted no lease in this search.
+        unreachable_names: names of those of them that have not answered.
         may_wait: the stream waits at this host if no engine has room, instead
             of going to one without a lease.
         lacks_room: no engine that was asked has room.
+        skips_leases: the stream is sent without a lease.
         granted: leases taken, over all searches.
         denied: engines asked in vain, over all searches.
     """
@@ -40,13 +42,22 @@
         self.full_names: set[str] = set()
         self.may_wait = False
         self.lacks_room = False
+        self.skips_leases = False
+        self.unreachable_names: set[str] = set()
         self.granted = 0
         self.denied = 0
 
     def begin(self) -> None:
         """Begin a new search."""
         self.full_names = set()
+        self.unreachable_names = set()
         self.lacks_room = False
+        self.skips_leases = False
+
+    @property
+    def asks_engines(self) -> bool:
+        """Return whether engines themselves tell if they have room."""
+        return self.leases is not None and bool(self.tokens and self.max_term_s)
 
     @property
     def must_wait(self) -> bool:
@@ -55,26 +66,26 @@
 
     async def ask(self, server: BackendServer) -> Lease | Denial:
         """Ask an engine for room, unless no lease is needed any more."""
-        if self.leases is None or not (self.tokens and self.max_term_s):
-            return Denial.unoffered
-        if self.lacks_room:
+        if not self.asks_engines or self.skips_leases:
             return Denial.unoffered
         answer = await self.leases.take(server, self.tokens, self.max_term_s)
         if answer in {Denial.full, Denial.unreachable}:
             self.denied += 1
             self.full_names.add(server.name)
+            if answer is Denial.unreachable:
+                self.unreachable_names.add(server.name)
             if len(self.full_names) >= MAX_DENIALS:
                 self.end_without_room()
         self.granted += isinstance(answer, Lease)
         return answer
 
-    def record_no_server(self, has_usable: bool) -> None:
+    def record_no_server(self, *, lacks_room: bool) -> None:
         """Record that no engine was found.
 
         Args:
-            has_usable: engines are usable, but have no room as far as is known.
+            lacks_room: engines are usable, but have no room as far as is known.
         """
-        if self.max_term_s and has_usable:
+        if lacks_room and (self.max_term_s or self.may_wait):
             self.lacks_room = True
 
     def end_without_room(self) -> bool:
@@ -85,10 +96,13 @@
         """
         if not self.full_names:
             return False
-        self.lacks_room = True
-        if self.may_wait:
+        # An engine that has not answered says nothing about room.
+        if self.full_names - self.unreachable_names:
+            self.lacks_room = True
+        if self.must_wait:
             return False
         self.full_names = set()
+        self.skips_leases = True
         return True
 
     def drop(self, lease: Lease | None) -> None:
--- a/celerywharf/forwarding/_stream_placer.py
+++ b/celerywharf/forwarding/_stream_placer.py
@@ -43,6 +43,7 @@
             there is none.
         room: looks for an engine with room.
         choice: software versions that the latest engine was chosen from.
+        has_unused_choice: nothing has been sent by that choice yet.
         copy_holder: engine that may hold a copy of the run; None if there is
             none or it has been tried.
         needs_room: tells whether an engine has room; None if the stream is
@@ -74,6 +75,7 @@
         self.limited_names: set[str] = set()
         self.silent_name = ''
         self.choice = ANY_VERSION
+        self.has_unused_choice = False
         self.copy_holder: BackendServer | None = None
         self.needs_room: RoomCheck | None = None
 
@@ -82,6 +84,12 @@
         """Return whether engines are usable, but none has room now."""
         return self.room.lacks_room
 
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether other streams may go to engines that this may not."""
+        version = self.progress.software_version
+        return bool(self.failed_names) or version is not None
+
     def require_room(self, has_room: RoomCheck | None) -> None:
         """Set whether the stream is sent only to an engine with room.
 
@@ -108,7 +116,9 @@
         last_event = self.progress.last_event
         copy_holder = self.copy_holder
         self.copy_holder = None
+        self.give_back_choice()
         self.choice = self._choose_versions()
+        self.has_unused_choice = self.progress.software_version is None
         if (
             copy_holder is not None
             and copy_holder.name not in self.failed_names
@@ -117,14 +127,22 @@
         ):
             return copy_holder, Resumption(last_event, copy_holder.address)
         server = await self._find_engine(is_eligible)
-        while server is None and not self.room.must_wait:
+        while server is None and self.has_unused_choice:
             choice = self.context.rollouts.choose_again(self.choice)
-            if choice is None or self.progress.software_version is not None:
+            if choice is None:
+                self.has_unused_choice = False
                 break
             self.choice = choice
+            self.room.begin()
             server = await self._find_engine(is_eligible)
         return server, Resumption(last_event)
 
+    def give_back_choice(self) -> None:
+        """Give back the version that was chosen for a send that is not made."""
+        if self.has_unused_choice:
+            self.has_unused_choice = False
+            self.context.rollouts.choose_again(self.choice)
+
     async def has_answered_lately(self, server: BackendServer) -> bool:
         """Return whether an engine has just answered; ask it if not.
 
@@ -209,19 +227,20 @@
         self, is_eligible: EligibilityCheck
     ) -> BackendServer | None:
         self.limited_names = set()
+        lacks_room = False
         for _ in range(MAX_LIMITED):
             server = await self.context.reports.best(
                 self._rank_engines, STREAM_CANDIDATES
             )
             if server is None:
-                self.room.record_no_server(self._has_usable_engines())
-                return None
-            if not self._has_room(server):
-                self.room.lacks_room = True
-                return None
-            if await is_eligible(server):
+                lacks_room = lacks_room or self._has_usable_engines()
+                break
+            has_room = self._has_room(server)
+            if has_room and await is_eligible(server):
                 return server
+            lacks_room = lacks_room or not has_room
             self.limited_names.add(server.name)
+        self.room.record_no_server(lacks_room=lacks_room)
         return None
 
     def _has_usable_engines(self) -> bool:
@@ -231,7 +250,7 @@
         return bool(self.context.placement.ranked(demand, now_s))
 
     def _has_room(self, server: BackendServer) -> bool:
-        if self.needs_room is None:
+        if self.needs_room is None or self.room.asks_engines:
             return True
         context = self.context
         return self.needs_room(
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -105,12 +105,14 @@
             elif not placer.room.end_without_room():
                 return None
             if placer.room.must_wait:
+                placer.give_back_choice()
                 return None
 
     def drop(self, placement: StreamPlacement) -> None:
         """Give up a placement that is not used."""
         self.placer.release(placement.server, prefilled=False)
         self.placer.room.drop(placement.lease)
+        self.placer.give_back_choice()
 
     def start(self, placement: StreamPlacement) -> StreamSend:
         """Send the stream to the engine that was chosen."""
@@ -147,6 +149,7 @@
             relay,
         )
         relay.transfer = transfer
+        self.placer.has_unused_choice = False
         send.version_send = context.rollouts.started(
             placement.server,
             self.request.route.name,
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -112,7 +112,7 @@
                 case WaitRefused():
                     return self.turns.refuse(placement)
             current = self.start(placement)
-            self.turns.sent(placement.server)
+            self.turns.sent(current)
         outcome = None
         try:
             outcome = await self._await_outcome(current)
--- a/celerywharf/forwarding/_turns.py
+++ b/celerywharf/forwarding/_turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 from dataclasses import replace
 
@@ -73,7 +74,8 @@
         room: the requests that wait for the service.
         number: of the stream among those that wait here.
         waited_s: how long the stream has waited, over all its sends.
-        sent_s: when its latest send began, monotonic seconds.
+        latest: its latest send, except successors of silent ones.
+        sent_s: when that send began, monotonic seconds.
         prompts_ahead: prompts that the engine had to read then, its own too.
     """
 
@@ -83,6 +85,7 @@
         self.room = waiting.room(sender.service)
         self.number = next(waiting.numbers)
         self.waited_s: float = 0
+        self.latest: StreamSend | None = None
         self.sent_s: float = 0
         self.prompts_ahead = 1
 
@@ -94,8 +97,12 @@
             stream is refused; None if there is no engine.
         """
         placer = self.sender.placer
-        if not placer.demand.capacity_tokens or placer.copy_holder is not None:
+        if not placer.demand.capacity_tokens:
             return await self.sender.place()
+        if placer.copy_holder is not None:
+            placement = await self.sender.place()
+            if placement is not None or not placer.lacks_room:
+                return placement
         ticket = self._ticket(self._now())
         placement = None
         try:
@@ -128,27 +135,39 @@
             return sender.plan.timed_out()
         return sender.plan.give_up(refused.reason.value, refused.retry_after_s)
 
-    def sent(self, server: BackendServer) -> None:
+    def sent(self, send: StreamSend) -> None:
         """Record that a send has begun."""
+        self.latest = send
         self.sent_s = self._now()
         loads = self.sender.context.loads
-        self.prompts_ahead = max(loads.prompts(server.name, self.sent_s), 1)
+        prompts = loads.prompts(send.server.name, self.sent_s)
+        self.prompts_ahead = max(prompts, 1)
 
     def ended(self, send: StreamSend, outcome: Outcome) -> None:
         """Record that a send has ended, which makes room or shows the lack."""
+        # The successor of a silent send began at another time.
+        if send is self.latest:
+            self._measure(send, outcome)
+        match outcome:
+            case Refused(reached=True, replaced=False):
+                self._record_refusal(send)
+            case _:
+                self.room.room_came()
+
+    def _record_refusal(self, send: StreamSend) -> None:
+        refusals = self.sender.plan.refusals
+        copy_at = send.placement.resumption.copy_at
+        if copy_at is None and refusals >= MIN_REFUSALS:
+            self.room.refused()
+
+    def _measure(self, send: StreamSend, outcome: Outcome) -> None:
         resumption = send.placement.resumption
         begun_at_s = send.relay.begun_at_s
         if begun_at_s is not None and resumption.copy_at is None:
             reading_s = (begun_at_s - self.sent_s) / self.prompts_ahead
             self.room.reading.record_hold(reading_s)
-        match outcome:
-            case Refused(reached=True, replaced=False):
-                if self.sender.plan.refusals >= MIN_REFUSALS:
-                    self.room.refused()
-                return
-            case Finished() if resumption.last_event is None:
-                self.room.queue.stream_ended(self._now() - self.sent_s)
-        self.room.room_came()
+        if isinstance(outcome, Finished) and resumption.last_event is None:
+            self.room.queue.stream_ended(self._now() - self.sent_s)
 
     async def _place_in_turn(
         self, ticket: WaitingTicket
@@ -161,20 +180,39 @@
             may_wait = refused is None and self._now() < ticket.latest_turn_s
             placer.require_room(self._room_check() if may_wait else None)
             placement = await self.sender.place()
-            if placement is not None or not placer.lacks_room:
+            if placement is not None or self._gives_up(ticket):
                 return placement
-            self.room.lacked(ticket)
-            if not may_wait:
-                ticket = replace(
-                    ticket, latest_turn_s=self._now() + RETRY_PERIOD_S
-                )
+            ticket = await self._lacked(ticket, may_wait=may_wait)
+
+    async def _lacked(
+        self, ticket: WaitingTicket, *, may_wait: bool
+    ) -> WaitingTicket:
+        """Record that no engine had room; return the ticket to wait with."""
+        if self.sender.placer.is_restricted:
+            # Other requests may go to engines that this one may not.
+            self.room.step_aside(ticket)
+            await asyncio.sleep(RETRY_PERIOD_S)
+            return ticket
+        self.room.lacked(ticket)
+        if may_wait:
+            return ticket
+        return replace(ticket, latest_turn_s=self._now() + RETRY_PERIOD_S)
+
+    def _gives_up(self, ticket: WaitingTicket) -> bool:
+        """Return whether a stream without an engine does not wait any more."""
+        placer = self.sender.placer
+        if not placer.lacks_room:
+            return True
+        ends_s = ticket.deadline_s if ticket.begun else ticket.on_time_until_s
+        return placer.is_restricted and self._now() >= ends_s
 
     def _room_check(self) -> RoomCheck:
         return functools.partial(has_room, self.room.reading.mean_held_s)
 
     def _must_go_on(self, refused: WaitRefused) -> bool:
         """Return whether a stream goes on although this host stops."""
-        return refused.reason is Reason.leaving and self.sender.in_progress()
+        is_begun = self.sender.in_progress() or self.sender.plan.may_have_run
+        return refused.reason is Reason.leaving and is_begun
 
     def _ticket(self, now_s: float) -> WaitingTicket:
         request = self.sender.request
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -243,7 +243,7 @@
             self.configuration_cache.synchronize(reading.timing)
             return
         self.configuration_cache.remove_keys(reading.removed_keys)
-        self._confirm(reading.timing)
+        self._confirm(reading.timing, is_complete=False)
 
     def _apply(self, reading: ReadResult, *, is_whole: bool) -> None:
         for row in reading.rows:
@@ -261,10 +261,12 @@
                 others, is_whole=is_whole, store_s=reading.timing.store_s
             )
 
-    def _confirm(self, timing: AnswerTiming) -> None:
+    def _confirm(
+        self, timing: AnswerTiming, *, is_complete: bool = True
+    ) -> None:
         known = self.configuration_cache.configuration
         if known is not None and self.stored_version == known.version:
-            self.configuration_cache.confirm(timing)
+            self.configuration_cache.confirm(timing, is_complete=is_complete)
         else:
             self.configuration_cache.synchronize(timing)
 
--- a/celerywharf/rollouts/_register.py
+++ b/celerywharf/rollouts/_register.py
@@ -12,7 +12,13 @@
 from celerywharf.backends import BackendServer, Directory
 from celerywharf.rollouts._counts import ServiceTally, bucket_of
 from celerywharf.rollouts._sends import VersionSend
-from celerywharf.rollouts._steps import RolloutOrder, RolloutStep, Stage
+from celerywharf.rollouts._steps import (
+    DONE_LEAD_S,
+    SETTLE_S,
+    RolloutOrder,
+    RolloutStep,
+    Stage,
+)
 
 # A host that has not heard for longer that a step still holds raises nothing.
 CONFIRMED_S = 1.5
@@ -177,6 +183,14 @@
             if state.order is not None and state.is_active
         ]
 
+    def steps(self) -> list[tuple[RolloutStep, int]]:
+        """Return the newest steps that are known, and their rows' versions."""
+        return [
+            (state.step, state.row_version[1])
+            for state in self.services.values()
+            if state.step is not None
+        ]
+
     def set_order(self, service: str, order: RolloutOrder | None) -> None:
         """Learn an order of the operator, or that there is none."""
         if not self.is_enabled or not (order or service in self.services):
@@ -220,7 +234,11 @@
             )
             if is_same and step.stage is not known.stage:
                 return
-        if known is None or known.stage is not step.stage:
+        if (
+            known is None
+            or known.stage is not step.stage
+            or known.move_s < step.move_s
+        ):
             state.is_moved = False
         state.step = step
         state.row_version = version
@@ -239,7 +257,10 @@
             return self._hold(state)
         match step.stage:
             case Stage.done:
-                return Choice(service, excluded=state.barred)
+                return Choice(
+                    service,
+                    excluded=_barred_at_the_end(state, self.versions(service)),
+                )
             case Stage.rolled_back:
                 return Choice(service, excluded=state.barred | {step.to})
             case Stage.moving if state.order and self._moves(state, step):
@@ -372,7 +393,7 @@
             elapsed_s = max(self.now() - state.ordered_s, 1)
             rate = state.tally.requests / elapsed_s
             state.quota = step.most_moved(rate) + self.random.random()
-        if store_s >= step.deadline_s:
+        if store_s >= step.deadline_s - DONE_LEAD_S - SETTLE_S:
             state.quota = math.inf
         return state.is_moved
 
@@ -385,3 +406,14 @@
         if self.versions(state.service) - barred - {target}:
             barred |= {target}
         return Choice(state.service, excluded=barred)
+
+
+def _barred_at_the_end(
+    state: ServiceState, versions: frozenset[str]
+) -> frozenset[str]:
+    """Return the versions that get nothing once another one is accepted.
+
+    There is none if the service has no other, so that it goes on.
+    """
+    barred = state.barred
+    return barred if versions - barred else frozenset()
--- a/celerywharf/routing/_configuration_cache.py
+++ b/celerywharf/routing/_configuration_cache.py
@@ -84,14 +84,23 @@
         if self.clock_offset_s is None or offset_s < self.clock_offset_s:
             self.clock_offset_s = offset_s
 
-    def confirm(self, timing: AnswerTiming) -> None:
-        """Record that the configuration was current as of a store's answer."""
+    def confirm(
+        self, timing: AnswerTiming, *, is_complete: bool = True
+    ) -> None:
+        """Record that the configuration was current as of a store's answer.
+
+        Args:
+            timing: of the answer.
+            is_complete: no newer configuration is known.  If one is, only this
+                host knows what it takes away, so others are not told the time.
+        """
         self.synchronize(timing)
         if timing.received_s < self.unconfirmed_until_s:
             return
         if self.clock_offset_s is None:
             return
-        self.confirmed_store_s = timing.store_s
+        if is_complete:
+            self.confirmed_store_s = timing.store_s
         current_at_s = timing.store_s + self.clock_offset_s
         if not timing.relayed:
             current_at_s = max(current_at_s, timing.sent_s)
--- a/celerywharf/sharing/_reader_calls.py
+++ b/celerywharf/sharing/_reader_calls.py
@@ -9,7 +9,13 @@
 
 from celerywharf.exceptions import PeerUnreachableError
 from celerywharf.limits import StatedLimits
-from celerywharf.platform import Position, ReadResult, StoreEra, boot_time_s
+from celerywharf.platform import (
+    CONFIGURATION_TABLE,
+    Position,
+    ReadResult,
+    StoreEra,
+    boot_time_s,
+)
 from celerywharf.routing import AnswerTiming
 from celerywharf.sharing._announcers import Announcer
 from celerywharf.sharing._answers import SharedTable, decode_rows
@@ -93,6 +99,10 @@
         """
         sent_s = boot_time_s()
         arrival = self._arrival(table, after)
+        if arrival is not None and arrival.reader.link is not reader.link:
+            # What has come already is kept.
+            self.drop(table)
+            arrival = None
         question = TableQuestion(
             table,
             after.version,
@@ -109,7 +119,10 @@
         if reply is None:
             return self._arrived(table), 0
         if reply.version == WHOLE_TABLE:
-            timing = AnswerTiming(sent_s, boot_time_s(), 0, relayed=True)
+            self.era.observe(reply.era)
+            timing = AnswerTiming(
+                sent_s, boot_time_s(), 0, relayed=True, era=reply.era
+            )
             nothing = ReadResult((), after.version, timing, incomplete=True)
             return nothing, reply.zone_hosts
         self.replies.check(reply)
@@ -137,7 +150,7 @@
         received_s = boot_time_s()
         freshness = self.tables[table].freshness
         freshness.confirm(min(sent_s + reply.store_answered_s, received_s))
-        if reply.receiving:
+        if reply.receiving and table == CONFIGURATION_TABLE:
             freshness.hold(received_s)
         return AnswerTiming(
             sent_s, received_s, reply.store_s, relayed=True, era=reply.era
@@ -151,7 +164,7 @@
         if arrival.after != after or arrival.reply.era != self.era.current:
             self.drop(table)
             return None
-        if arrival.transfer.done() and arrival.transfer.exception():
+        if _has_failed(arrival.transfer):
             # Another content has replaced it.
             self.drop(table)
             return None
@@ -237,7 +250,7 @@
     await asyncio.wait(
         {question, arrival.transfer}, return_when=asyncio.FIRST_COMPLETED
     )
-    if not arrival.transfer.done():
+    if not arrival.transfer.done() or arrival.transfer.cancelled():
         return False
     error = arrival.transfer.exception()
     if isinstance(error, PeerUnreachableError):
@@ -245,6 +258,12 @@
     return error is None
 
 
+def _has_failed(transfer: asyncio.Task[None]) -> bool:
+    if not transfer.done():
+        return False
+    return transfer.cancelled() or transfer.exception() is not None
+
+
 def _observe(transfer: asyncio.Task[None]) -> None:
     """Take the error of a transfer that nobody waits for any more."""
     if not transfer.cancelled():
--- a/celerywharf/sharing/_rollout_control.py
+++ b/celerywharf/sharing/_rollout_control.py
@@ -73,6 +73,7 @@
         zone_tallies: counts of the other zones.
         heard_s: when the deciding host last answered, by service and host,
             seconds of CLOCK_BOOTTIME.
+        zone_heard_s: when each other zone last told its counts.
         unknown: orders of services that the configuration does not have.
     """
 
@@ -99,6 +100,7 @@
         self.host_tallies: dict[str, dict[str, ServiceTally]] = {}
         self.zone_tallies: dict[str, dict[str, ServiceTally]] = {}
         self.heard_s: dict[tuple[str, str], float] = {}
+        self.zone_heard_s: dict[str, float] = {}
         self.unknown: set[RolloutOrder] = set()
 
     def apply_rows(self, rows: Iterable[Row]) -> None:
@@ -129,7 +131,8 @@
         known = self.zone_tallies.get(zone, {})
         for service, tally in tallies.items():
             _keep_totals(tally, known.get(service))
-        self.zone_tallies[zone] = tallies
+        self.zone_tallies.setdefault(zone, {}).update(tallies)
+        self.zone_heard_s[zone] = boot_time_s()
 
     async def attend(self) -> None:
         """Decide, report or take over, for each order in progress.
@@ -153,6 +156,7 @@
         self.host_tallies.clear()
         self.zone_tallies.clear()
         self.heard_s.clear()
+        self.zone_heard_s.clear()
 
     async def _attend_to(self, order: RolloutOrder) -> None:
         stored = self.rows.get(order.service)
@@ -200,7 +204,8 @@
         )
         new_slots, old_slots = self.register.slots(order.service, order.to)
         unheard_s = self.register.now() - self.register.confirmed_s
-        view = View(tally, new_slots, old_slots, unheard_s <= CONFIRMED_S)
+        is_confirmed = unheard_s <= CONFIRMED_S and self._hears_all_zones()
+        view = View(tally, new_slots, old_slots, is_confirmed)
         now_s = self.register.store_time_s()
         step = decider.decide(stored.step, view, now_s)
         if step is not None:
@@ -242,6 +247,14 @@
             if order.service in tallies
         )
 
+    def _hears_all_zones(self) -> bool:
+        """Return whether the counts of all other zones are recent."""
+        oldest_s = boot_time_s() - TAKEOVER_S
+        return all(
+            self.zone_heard_s.get(zone, 0) >= oldest_s
+            for zone in self.readers.readers
+        )
+
     def _is_decided_here(self, service: str) -> bool:
         stored = self.rows.get(service)
         return stored is not None and stored.step.host == self.host
@@ -257,7 +270,7 @@
             step,
             host=self.host,
             availability_zone=self.readers.own_zone,
-            era=self.store.era.current,
+            era=max(self.store.era.current, stored.step.era if stored else 0),
         )
         changes = [
             RowChange(
--- a/celerywharf/sharing/_rollout_exchange.py
+++ b/celerywharf/sharing/_rollout_exchange.py
@@ -89,7 +89,7 @@
     ) -> None:
         failures = 0
         while True:
-            if self.has_begun and not self.register.is_active:
+            while self.has_begun and not self.register.is_active:
                 await self._wait_for_order()
             try:
                 await act()
@@ -164,8 +164,8 @@
             raise PeerUnreachableError('this front is not the reader')
         self.control.learn_counts(sender, question)
         rows = [
-            StepRow(service, encode_step(stored.step), stored.version)
-            for service, stored in self.control.rows.items()
+            StepRow(step.service, encode_step(step), version)
+            for step, version in self.register.steps()
         ]
         age_s = self.register.now() - self.register.confirmed_s
         return RolloutAnswer(rows, min(age_s, UNKNOWN_AGE_S))
--- a/celerywharf/waiting/_rooms.py
+++ b/celerywharf/waiting/_rooms.py
@@ -77,9 +77,20 @@
     def lacked(self, ticket: WaitingTicket) -> None:
         """Record that no engine had room for a request, which waits on."""
         self.queue.lacked(ticket)
-        self.lacks_until_s = self.timers.now() + ROOM_CHECK_S
         if self.searching == ticket.number:
             self.searching = None
+        # A smaller request may fit.
+        self.lacks_until_s = float('-inf')
+        self._grant()
+        if self.searching is None:
+            self.lacks_until_s = self.timers.now() + ROOM_CHECK_S
+
+    def step_aside(self, ticket: WaitingTicket) -> None:
+        """Let others have their turns; the request comes back by itself."""
+        self.queue.discard(ticket.number)
+        if self.searching == ticket.number:
+            self.searching = None
+        self._grant()
 
     def refused(self) -> None:
         """Record that several engines have refused a request."""
@@ -136,6 +147,7 @@
         for refused in self.queue.refuse_late(now):
             self._answer(refused.ticket.number, refused)
         for ticket in self.queue.past_latest_turn(now):
+            self.queue.discard(ticket.number)
             self._answer(ticket.number, None)
         self.queue.room_came()
         self._grant()
--- a/celerywharf/wire/_links.py
+++ b/celerywharf/wire/_links.py
@@ -235,7 +235,13 @@
             task.add_done_callback(
                 lambda _done: self.connecting.pop(address, None),
             )
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # Closing the service ends the task, but not those who wait for it.
+            if task.cancelled() and not asyncio.current_task().cancelling():
+                raise PeerUnreachableError('the link was closed') from None
+            raise
 
     async def _connect(self, address: Address) -> Link:
         try:
--- a/tests/rollouts/fleets.py
+++ b/tests/rollouts/fleets.py
@@ -254,7 +254,7 @@
         allowed = BOUNDS.exposure_share * self.requests + BOUNDS.exposure_slack
         if self.exposed > allowed:
             return False
-        if len(self.bad_at_s) < 50 or self.stage == 'done':
+        if len(self.bad_at_s) < 50:
             return True
         limit_s = sorted(self.bad_at_s)[49] + BOUNDS.rollback_s
         return all(sent_s <= limit_s for sent_s in self.sent_at_s)
