Ask engines that answer no lease for a report before taking them for silent

Cause: a lease that was not answered in time counted as silence, although only the answer to this one call was lost.

Change: a call for a lease that is sent and not answered says nothing about the engine if it has answered anything since; else it is asked for a report, once for all that wait for it, and the report's failure is what counts. The stream goes on to the next engine as before. No connection still counts at once.

--- a/celerywharf/forwarding/_leases.py
+++ b/celerywharf/forwarding/_leases.py
@@ -17,8 +17,14 @@
     HttpResponse,
     Transport,
 )
-from celerywharf.backends import BackendServer, Loads, ServerHealth
+from celerywharf.backends import (
+    BackendServer,
+    EngineReport,
+    Loads,
+    ServerHealth,
+)
 from celerywharf.exceptions import ProtocolError, TransportError
+from celerywharf.forwarding._reports import Reports
 from celerywharf.forwarding._statements import availability_recorder
 from celerywharf.limits import ServerLimiter
 from celerywharf.metrics import Metrics
@@ -73,6 +79,8 @@
         unoffered_until_s: when engines that grant no leases are asked again,
             monotonic seconds, by incarnation.
         releases: releases in progress.
+        checks: engines that are asked for a report because they have not
+            answered, by name.
     """
 
     def __init__(
@@ -82,6 +90,7 @@
         loads: Loads,
         health: ServerHealth,
         limits: ServerLimiter,
+        reports: Reports,
         metrics: Metrics,
     ) -> None:
         self.transport = transport
@@ -89,9 +98,11 @@
         self.loads = loads
         self.health = health
         self.limits = limits
+        self.reports = reports
         self.metrics = metrics
         self.unoffered_until_s: dict[str, float] = {}
         self.releases: set[asyncio.Task[None]] = set()
+        self.checks: dict[str, asyncio.Task[EngineReport | None]] = {}
 
     async def take(
         self, server: BackendServer, tokens: int, max_term_s: float
@@ -117,7 +128,7 @@
                 self._request(server, tokens, term_s)
             )
         except TransportError as error:
-            answer: Lease | Denial = self._unreachable(server, error)
+            answer: Lease | Denial = self._unanswered(server, error, now_s)
         else:
             answer = self._read(server, response, now_s + term_s)
         outcome = answer.value if isinstance(answer, Denial) else 'granted'
@@ -173,22 +184,33 @@
             on_headers=availability_recorder(self.health, self.limits, server),
         )
 
-    def _unreachable(
-        self, server: BackendServer, error: TransportError
+    def _unanswered(
+        self, server: BackendServer, error: TransportError, asked_s: float
     ) -> Denial:
         logger.info(
             'no lease',
             extra={'backend_server': server.name, 'reason': error.message},
         )
-        now_s = self.timers.now()
         if error.late:
             return Denial.unreachable
         if error.verdict is Verdict.not_run:
-            self.health.unreachable(server, now_s)
-        else:
-            self.health.silent(server, now_s)
+            self.health.unreachable(server, self.timers.now())
+        elif self.loads.alive_at_s(server.name) <= asked_s:
+            self._check(server)
         return Denial.unreachable
 
+    def _check(self, server: BackendServer) -> None:
+        """Ask an engine for a report, which tells whether it is silent.
+
+        The loss of a single answer does not make an engine silent: no other
+        request would be sent there, and its zone would be suspect.
+        """
+        if server.name in self.checks:
+            return
+        task = asyncio.ensure_future(self.reports.probe(server))
+        self.checks[server.name] = task
+        task.add_done_callback(lambda _: self.checks.pop(server.name, None))
+
     def _read(
         self, server: BackendServer, response: HttpResponse, expires_at_s: float
     ) -> Lease | Denial:
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -60,6 +60,7 @@
         FixedShare(1 / UNSHARED_HOSTS),
         Clocks(timers.now, store_time_s),
     )
+    reports = Reports(transport, timers, loads, health, limits)
     return ForwardingContext(
         transport=transport,
         timers=timers,
@@ -74,7 +75,7 @@
             settings.zones.regions,
             random,
         ),
-        reports=Reports(transport, timers, loads, health, limits),
+        reports=reports,
         retries=retries,
         quarantine=QuarantineGate(LossRegister(random), store_time_s),
         limits=limits,
@@ -90,7 +91,9 @@
             random,
             is_enabled=_allows_rollouts(settings),
         ),
-        leases=Leases(transport, timers, loads, health, limits, metrics),
+        leases=Leases(
+            transport, timers, loads, health, limits, reports, metrics
+        ),
     )
 
 
--- a/tests/forwarding/leasing.py
+++ b/tests/forwarding/leasing.py
@@ -37,6 +37,7 @@
 REPORT_PERIOD_S = 0.05
 REPORT_LAG_PERIODS = 2
 TERM_S = 2.0
+LEASE_CALL = 'api/hold-take'
 
 
 @dataclass
@@ -45,6 +46,8 @@
 
     Attributes:
         offers: it grants leases.
+        loses_grants: its answers to calls for leases are lost, others are not.
+        dies_when_asked: it goes dark when it is asked for a lease.
         tokens: of the requests it holds, waiting ones included.
         leases: tokens by name of the lease.
         most_tokens: most that it held, leases included.
@@ -54,6 +57,8 @@
     offers: bool = True
     dark: bool = False
     loses_answers: bool = False
+    loses_grants: bool = False
+    dies_when_asked: bool = False
     requests: int = 0
     unread: int = 0
     tokens: int = 0
@@ -136,11 +141,13 @@
         self.fleet.calls[path.partition('/')[2].partition('/')[0]] += 1
         delay_s = self.delay_s(engine.server)
         await asyncio.sleep(delay_s)
+        asks_lease = path == LEASE_CALL
+        engine.dark = engine.dark or (asks_lease and engine.dies_when_asked)
         if engine.dark:
             await asyncio.sleep(request.timeout_s)
             raise TransportError('timed out')
         status, document = self.answer(engine, request, path)
-        if engine.loses_answers:
+        if engine.loses_answers or (asks_lease and engine.loses_grants):
             await asyncio.sleep(request.timeout_s)
             raise TransportError('timed out')
         await asyncio.sleep(delay_s)
@@ -152,7 +159,7 @@
             return 200, engine.report()
         if not engine.offers:
             return 404, {}
-        if path == 'api/hold-take':
+        if path == LEASE_CALL:
             wanted = json.loads(request.body)
             lease = engine.take(wanted['tokens'], wanted['ttlMs'] / 1000)
             return (200, {'hold': lease}) if lease else (503, {})
@@ -202,6 +209,7 @@
             services={SERVICE: Service(SERVICE, '/', memory)}
         )
         parts = (context.loads, context.health, context.limits)
+        reports = Reports(network, context.timers, *parts)
         return replace(
             context,
             transport=network,
@@ -210,8 +218,10 @@
             placement=Placement(
                 directory, *parts[:2], zone, REGIONS, self.random
             ),
-            reports=Reports(network, context.timers, *parts),
-            leases=Leases(network, context.timers, *parts, context.metrics),
+            reports=reports,
+            leases=Leases(
+                network, context.timers, *parts, reports, context.metrics
+            ),
         )
 
     def make_stream(self, context):
