Confirm no configuration that the reader missed

A reader that learnt versions 10 and 15 of the configuration named the keys that went between these. A host that had read 12 from the store kept a key that came with 11 and was gone with 15, and its configuration was confirmed with each answer, so the bound of revoked keys never ended the key.

Each removal now holds the last version at which the configuration before it was known to be in force. A host between the two is told nothing, as one whose removals are not known: its knowledge grows old and the bound holds.

--- a/celerywharf/sharing/_answers.py
+++ b/celerywharf/sharing/_answers.py
@@ -87,8 +87,9 @@
 
     def notify(self) -> None:
         """Wake up all tasks that wait for a change."""
-        row = self.mirror.rows.get(CONFIGURATION_KEY)
-        self.removals.learn(self.mirror.era, row)
+        mirror = self.mirror
+        row = mirror.rows.get(CONFIGURATION_KEY)
+        self.removals.learn(mirror.era, row, mirror.version or 0)
         self.changed.set()
         self.changed = asyncio.Event()
 
