Resume a frozen engine only once its work has moved

test_an_engine_freezes_and_wakes_after_its_work_was_moved failed in two runs beside load 13 to 28 ([eager] in a whole run, [patient] in a run of a few tests): the engines had recorded one run of x, not two.

In the failing run with its record, x had a single run, which ended as its first attempt. The step before resumes the engine when x has 100 tokens; a stopped engine sends none, so all 100 were on their way before the engine was stopped, and it was resumed at once: the work never had to move.

The step now also waits until a second run has begun, as the scenario's name says; that fails after the usual time. The assertions stay.

--- a/tests/failures/test_failures.py
+++ b/tests/failures/test_failures.py
@@ -201,6 +201,7 @@
 @when(parsers.parse('{name} has {count:d} tokens and the engine is resumed'))
 def _resume_engine(zones, scene, name, count):
     scene.callers[name].wait_for(count)
+    wait_until(lambda: len(scene.runs(name)) > 1, f'the work of {name} to move')
     zones.fleet.resume(scene.failed_engine)
 
 
