Let e1 run a stream before it is told to leave

The step is right and stays; the set-up ordered the leaving without any stream at e1.

Cause, by the hosts' timelines: a host that takes an engine over grants nothing for REBUILD_WAIT_S (0.5 s), so that holders can renew first, and refuses requests that may not wait; these go to other engines. All hosts know each other before that time is over. In 14 starts of the set-up, with hosts in the usual order, e2 was taken over by the last host 0.0 to 0.13 s before the load in the six starts that were timed, and ran none of the 16 first streams in 8 of 14; e1, taken over 3.6 s and more before in those six, ran 1 to 6.

The scenario now says that e1 runs a stream first: callers are started at all hosts until its record shows one running, for 10 s at most, which fails the test. They are checked for complete texts like the others. The assertions stay.

--- a/tests/membership/leaving.feature
+++ b/tests/membership/leaving.feature
@@ -20,6 +20,7 @@
     And every caller receives its complete text
 
   Scenario Outline: a backend server told to leave
+    Given within 10 s e1 runs a stream
     When <event>
     Then after 3 s e1 receives no new requests from any host
     And every caller receives its complete text
--- a/tests/membership/test_leaving.py
+++ b/tests/membership/test_leaving.py
@@ -53,6 +53,10 @@
     def runs_at(self, engine):
         return len(self.zones.fleet.record(engine)['runs'])
 
+    def is_streaming(self, engine):
+        runs = self.zones.fleet.record(engine)['runs']
+        return any(run.get('state') == 'running' for run in runs)
+
     def process(self, name):
         member = self.zones.fleet.members[name]
         return member.process
@@ -81,6 +85,18 @@
         caller.wait_for(3)
 
 
+@given(parsers.parse('within {seconds:d} s e1 runs a stream'))
+def _streaming(load, seconds):
+    # For a moment, an owner that has just taken e1 over grants nothing, and all
+    # of the first streams may have gone to other engines.
+    end_s = time.monotonic() + seconds
+    while not load.is_streaming('e1'):
+        assert time.monotonic() < end_s
+        for name in 'abcd':
+            load.call(name)
+        time.sleep(0.25)
+
+
 @when(parsers.parse('host {name} is killed'))
 def _killed(load, name):
     load.zones.fleet.kill(name)
