Check roll-outs, and report what else a configuration takes or cannot keep

`celerywharf config check-routes` lacked parts of its issue:

- `--rollouts` and `--engines` check orders to move a service: a service that is not listed, a version that no ready engine of a given list has, what a host would refuse.
Both are decoded as hosts do it.
- A route's host, a narrower prefix and the end of use without a key are withdrawals; keys that are not needed any more are none.
Priorities of accounts are compared.
- Errors name their entry; findings say what to do.
- A file that is not JSON is unreadable: exit code 2, where it was 1.

--- a/celerywharf/cli/_config.py
+++ b/celerywharf/cli/_config.py
@@ -2,7 +2,8 @@
 
 Usage:
   celerywharf config check [--front] FILE
-  celerywharf config check-routes FILE [--against=FILE] [--json]
+  celerywharf config check-routes FILE [--against=FILE] [--rollouts=FILE]
+                     [--engines=FILE] [--json]
   celerywharf config reference [--front]
   celerywharf config (-h | --help)
 
@@ -14,9 +15,12 @@
   reference     Print every section and key with its default.
 
 Options:
-  --front         Use the settings of a front instead of an entry host.
-  --against=FILE  Also print what differs from this version.
-  --json          Print JSON.
+  --front          Use the settings of a front instead of an entry host.
+  --against=FILE   Also print what differs from this version.
+  --rollouts=FILE  Also check these orders to move services to other versions.
+  --engines=FILE   Check that engines of this list have the ordered versions;
+                   only with --rollouts.
+  --json           Print JSON.
 
 Exit codes of check-routes: 0 no problem, 1 problems found, 2 unreadable file.
 """
@@ -24,9 +28,10 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import asdict
 from pathlib import Path
+from typing import Any
 
 from docopt import docopt
 from pydantic import BaseModel
@@ -34,7 +39,11 @@
 from celerywharf import settings
 from celerywharf.cli._exits import ExitCode
 from celerywharf.cli._printing import print_json, print_records
-from celerywharf.configuration_checks import Finding, check_configuration
+from celerywharf.configuration_checks import (
+    Finding,
+    check_configuration,
+    check_rollouts,
+)
 from celerywharf.exceptions import ProtocolError
 
 COLUMNS = ('kind', 'code', 'entry', 'message')
@@ -44,9 +53,7 @@
     """Check a file or print the reference."""
     options = docopt(__doc__, argv=list(argv))
     if options['check-routes']:
-        return _check_routes(
-            options['FILE'], options['--against'], as_json=options['--json']
-        )
+        return _check_routes(options)
     model = settings.HostSettings
     if options['--front']:
         model = settings.FrontSettings
@@ -77,21 +84,39 @@
         yield ''
 
 
-def _check_routes(path: str, current: str | None, *, as_json: bool) -> int:
+def _check_routes(options: Mapping[str, Any]) -> int:
+    if options['--engines'] and not options['--rollouts']:
+        sys.stderr.write('celerywharf: --engines needs --rollouts\n')
+        return ExitCode.usage
     try:
-        findings = check_configuration(
-            Path(path).read_bytes(),
-            None if current is None else Path(current).read_bytes(),
-        )
+        findings = _find(options)
     except (OSError, ProtocolError) as error:
         sys.stderr.write(f'celerywharf: {error}\n')
         return ExitCode.usage
-    _print_findings(findings, as_json=as_json)
+    _print_findings(findings, as_json=options['--json'])
     if any(finding.is_problem for finding in findings):
         return ExitCode.failed
     return ExitCode.done
 
 
+def _find(options: Mapping[str, Any]) -> list[Finding]:
+    document = Path(options['FILE']).read_bytes()
+    findings = check_configuration(document, _read(options['--against']))
+    orders = _read(options['--rollouts'])
+    engines = _read(options['--engines'])
+    if orders is None or _is_refused(findings):
+        return findings
+    return [*check_rollouts(document, orders, engines), *findings]
+
+
+def _is_refused(findings: Sequence[Finding]) -> bool:
+    return any(finding.code == 'invalid_field' for finding in findings)
+
+
+def _read(path: str | None) -> bytes | None:
+    return None if path is None else Path(path).read_bytes()
+
+
 def _print_findings(findings: Sequence[Finding], *, as_json: bool) -> None:
     records = [asdict(finding) for finding in findings]
     if as_json:
--- a/celerywharf/configuration_checks/_differences.py
+++ b/celerywharf/configuration_checks/_differences.py
@@ -85,15 +85,28 @@
         name = field.name
         value, known = getattr(new, name), getattr(current, name)
         if value != known:
-            lost = name in GRANTS and value < known
+            lowered = name in GRANTS and value < known
+            lost = lowered or _excludes(name, value, known)
             yield Finding(
                 Kind.withdrawal if lost else Kind.change,
-                f'{name}_lowered' if lost else f'{name}_changed',
+                f'{name}_lowered' if lowered else f'{name}_changed',
                 entry,
                 f'{name} changes from {_show(known)} to {_show(value)}',
             )
 
 
+def _excludes(name: str, value: Any, known: Any) -> bool:
+    """Return whether a route no longer takes some requests after a change."""
+    match name:
+        case 'host':
+            return True
+        case 'prefix':
+            return not known.startswith(value)
+        case 'public':
+            return not value
+    return False
+
+
 def _compare_keys(
     new: ConfigurationListing, current: ConfigurationListing
 ) -> Iterator[Finding]:
@@ -108,8 +121,32 @@
         yield Finding(
             Kind.change, 'keys_not_required', 'accounts', 'no key is needed'
         )
+        return
     held = new.configuration().accounts
     known = current.configuration().accounts
+    yield from _compare_holders(held, known)
+    yield from _compare_priorities(new, current)
+
+
+def _compare_priorities(
+    new: ConfigurationListing, current: ConfigurationListing
+) -> Iterator[Finding]:
+    priorities = {each.name: each.priority for each in current.accounts or ()}
+    for account in new.accounts or ():
+        known = priorities.get(account.name, account.priority)
+        if account.priority != known:
+            yield Finding(
+                Kind.change,
+                'priority_changed',
+                account_entry(account.name),
+                f'priority changes from {_show(known)} to '
+                f'{_show(account.priority)}',
+            )
+
+
+def _compare_holders(
+    held: Mapping[str, str], known: Mapping[str, str]
+) -> Iterator[Finding]:
     for key, account in known.items():
         holder = held.get(key)
         if holder is None:
--- a/celerywharf/configuration_checks/_findings.py
+++ b/celerywharf/configuration_checks/_findings.py
@@ -52,6 +52,16 @@
     return f'service {name}'
 
 
+def rollout_entry(service: str) -> str:
+    """Return how a finding names the roll-out of a service."""
+    return f'roll-out {service}'
+
+
+def engine_entry(name: str) -> str:
+    """Return how a finding names an engine."""
+    return f'engine {name}'
+
+
 def account_entry(name: str) -> str:
     """Return how a finding names a client account."""
     return f'account {name}'
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -37,6 +37,7 @@
     STATUS_TABLE,
     decode_order,
     encode_status,
+    order_key,
     ordered_service,
     status_key,
 )
@@ -89,6 +90,7 @@
     'lease_demand',
     'lease_release_path',
     'list_configuration',
+    'order_key',
     'ordered_service',
     'outlives_copy',
     'peer_headers',
--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -45,6 +45,7 @@
 MAX_NAME = 200
 ROUTES_AT_ONCE = 100  # about a millisecond
 MAX_ERRORS = 3  # named for a malformed document
+NOT_JSON = 'json_invalid'  # type of pydantic's error
 MAX_SLOTS = 1_000_000
 MAX_WARM_UP_MS = 86_400_000
 MAX_LEASE_MS = 86_400_000
@@ -298,10 +299,15 @@
 
     Returns:
         The place and the description of each error; empty if it can.
+
+    Raises:
+        ProtocolError: the text is not JSON.
     """
     try:
         _Configuration.model_validate_json(text)
     except ValidationError as error:
+        if any(details['type'] == NOT_JSON for details in error.errors()):
+            raise ProtocolError(f'configuration: {_reason(error)}') from None
         return [
             (_place(details), details['msg'][:MAX_NAME])
             for details in error.errors()
@@ -427,8 +433,11 @@
     try:
         return model.model_validate_json(text)
     except ValidationError as error:
-        reason = '; '.join(map(_describe, error.errors()[:MAX_ERRORS]))
-        raise ProtocolError(f'{model.__name__}: {reason}') from None
+        raise ProtocolError(f'{model.__name__}: {_reason(error)}') from None
+
+
+def _reason(error: ValidationError) -> str:
+    return '; '.join(map(_describe, error.errors()[:MAX_ERRORS]))
 
 
 def _describe(error: Mapping[str, Any]) -> str:
--- a/celerywharf/platform/_rollouts.py
+++ b/celerywharf/platform/_rollouts.py
@@ -33,6 +33,11 @@
     return service if key.startswith(ORDER_PREFIX) and service else None
 
 
+def order_key(service: str) -> str:
+    """Return the key of the row that orders to move a service."""
+    return f'{ORDER_PREFIX}{service}'
+
+
 def decode_order(row: Row, store_s: float) -> RolloutOrder:
     """Decode an order of the operator.
 
--- a/tests/configuration_checks/test_command.py
+++ b/tests/configuration_checks/test_command.py
@@ -29,6 +29,17 @@
     assert capsys.readouterr().out
 
 
+@pytest.mark.parametrize('content', [b'', b'{', b'\xff'])
+def test_what_is_not_json_cannot_be_read(content, tmp_path, capsys):
+    path = tmp_path / 'new.json'
+    path.write_bytes(content)
+
+    found = main(['config', 'check-routes', str(path)])
+
+    assert found == 2
+    assert 'JSON' in capsys.readouterr().err
+
+
 def test_findings_are_printed_as_json(tmp_path, capsys):
     path = tmp_path / 'new.json'
     path.write_bytes(document(route(service='gone')))
