Raise windows of servers while long streams make progress

With recovery_windows, callers were kept out of free slots of a sound server for minutes where streams are long and rare: a host with a stream there and no fresh statement neither sent again nor probed the server, and only first parts within twice the usual time raised its window.

A window now doubles with time also while this host has streams there whose first part has come, once in the usual time or in the time of the last answer. A host without statement counts only its own requests without a first part against its share. A window that time has raised to the slots closes with an answer of less than four times the usual time.

The tests fill a server with one long stream a second, or one in four seconds, over 1, 7, 87 and 195 hosts. No request may be kept out of free slots longer than callers want to wait for a first part (4 s), counted from the server's start or from the host's own first use of it.

--- a/celerywharf/backends/_loads.py
+++ b/celerywharf/backends/_loads.py
@@ -23,6 +23,7 @@
 @dataclass(slots=True)
 class _Load:
     requests: int = 0
+    streams: int = 0
     prompts: int = 0
     tokens: int = 0
     stated: ServerLoad | None = None
@@ -34,10 +35,13 @@
         default_factory=lambda: deque(maxlen=MAX_SEND_TIMES),
     )
 
+    def has_fresh_report(self, now_s: float) -> bool:
+        return now_s - self.report_at_s < ENGINE_REPORT_MAX_AGE_S
+
 
 @dataclass(frozen=True, slots=True)
 class ServerUse:
-    """Requests at a server, of all hosts.
+    """Requests at a server.
 
     Attributes:
         requests: running and waiting ones.
@@ -75,6 +79,7 @@
         load.sent_at_s.append(now_s)
         load.requests += 1
         load.tokens += tokens
+        load.streams += 1 if tokens else 0
         load.prompts += 1 if tokens else 0
 
     def prefilled(self, name: str) -> None:
@@ -85,6 +90,7 @@
         """Record the end of a request started with the same ``tokens``."""
         load = self._load(name)
         load.requests -= 1
+        load.streams -= 1 if tokens else 0
         load.tokens -= tokens
 
     def retain(self, names: Container[str]) -> None:
@@ -148,6 +154,14 @@
         """Return the number of requests of this host in progress there."""
         return self._load(name).requests
 
+    def own_use(self, name: str) -> ServerUse:
+        """Return the requests of this host in progress at a server.
+
+        Streams are answering from their first event on, calls never.
+        """
+        load = self._load(name)
+        return ServerUse(load.requests, max(load.streams - load.prompts, 0))
+
     def report(self, name: str, report: EngineReport, now_s: float) -> None:
         """Record a load report of an engine."""
         load = self._load(name)
@@ -162,7 +176,7 @@
     def prompts(self, name: str, now_s: float) -> int:
         """Estimate how many prompts the server has not finished reading."""
         load = self._load(name)
-        if not self._has_fresh_report(load, now_s):
+        if not load.has_fresh_report(now_s):
             return load.prompts
         measured_at_s = load.report_at_s - ENGINE_REPORT_LAG_S
         sent_since = sum(sent_s > measured_at_s for sent_s in load.sent_at_s)
@@ -172,20 +186,17 @@
     def running(self, name: str, now_s: float) -> int:
         """Estimate how many requests the server is running."""
         load = self._load(name)
-        if not self._has_fresh_report(load, now_s):
+        if not load.has_fresh_report(now_s):
             return load.requests
         return max(load.requests, load.report.running)
 
     def tokens(self, name: str, now_s: float) -> int:
         """Estimate the token memory in use on the server."""
         load = self._load(name)
-        if not self._has_fresh_report(load, now_s):
+        if not load.has_fresh_report(now_s):
             return load.tokens
         return max(load.tokens, load.report.used_tokens)
 
-    def _has_fresh_report(self, load: _Load, now_s: float) -> bool:
-        return now_s - load.report_at_s < ENGINE_REPORT_MAX_AGE_S
-
     def slots_used(self, server: BackendServer, now_s: float) -> float:
         """Estimate the requests at a server as a fraction of its slots.
 
--- a/celerywharf/backends/_windows.py
+++ b/celerywharf/backends/_windows.py
@@ -19,12 +19,10 @@
 # A report tells the load as of some 150 ms ago and is asked for again after
 # 200 ms; later it says little about what the other hosts have sent since.
 STATEMENT_MAX_AGE_S = 0.4
-# The window of a host that has nothing there grows as if all was well with the
-# requests of the others, but not sooner.
+# A window that grows with time doubles no sooner.
 MIN_QUIET_S = 0.5
-MAX_ROUNDS = 20  # enough to reach any number of slots
-# A window that has grown with time closes after this many such times only: what
-# the server states has to prove it sound.
+# A window that has grown with time, without an answer to this host, closes
+# after this many such times only.
 CLOSING_ROUNDS = 4
 # Answers this many times slower than usual raise no window, or halve it.
 SLOW_FACTOR = 2.0
@@ -40,6 +38,7 @@
     ejected = enum.auto()
     answered = enum.auto()
     answering_others = enum.auto()
+    in_time = enum.auto()
     no_bad_news = enum.auto()
     refused = enum.auto()
     failed = enum.auto()
@@ -70,6 +69,7 @@
     grown_s: float
     reason: Reason
     proven: bool = False
+    answer_s: float = 0
     drawn_s: float = float('-inf')
     draw_lasts_s: float = 0
     allowed: float = 0
@@ -88,10 +88,11 @@
     hosts multiply to a flood.  The window is a number for all hosts together.
     It starts small and doubles with each answer that comes at the usual time;
     it is raised to twice what the server states to be answering already, and
-    grows with time while this host has nothing there.  Refusals, failures and
-    answers that are much slower than usual halve it.  A failure before the
-    first answer ends the use of the server, as does any after an ejection.  It
-    closes when answers or statements raise it to the server's slots.
+    grows with time while this host has nothing there or streams in progress
+    whose first part has arrived.  Refusals, failures and answers that are much
+    slower than usual halve it.  A failure before the first answer ends the use
+    of the server, as does any after an ejection.  It closes when answers,
+    statements or time raise it to the server's slots.
 
     What the server states to have in progress is shared truth, it sums over
     all hosts; the rest of the window is free.  Each host takes part in it by
@@ -172,11 +173,15 @@
             self.demand.answered(server.service, answer_s)
             return
         window.proven = True
+        window.answer_s = answer_s
         if answer_s >= usual_s * MUCH_SLOWER_FACTOR:
             self._halve(window, now_s, Reason.slow)
         elif answer_s < usual_s * SLOW_FACTOR:
             # In a round of answers this host sees about one of them.
             self._raise(window, window.size * 2, now_s, Reason.answered)
+        elif window.size >= server.slots:
+            # It has grown with time.
+            self._raise(window, window.size, now_s, Reason.in_time)
 
     def refused(self, name: str, now_s: float) -> bool:
         """Record a refusal; return whether nothing is left of the window."""
@@ -214,17 +219,33 @@
         known = use.answering * 2 if use else 0
         if known > window.size:
             self._raise(window, known, now_s, Reason.answering_others)
-        if use or self.loads.requests(window.server.name):
+        if use or not self._is_quiet(window):
             return  # answers will tell
-        usual_s = self.demand.usual_answer_s(window.server.service)
-        quiet_s = max(usual_s, MIN_QUIET_S)
-        rounds = int((now_s - window.grown_s) / quiet_s)
         slots = window.server.slots
-        if rounds > 0 and window.size < slots:
-            size = min(window.size * 2 ** min(rounds, MAX_ROUNDS), slots)
-            self._resize(window, size, now_s, Reason.no_bad_news)
-        elif rounds >= CLOSING_ROUNDS and window.reason is Reason.started:
+        rounds = int((now_s - window.grown_s) / self._round_s(window))
+        lacks_rounds = math.ceil(math.log2(max(slots / window.size, 1)))
+        closing_rounds = lacks_rounds
+        if not window.proven:
+            closing_rounds += CLOSING_ROUNDS
+        closes = window.reason is Reason.started or window.proven
+        if closes and rounds >= closing_rounds:
             self._raise(window, slots, now_s, Reason.no_bad_news)
+        elif rounds > 0 and lacks_rounds:
+            size = min(window.size * 2 ** min(rounds, lacks_rounds), slots)
+            self._resize(window, size, now_s, Reason.no_bad_news)
+
+    def _is_quiet(self, window: _Window) -> bool:
+        """Return whether this host waits for no first part there.
+
+        It may wait for some while other streams there have made progress.
+        """
+        own = self.loads.own_use(window.server.name)
+        return own.answering > 0 or not own.requests
+
+    def _round_s(self, window: _Window) -> float:
+        """Return the time of a round of answers, seconds."""
+        usual_s = self.demand.usual_answer_s(window.server.service)
+        return max(usual_s, window.answer_s, MIN_QUIET_S)
 
     def _draw(
         self, window: _Window, use: ServerUse | None, now_s: float
@@ -236,7 +257,8 @@
         window.sent = 0
         if use is None:
             lasts_s = self.demand.usual_answer_s(server.service)
-            window.sent = self.loads.requests(server.name)
+            own = self.loads.own_use(server.name)
+            window.sent = own.requests - own.answering
         else:
             free -= use.requests
         lasts_s = min(max(lasts_s, MIN_DRAW_S), MAX_DRAW_S)
--- a/tests/backends/test_windows.py
+++ b/tests/backends/test_windows.py
@@ -21,15 +21,21 @@
 WHOLE_S = 2.0
 REPORT_LAG_S = 0.15
 START_S = 100.0
+LONG_S = 180.0
+AIM_S = 4.0  # callers want the first part of a stream within this time
 HOSTS = (1, 7, 87, 195)
 
 
 class Server:
     """A server with slots and a queue, and what it has in progress."""
 
-    def __init__(self, first_s=FIRST_S, *, is_bad=False):
+    def __init__(
+        self, first_s=FIRST_S, *, whole_s=WHOLE_S, tokens=0, is_bad=False
+    ):
         self.entry = make_server('new', slots=SLOTS, born_ms=2)
         self.first_s = first_s
+        self.whole_s = whole_s
+        self.tokens = tokens
         self.is_bad = is_bad
         self.in_progress = 0
         self.answering = 0
@@ -70,6 +76,7 @@
             loads.started('old', 0, START_S - number / rate_per_s)
         self.directory = directory
         self.loads = loads
+        self.first_use_s = None
 
 
 class Loop:
@@ -91,6 +98,8 @@
         self.events = []
         self.order = itertools.count()
         self.sent_elsewhere = 0
+        self.usable_from_s = self.now_s
+        self.kept_out_at_s = []
         self.shares_at_s = None
         for host in self.hosts:
             host.directory.update(server.entry, self.now_s)
@@ -117,21 +126,35 @@
             host.loads.report(entry.name, report, self.now_s)
         if not host.health.usable(entry, self.now_s):
             self.sent_elsewhere += 1
+            self._record_kept_out(host)
             return
-        host.loads.started(entry.name, 0, self.now_s)
+        host.first_use_s = host.first_use_s or self.now_s
+        host.loads.started(entry.name, self.server.tokens, self.now_s)
         host.health.started(entry)
         self.server.take()
         first_s = 0.1 if self.server.is_bad else self.server.first_s
         self._at(first_s, lambda: self._first(host, first_s))
 
+    def _record_kept_out(self, host):
+        """Record a request kept out of free slots longer than callers wait.
+
+        A host may need a trial of its own.
+        """
+        since_s = host.first_use_s or self.usable_from_s
+        has_room = self.server.in_progress < SLOTS
+        if has_room and self.now_s - since_s > AIM_S:
+            self.kept_out_at_s.append(self.now_s - START_S)
+
     def _first(self, host, first_s):
         if self.server.is_bad:
             self._end(host)
             host.health.failed(self.server.entry, self.now_s)
             return
         self.server.answering += 1
+        if self.server.tokens:
+            host.loads.prefilled('new')
         host.health.windows.answered(self.server.entry, first_s, self.now_s)
-        self._at(WHOLE_S - FIRST_S, lambda: self._whole(host))
+        self._at(self.server.whole_s - FIRST_S, lambda: self._whole(host))
 
     def _whole(self, host):
         self.server.answering -= 1
@@ -140,7 +163,7 @@
 
     def _end(self, host):
         self.server.in_progress -= 1
-        host.loads.ended('new', 0)
+        host.loads.ended('new', self.server.tokens)
         host.health.ended(self.server.entry)
 
     def _at(self, after_s, action):
@@ -178,21 +201,22 @@
     assert loop.server.most <= 1.5 * SLOTS
 
 
-def _recover(hosts, *, is_bad):
+def _recover(hosts, rate_per_s, server, *, reports=True):
     """Return a loop whose server every host has just ejected."""
-    loop = Loop(hosts, 80, Server(is_bad=is_bad))
+    loop = Loop(hosts, rate_per_s, server, reports=reports)
     for host in loop.hosts:
         until_s = loop.now_s + 0.5
         host.health.windows.ejected(loop.server.entry, until_s)
         host.health.outliers.skip('new', loop.now_s - 0.5)
     loop.run(0.45)
+    loop.usable_from_s = loop.now_s
     assert not loop.server.received
     return loop
 
 
 @pytest.mark.parametrize('hosts', HOSTS)
 def test_a_server_after_an_ejection_is_tried_by_few_hosts_at_once(hosts):
-    loop = _recover(hosts, is_bad=False)
+    loop = _recover(hosts, 80, Server())
     loop.run(FIRST_S * 0.9)
     assert loop.server.most <= 6
     loop.run(2 * WHOLE_S)
@@ -201,11 +225,41 @@
 
 @pytest.mark.parametrize('hosts', HOSTS)
 def test_a_server_that_is_bad_after_an_ejection_gets_few_requests(hosts):
-    loop = _recover(hosts, is_bad=True)
+    loop = _recover(hosts, 80, Server(is_bad=True))
     loop.run(2)
     assert loop.server.received <= min(2 + hosts, SLOTS)
 
 
+def _fill_with_long_streams(loop):
+    loop.run(AIM_S + 3 * SLOTS / loop.rate_per_s)
+    assert loop.server.in_progress >= SLOTS
+    assert not loop.kept_out_at_s
+
+
+@pytest.mark.parametrize('hosts', HOSTS)
+@pytest.mark.parametrize('rate_per_s', [0.25, 1])
+@pytest.mark.parametrize('first_s', [FIRST_S, 3 * FIRST_S])
+@pytest.mark.parametrize('reports', [True, False])
+def test_rare_long_streams_are_not_kept_out_of_free_slots(
+    hosts, rate_per_s, first_s, reports
+):
+    server = Server(first_s, whole_s=LONG_S, tokens=100)
+    loop = Loop(hosts, rate_per_s, server, reports=reports)
+    _fill_with_long_streams(loop)
+
+
+@pytest.mark.parametrize('hosts', HOSTS)
+@pytest.mark.parametrize('rate_per_s', [0.25, 1])
+@pytest.mark.parametrize('first_s', [FIRST_S, 3 * FIRST_S])
+@pytest.mark.parametrize('reports', [True, False])
+def test_rare_long_streams_use_a_recovered_server_soon(
+    hosts, rate_per_s, first_s, reports
+):
+    server = Server(first_s, whole_s=LONG_S, tokens=100)
+    loop = _recover(hosts, rate_per_s, server, reports=reports)
+    _fill_with_long_streams(loop)
+
+
 def test_a_host_that_has_just_started_opens_no_window():
     directory = Directory()
     health = ServerHealth(directory, Loads())
@@ -264,6 +318,13 @@
     assert 'cold' not in health.windows.windows
 
 
+def test_a_server_without_slots_may_be_tried_after_an_ejection():
+    health = ServerHealth(Directory(), Loads())
+    server = make_server('new', slots=0)
+    health.windows.ejected(server, START_S)
+    assert health.usable(server, START_S + 10)
+
+
 def test_refusals_and_slow_answers_halve_and_are_told():
     changes = []
     health = ServerHealth(Directory(), Loads())
