Send beyond a window where other servers would take longer

A window forbade a host without a share of it to use the started server at all: the host went on to longer queues and to engines without room, four of which may deny it a lease before the stream waits or is sent without one, while engines of the zone that had come back stood empty.

A host without a share now takes such a server as one whose slots are all in use, and after an ejection as one that may fail besides: it sends there if the others would take longer. Engines whose service grants leases get no window, and no ejection at the first failure, when they start, as they bound their own room; a restart ends the window of the incarnation before it unless that is still ejected. Copies of runs may go to started servers whatever their window. Sends beyond a window are counted as server_windows{event="exceeded"}.

Without the setting nothing changes.

--- a/celerywharf/backends/_costs.py
+++ b/celerywharf/backends/_costs.py
@@ -26,7 +26,12 @@
         self.loads = loads
 
     def beyond_work(
-        self, server: BackendServer, tokens: int, now_s: float
+        self,
+        server: BackendServer,
+        tokens: int,
+        now_s: float,
+        *,
+        is_held_back: bool = False,
     ) -> float:
         """Return the expected time at a server beyond the usual work.
 
@@ -34,11 +39,17 @@
             server: the backend server.
             tokens: token memory the request needs; 0 for plain calls.
             now_s: monotonic seconds.
+            is_held_back: this host has no share of what may be in progress at
+                a server that starts or recovers; it assumes that all slots are
+                in use.
 
         Returns:
             Units of usual work; negative on a machine faster than usual.
         """
         ahead = self._ahead(server, tokens, now_s)
+        if is_held_back:
+            full = server.slots * RUNNING_COST if tokens else 1
+            ahead = max(ahead, full)
         return self.loads.paces.expected(server, now_s) * (1 + ahead) - 1
 
     def _ahead(self, server: BackendServer, tokens: int, now_s: float) -> float:
--- a/celerywharf/backends/_health.py
+++ b/celerywharf/backends/_health.py
@@ -18,9 +18,11 @@
 
 
 def _log_change(change: WindowChange) -> None:
-    by_time = change.reason is Reason.no_bad_news
+    is_frequent = (
+        change.reason is Reason.no_bad_news or change.event == 'exceeded'
+    )
     logger.log(
-        logging.DEBUG if by_time else logging.INFO,
+        logging.DEBUG if is_frequent else logging.INFO,
         'window of a server',
         extra={
             'event': change.event,
@@ -135,10 +137,18 @@
 
     def usable(self, server: BackendServer, now_s: float) -> bool:
         """Return whether a server may be sent another request."""
-        return self.outliers.usable(server.name, now_s) and self.windows.allows(
-            server.name, now_s
+        return self.is_sound(server, now_s) and not self.is_held_back(
+            server, now_s
         )
 
+    def is_sound(self, server: BackendServer, now_s: float) -> bool:
+        """Return whether a server is not ejected."""
+        return self.outliers.usable(server.name, now_s)
+
+    def is_held_back(self, server: BackendServer, now_s: float) -> bool:
+        """Return whether the window of a server has no room for this host."""
+        return not self.windows.allows(server.name, now_s)
+
     def suspect(self, server: BackendServer, now_s: float) -> bool:
         """Return whether a server may have failed together with its zone."""
         return self.zones.suspect(
@@ -153,7 +163,8 @@
         self.loads.restarted(server.name)
         if self.has_recovery_windows:
             self.outliers.restarted(server.name)
-            self.windows.started(server, now_s)
+            if self.is_sound(server, now_s):
+                self.windows.started(server, now_s)
 
     def _record_error(
         self, server: BackendServer, now_s: float, *, bad: bool
--- a/celerywharf/backends/_placement.py
+++ b/celerywharf/backends/_placement.py
@@ -62,6 +62,10 @@
     delay their first event, on servers with enough free token memory.  Both
     take longer by the pace of the server's machine.
 
+    A server that starts or recovers counts as full for hosts without a share
+    of its window.  Servers of a zone that come back together, empty, are still
+    used before longer queues at the others.
+
     Attributes:
         directory: the known backend servers.
         loads: their load.
@@ -104,7 +108,7 @@
             and self._fits(server, demand, now_s)
         ]
         healthy = [
-            server for server in usable if self.health.usable(server, now_s)
+            server for server in usable if self.health.is_sound(server, now_s)
         ]
         costs = {
             server.name: self._cost(server, demand, now_s)
@@ -116,7 +120,7 @@
         if not demand.tokens and any(
             server.name in self.loads.paces.stating for server in ranked[:1]
         ):
-            self._share(ranked, costs)
+            self._share(ranked, costs, now_s)
         return ranked
 
     def backups(
@@ -140,14 +144,14 @@
             for other in self._sample(demand)
             if other.availability_zone != server.availability_zone
             and other.name not in demand.excluded
-            and self.health.usable(other, now_s)
+            and self.health.is_sound(other, now_s)
             and self._fits(other, demand, now_s)
         ]
         region = self.regions.get(server.availability_zone)
         return sorted(
             others,
             key=lambda other: (
-                self.health.suspect(other, now_s) * SUSPECT_BACKUP_COST
+                self._is_risky(other, now_s) * SUSPECT_BACKUP_COST
                 + self.loads.tokens(other.name, now_s)
                 / max(demand.capacity_tokens, 1)
                 + (self.regions.get(other.availability_zone) != region)
@@ -210,9 +214,14 @@
         now_s: float,
     ) -> float:
         base_cost = self.random.random() * MAX_JITTER
-        if self.health.suspect(server, now_s):
+        if self._is_risky(server, now_s):
             base_cost += SUSPECT_COST
-        load_cost = self.expected_time.beyond_work(server, demand.tokens, now_s)
+        load_cost = self.expected_time.beyond_work(
+            server,
+            demand.tokens,
+            now_s,
+            is_held_back=self.health.is_held_back(server, now_s),
+        )
         if demand.tokens:
             distance_cost = self._distance_cost(
                 server, STREAM_ZONE_COST, STREAM_REGION_COST
@@ -223,18 +232,35 @@
             )
         return load_cost + distance_cost + base_cost
 
+    def _is_risky(self, server: BackendServer, now_s: float) -> bool:
+        """Return whether a server may fail what is sent there now."""
+        on_trial = self.health.windows.was_ejected(server.name)
+        return self.health.suspect(server, now_s) or (
+            on_trial and self.health.is_held_back(server, now_s)
+        )
+
     def _share(
         self,
         ranked: list[BackendServer],
         costs: dict[str, float],
+        now_s: float,
     ) -> None:
         """Move one of the servers as near as the best to the front.
 
         Each is moved with a probability that falls with its expected time, so
-        that hosts that know the same don't all send to the best one.
+        that hosts that know the same don't all send to the best one.  Those
+        held back take part only if the best one is held back as well.
         """
         zone = ranked[0].availability_zone
-        near = [server for server in ranked if server.availability_zone == zone]
+        is_best_held_back = self.health.is_held_back(ranked[0], now_s)
+        near = [
+            server
+            for server in ranked
+            if server.availability_zone == zone
+            and (
+                is_best_held_back or not self.health.is_held_back(server, now_s)
+            )
+        ]
         shares = [
             max(1 + costs[server.name], MAX_JITTER) ** -SHARE_POWER
             for server in near
--- a/celerywharf/backends/_windows.py
+++ b/celerywharf/backends/_windows.py
@@ -47,10 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WindowChange:
-    """A window was opened, raised, halved or closed.
+    """A window was opened, raised, halved or closed, or did not hold.
 
     Attributes:
-        event: ``opened``, ``raised``, ``halved`` or ``closed``.
+        event: ``opened``, ``raised``, ``halved`` or ``closed``; ``exceeded``
+            if a request is sent though this host has no share left.
         server: the server whose window it is.
         size: requests that may be in progress there, of all hosts together.
         reason: why.
@@ -70,6 +71,7 @@
     reason: Reason
     proven: bool = False
     answer_s: float = 0
+    has_room: bool = True
     drawn_s: float = float('-inf')
     draw_lasts_s: float = 0
     allowed: float = 0
@@ -80,6 +82,10 @@
     return 1
 
 
+def _no_leases(service: str) -> bool:
+    return False
+
+
 class RecoveryWindows:
     """Limits the requests in progress at servers that start or recover.
 
@@ -104,6 +110,8 @@
         demand: requests of this host to each service.
         random: source of the chance.
         hosts: returns the number of hosts that send to the servers.
+        grants_leases: returns whether the servers of a service limit the
+            requests in progress themselves.
         windows: the open windows, by name of the server.
         subscribers: called with each change.
     """
@@ -118,11 +126,19 @@
         self.demand = demand
         self.random = random
         self.hosts: Callable[[], int] = _one_host
+        self.grants_leases: Callable[[str], bool] = _no_leases
         self.windows: dict[str, _Window] = {}
         self.subscribers: list[Callable[[WindowChange], None]] = []
 
     def started(self, server: BackendServer, now_s: float) -> None:
-        """Open a window for a server that has just started."""
+        """Open a window for a server that has just started.
+
+        A server that grants leases takes no more than it has room for, and
+        tells each host so before a send: it needs none.
+        """
+        if self.grants_leases(server.service):
+            self.windows.pop(server.name, None)
+            return
         size = math.ceil(server.slots * STARTED_FRACTION)
         if size < server.slots:
             warm_s = now_s + server.warm_up_left_s
@@ -136,6 +152,11 @@
         """Return whether a server has a window."""
         return name in self.windows
 
+    def was_ejected(self, name: str) -> bool:
+        """Return whether a server has a window since it was ejected."""
+        window = self.windows.get(name)
+        return window is not None and window.reason is Reason.ejected
+
     def allows(self, name: str, now_s: float) -> bool:
         """Return whether a server may be sent another request of this host.
 
@@ -149,13 +170,17 @@
         if now_s - window.drawn_s >= window.draw_lasts_s:
             self._draw(window, use, now_s)
         is_full = use is not None and use.requests >= window.size
-        return window.sent < window.allowed and not is_full
+        window.has_room = window.sent < window.allowed and not is_full
+        return window.has_room
 
     def sent(self, name: str) -> None:
         """Record the start of a request."""
         window = self.windows.get(name)
-        if window is not None:
-            window.sent += 1
+        if window is None:
+            return
+        window.sent += 1
+        if not window.has_room:
+            self._tell('exceeded', window, window.reason)
 
     def answered(
         self, server: BackendServer, answer_s: float, now_s: float
--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -53,6 +53,9 @@
     metrics = Metrics()
     retries = build_retry_limiter(settings, timers.now, random)
     health.windows.hosts = functools.partial(_hosts, retries.share)
+    health.windows.grants_leases = functools.partial(
+        _grants_leases, configuration_cache
+    )
     health.windows.subscribers.append(functools.partial(_count_change, metrics))
     store_time_s = functools.partial(_store_time_s, configuration_cache)
     limits = ServerLimiter(
@@ -101,6 +104,15 @@
     return share.zones * max(share.zone_hosts, 1)
 
 
+def _grants_leases(
+    configuration_cache: ConfigurationCache, service: str
+) -> bool:
+    """Return whether engines of a service grant leases of room."""
+    settings = configuration_cache.configuration.services.get(service)
+    memory = settings and settings.memory
+    return bool(memory and memory.lease_s)
+
+
 def _count_change(metrics: Metrics, change: WindowChange) -> None:
     metrics.count(
         'server_windows',
--- a/celerywharf/settings/_front.py
+++ b/celerywharf/settings/_front.py
@@ -139,8 +139,8 @@
         description=(
             'limit what all hosts together have in progress at a backend '
             'server that has just started or recovered, until its answers '
-            'are sound; if not, each host limits its own requests after an '
-            'ejection'
+            'are sound, at engines that grant leases only after an ejection; '
+            'if not, each host limits its own requests after an ejection'
         ),
     )
 
