Open windows also before a front has a configuration

A front that reads a server's start before its first configuration failed in the new look-up of leases (found by reading). It takes the service's engines as granting none then. Tests cover which servers get a window by configuration and by setting.

--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -107,10 +107,15 @@
 def _grants_leases(
     configuration_cache: ConfigurationCache, service: str
 ) -> bool:
-    """Return whether engines of a service grant leases of room."""
-    settings = configuration_cache.configuration.services.get(service)
-    memory = settings and settings.memory
-    return bool(memory and memory.lease_s)
+    """Return whether engines of a service grant leases of room.
+
+    Not as long as this host has no configuration.
+    """
+    configuration = configuration_cache.configuration
+    if configuration is None or service not in configuration.services:
+        return False
+    memory = configuration.services[service].memory
+    return memory is not None and memory.lease_s > 0
 
 
 def _count_change(metrics: Metrics, change: WindowChange) -> None:
