--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -53,6 +53,9 @@
     metrics = Metrics()
     retries = build_retry_limiter(settings, timers.now, random)
     health.windows.hosts = functools.partial(_hosts, retries.share)
+    health.windows.grants_leases = functools.partial(
+        _grants_leases, configuration_cache
+    )
     health.windows.subscribers.append(functools.partial(_count_change, metrics))
     store_time_s = functools.partial(_store_time_s, configuration_cache)
     limits = ServerLimiter(
@@ -104,6 +107,20 @@
     return share.zones * max(share.zone_hosts, 1)
 
 
+def _grants_leases(
+    configuration_cache: ConfigurationCache, service: str
+) -> bool:
+    """Return whether engines of a service grant leases of room.
+
+    Not as long as this host has no configuration.
+    """
+    configuration = configuration_cache.configuration
+    if configuration is None or service not in configuration.services:
+        return False
+    memory = configuration.services[service].memory
+    return memory is not None and memory.lease_s > 0
+
+
 def _count_change(metrics: Metrics, change: WindowChange) -> None:
     metrics.count(
         'server_windows',
