Carry a roll-out on when the zone that decides is lost

What callers saw: with the only front of a zone killed while it decided a roll-out, the next host took over, all requests moved, but the status stayed `running` for good.

Cause: the last step waited for the counts of all zones that have a reader's row, and these rows do not expire.

Change: the last step waits for a zone's counts until they have come for 0.75 s, or for 2.5 s from its last complete ones; a front reads its zone's row before it replaces a silent decider; requests are counted by source and the peak stands in the step's row.

A decider that is killed in the last 3 s still makes `done` late.

--- a/celerywharf/fronts/_sharing.py
+++ b/celerywharf/fronts/_sharing.py
@@ -154,6 +154,7 @@
             bounds.rollback_ms / MILLISECONDS,
         ),
         context.configuration_cache.has_service,
+        lambda: shared_store.election.doubt(boot_time_s()),
         random,
     )
     return RolloutExchange(control, shared_store, random)
--- a/celerywharf/rollouts/__init__.py
+++ b/celerywharf/rollouts/__init__.py
@@ -8,6 +8,7 @@
 the counts to the one host that decides, and its steps to all hosts.
 """
 
+from celerywharf.rollouts._arrivals import Arrivals
 from celerywharf.rollouts._bounds import RolloutBounds
 from celerywharf.rollouts._counts import (
     BUCKETS,
@@ -15,7 +16,12 @@
     ServiceTally,
     bucket_of,
 )
-from celerywharf.rollouts._decider import StepDecider, View, first_step
+from celerywharf.rollouts._decider import (
+    COUNTED_S,
+    StepDecider,
+    View,
+    first_step,
+)
 from celerywharf.rollouts._evidence import Verdict, judge
 from celerywharf.rollouts._register import ANY_VERSION, Choice, RolloutRegister
 from celerywharf.rollouts._sends import VersionSend
@@ -23,7 +29,9 @@
 
 __all__ = (
     'ANY_VERSION',
+    'Arrivals',
     'BUCKETS',
+    'COUNTED_S',
     'Choice',
     'RolloutBounds',
     'RolloutOrder',
--- a/celerywharf/rollouts/_decider.py
+++ b/celerywharf/rollouts/_decider.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, replace
 
@@ -37,7 +38,9 @@
 SLACK_PART = 0.8
 MAX_MOVED_PART = 0.5  # of the period
 RATE_WINDOW_S = 2.0
-# After this time a host that has just begun to decide has the counts of all.
+# All hosts of a zone have told a new reader their counts after this time.
+COUNTED_S = 0.75
+# A host that has just begun to decide knows the requests a second after this.
 MIN_OBSERVED_S = 1.0
 MIN_SLOTS_PART = 0.5  # of the old servers' slots, that new ones must have
 MIN_EXPOSED = 10  # requests of which at least one must have been answered
@@ -51,13 +54,17 @@
         tally: the counts of all hosts.
         new_slots: slots of the servers of the new version.
         old_slots: slots of the others.
-        is_confirmed: the store has answered all the time of late.
+        is_confirmed: the store has answered all the time of late, and the
+            counts of all hosts are known.
+        arrived: requests that have arrived while this host looked on; None if
+            the tally has grown by nothing else.
     """
 
     tally: ServiceTally
     new_slots: int
     old_slots: int
     is_confirmed: bool = True
+    arrived: int | None = None
 
 
 def first_step(order: RolloutOrder, bounds: RolloutBounds) -> RolloutStep:
@@ -84,12 +91,14 @@
 
     Attributes:
         bounds: what the new version may get.
+        began_s: when this host began to decide; infinite before that.
         observed: times and numbers of requests of late, oldest first.
         peak: the most requests a second so far.
     """
 
     def __init__(self, bounds: RolloutBounds) -> None:
         self.bounds = bounds
+        self.began_s = math.inf
         self.observed: deque[tuple[float, int]] = deque()
         self.peak: float = 0
 
@@ -97,16 +106,24 @@
         self, step: RolloutStep, view: View, now_s: float
     ) -> RolloutStep | None:
         """Return the next step; None if the last one still holds."""
-        self._observe(now_s, view.tally.requests)
+        self._observe(now_s, view)
+        elapsed_s = max(now_s - step.started_s, MIN_OBSERVED_S)
+        mean = view.tally.requests / elapsed_s
+        self.peak = max(self.peak, step.peak, mean)
         if step.stage.is_final:
             return None
         is_moved = step.stage is Stage.moving and now_s >= step.move_s
         verdict = judge(view.tally, loaded=is_moved)
         if verdict.is_bad:
-            return _counted(
+            return self._counted(
                 replace(step, stage=Stage.rolled_back, reason=verdict.reason),
                 view,
             )
+        if self._may_end(step, view, now_s):
+            return self._counted(
+                replace(step, stage=Stage.done, reason='all requests moved'),
+                view,
+            )
         if now_s - self.observed[0][0] < MIN_OBSERVED_S:
             return None
         if step.stage is Stage.trial:
@@ -121,7 +138,7 @@
         lack = _lack(view)
         if not lack and now_s >= move_s - ANNOUNCE_S:
             move_s = max(move_s, now_s + SHORT_ANNOUNCE_S)
-            return _counted(
+            return self._counted(
                 replace(
                     step,
                     stage=Stage.moving,
@@ -131,7 +148,7 @@
                 view,
             )
         if lack and now_s >= deadline_s - DONE_LEAD_S:
-            return _counted(
+            return self._counted(
                 replace(step, stage=Stage.rolled_back, reason=lack), view
             )
         if deadline_s - now_s < MIN_LEFT_S:
@@ -144,7 +161,7 @@
             reason = 'more requests'
         else:
             return None
-        return _counted(replace(step, share=share, reason=reason), view)
+        return self._counted(replace(step, share=share, reason=reason), view)
 
     def _decide_move(
         self, step: RolloutStep, view: View, now_s: float
@@ -153,11 +170,11 @@
             move_s = self._plan_move(step, view, now_s)
             if move_s <= step.move_s + POSTPONED_S:
                 return None
-            return _counted(
+            return self._counted(
                 replace(step, move_s=move_s, reason='more requests'), view
             )
         if self._exceeds(step, view, now_s):
-            return _counted(
+            return self._counted(
                 replace(
                     step,
                     stage=Stage.trial,
@@ -167,12 +184,19 @@
                 ),
                 view,
             )
+        return None
+
+    def _may_end(self, step: RolloutStep, view: View, now_s: float) -> bool:
+        """Return whether all requests may stay at the new version for good.
+
+        It takes the counts of all hosts, but not the requests a second: so a
+        host that has just begun to decide does not exceed the deadline more
+        than it must.
+        """
+        if step.stage is not Stage.moving or not view.is_confirmed:
+            return False
         done_s = max(step.move_s + SETTLE_S, step.deadline_s - DONE_LEAD_S)
-        if now_s < done_s or not view.is_confirmed:
-            return None
-        return _counted(
-            replace(step, stage=Stage.done, reason='all requests moved'), view
-        )
+        return now_s >= max(done_s, self.began_s + COUNTED_S)
 
     def _plan_move(self, step: RolloutStep, view: View, now_s: float) -> float:
         """Return when all requests may go to the new version at the earliest.
@@ -231,13 +255,25 @@
         left = self._allowed(view, left_s) - exposed - moved
         return min(max(left * TRIAL_PART / expected, 0), MOST_SHARE)
 
+    def _counted(self, step: RolloutStep, view: View) -> RolloutStep:
+        """Note the counts with which a step was decided."""
+        return replace(
+            step,
+            requests=max(view.tally.requests, step.requests),
+            exposed=max(view.tally.exposed, step.exposed),
+            peak=self.peak,
+        )
+
     def _rate(self) -> float:
         """Return the requests a second of late."""
         first_s, first = self.observed[0]
         last_s, last = self.observed[-1]
         return (last - first) / (last_s - first_s) if last_s > first_s else 0
 
-    def _observe(self, now_s: float, requests: int) -> None:
+    def _observe(self, now_s: float, view: View) -> None:
+        arrived = view.arrived
+        requests = view.tally.requests if arrived is None else arrived
+        self.began_s = min(self.began_s, now_s)
         if self.observed and requests < self.observed[-1][1]:
             requests = self.observed[-1][1]
         self.observed.append((now_s, requests))
@@ -255,12 +291,3 @@
     if tally.exposed >= MIN_EXPOSED and not tally.ended(is_new=True):
         return 'no answers'
     return ''
-
-
-def _counted(step: RolloutStep, view: View) -> RolloutStep:
-    """Note the counts with which a step was decided."""
-    return replace(
-        step,
-        requests=max(view.tally.requests, step.requests),
-        exposed=max(view.tally.exposed, step.exposed),
-    )
--- a/celerywharf/rollouts/_steps.py
+++ b/celerywharf/rollouts/_steps.py
@@ -78,6 +78,7 @@
             order was known; 0 if it had no servers then.
         requests: to the service since the order, as known at this step.
         exposed: those of them that reached the new version.
+        peak: the most requests a second since the order, as known then.
         reason: why this step was taken.
     """
 
@@ -97,6 +98,7 @@
     early_part: float = 0
     requests: int = 0
     exposed: int = 0
+    peak: float = 0
     reason: str = ''
 
     @property
--- a/celerywharf/sharing/_election.py
+++ b/celerywharf/sharing/_election.py
@@ -139,6 +139,11 @@
             self.reclaims = True
             self.next_check_s = now_s
 
+    def doubt(self, now_s: float) -> None:
+        """Record that another front of the zone acts as its reader."""
+        if self.reader is None:
+            self.next_check_s = now_s
+
     def postpone_check(self, now_s: float) -> None:
         """Schedule the next check after the row could not be read."""
         self.next_check_s = now_s + CHECK_JITTER_S * (1 + self.random.random())
--- a/celerywharf/sharing/_rollout_control.py
+++ b/celerywharf/sharing/_rollout_control.py
@@ -5,7 +5,7 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from celerywharf.exceptions import CelerywharfError, PeerUnreachableError
@@ -14,11 +14,12 @@
     Row,
     RowChange,
     StoreClient,
-    boot_time_s,
     encode_status,
     status_key,
 )
 from celerywharf.rollouts import (
+    COUNTED_S,
+    Arrivals,
     RolloutBounds,
     RolloutOrder,
     RolloutRegister,
@@ -36,6 +37,7 @@
     from_messages,
     to_message,
 )
+from celerywharf.sharing._rollout_zones import ZoneCounts
 from celerywharf.wire import Sender
 from celerywharf.wire.rollouts import RolloutQuestion
 
@@ -43,6 +45,9 @@
 
 # A decider that answers no other reader for this long is replaced.
 TAKEOVER_S = 1.5
+# Two fronts may believe to be the reader of their zone until they have read its
+# row.  They do so before they replace the host that decides.
+ROLE_CHECK_S = 0.5
 REPORT_TIMEOUT_S = 0.5
 CONFIRMED_S = 1.0
 FIRST_CHANCE = 0.5  # that one of several readers writes the first step now
@@ -56,6 +61,41 @@
     version: int
 
 
+@dataclass(slots=True)
+class Deciding:
+    """What this host needs in order to decide about one order.
+
+    Attributes:
+        decider: decides the steps.
+        arrivals: counts the requests that arrive.
+    """
+
+    decider: StepDecider
+    arrivals: Arrivals = field(default_factory=Arrivals)
+
+
+@dataclass(slots=True)
+class OtherDecider:
+    """Another host that decides about a service.
+
+    Attributes:
+        host: as in its steps.
+        heard_s: when it was last heard, or became known; monotonic seconds.
+        is_role_checked: this host has checked since then that it is the
+            reader of its zone.
+    """
+
+    host: str
+    heard_s: float
+    is_role_checked: bool = False
+
+    def check_once(self, check_role: Callable[[], None]) -> None:
+        """Check the role of this host once while the other is silent."""
+        if not self.is_role_checked:
+            self.is_role_checked = True
+            check_role()
+
+
 class RolloutControl:
     """Decides steps, or reports to the host that does.
 
@@ -66,14 +106,13 @@
         bounds: what a new version may get.
         host: name and incarnation of this host.
         knows_service: returns whether the configuration has a service.
+        check_role: checks whether this host is still the reader of its zone.
         rows: the steps in the store, by service.
         status_versions: version of the row with the status, by service.
-        deciders: decide the steps, by service and version of the order.
+        deciding: what decides, by service and version of the order.
+        others: the other hosts that decide, by service.
         host_tallies: counts of the other hosts of the zone, by host.
-        zone_tallies: counts of the other zones.
-        heard_s: when the deciding host last answered, by service and host,
-            seconds of CLOCK_BOOTTIME.
-        zone_heard_s: when each other zone last told its counts.
+        zones: counts of the other zones.
         unknown: orders of services that the configuration does not have.
     """
 
@@ -84,6 +123,7 @@
         readers: ZoneReaders,
         bounds: RolloutBounds,
         knows_service: Callable[[str], bool],
+        check_role: Callable[[], None],
         random: Random,
     ) -> None:
         identity = readers.identity
@@ -93,14 +133,14 @@
         self.bounds = bounds
         self.host = f'{identity.name}/{identity.incarnation}'
         self.knows_service = knows_service
+        self.check_role = check_role
         self.random = random
         self.rows: dict[str, StoredStep] = {}
         self.status_versions: dict[str, int] = {}
-        self.deciders: dict[tuple[str, int], StepDecider] = {}
+        self.deciding: dict[tuple[str, int], Deciding] = {}
+        self.others: dict[str, OtherDecider] = {}
         self.host_tallies: dict[str, dict[str, ServiceTally]] = {}
-        self.zone_tallies: dict[str, dict[str, ServiceTally]] = {}
-        self.heard_s: dict[tuple[str, str], float] = {}
-        self.zone_heard_s: dict[str, float] = {}
+        self.zones = ZoneCounts()
         self.unknown: set[RolloutOrder] = set()
 
     def apply_rows(self, rows: Iterable[Row]) -> None:
@@ -128,11 +168,7 @@
             return
         if not any(map(self._is_decided_here, tallies)):
             raise PeerUnreachableError('this host decides no roll-out')
-        known = self.zone_tallies.get(zone, {})
-        for service, tally in tallies.items():
-            _keep_totals(tally, known.get(service))
-        self.zone_tallies.setdefault(zone, {}).update(tallies)
-        self.zone_heard_s[zone] = boot_time_s()
+        self.zones.learn(zone, tallies, self.register.now())
 
     async def attend(self) -> None:
         """Decide, report or take over, for each order in progress.
@@ -152,11 +188,10 @@
 
     def forget_counts(self) -> None:
         """Drop what was counted for roll-outs that have ended."""
-        self.deciders.clear()
+        self.deciding.clear()
+        self.others.clear()
         self.host_tallies.clear()
-        self.zone_tallies.clear()
-        self.heard_s.clear()
-        self.zone_heard_s.clear()
+        self.zones.clear()
 
     async def _attend_to(self, order: RolloutOrder) -> None:
         stored = self.rows.get(order.service)
@@ -193,67 +228,97 @@
         await self._write(step, stored)
 
     async def _decide(self, order: RolloutOrder, stored: StoredStep) -> None:
-        decider = self.deciders.setdefault(
-            (order.service, order.version), StepDecider(self.bounds)
+        self.others.pop(order.service, None)
+        deciding = self.deciding.setdefault(
+            (order.service, order.version), Deciding(StepDecider(self.bounds))
         )
-        tally = self._zone_tally(order)
-        tally.add_all(
-            tallies[order.service]
-            for tallies in self.zone_tallies.values()
-            if order.service in tallies
+        of_zones = self.zones.of_order(order.service, order.version)
+        tally = self._zone_tally(order).add_all(of_zones.values())
+        view = View(
+            tally,
+            *self.register.slots(order.service, order.to),
+            is_confirmed=self._is_confirmed(),
+            arrived=self._count_arrivals(order, deciding.arrivals),
         )
-        new_slots, old_slots = self.register.slots(order.service, order.to)
-        unheard_s = self.register.now() - self.register.confirmed_s
-        is_confirmed = unheard_s <= CONFIRMED_S and self._hears_all_zones()
-        view = View(tally, new_slots, old_slots, is_confirmed)
         now_s = self.register.store_time_s()
-        step = decider.decide(stored.step, view, now_s)
+        step = deciding.decider.decide(stored.step, view, now_s)
         if step is not None:
             await self._write(step, stored, tally)
 
     async def _report(self, order: RolloutOrder, stored: StoredStep) -> None:
         """Tell the host that decides; replace it if it does not answer."""
         step = stored.step
-        now_s = boot_time_s()
-        key = (order.service, step.host)
-        heard_s = self.heard_s.setdefault(key, now_s)
+        self.deciding.pop((order.service, order.version), None)
+        other = self._other_decider(step)
+        silent_s = self.register.now() - other.heard_s
         is_own_zone = step.availability_zone == self.readers.own_zone
-        if is_own_zone or now_s - heard_s > TAKEOVER_S:
+        if is_own_zone or silent_s > ROLE_CHECK_S:
+            other.check_once(self.check_role)
+        patience_s = ROLE_CHECK_S if is_own_zone else TAKEOVER_S
+        if silent_s > patience_s:
             await self._write(
                 replace(step, reason='the deciding host did not answer'), stored
             )
-            return
+        elif not is_own_zone:
+            await self._tell(order, other, step.availability_zone)
+
+    async def _tell(
+        self, order: RolloutOrder, other: OtherDecider, zone: str
+    ) -> None:
         counts = [to_message(self._zone_tally(order))]
         question = RolloutQuestion(counts, self.readers.own_zone)
         try:
-            await self.readers.request(
-                step.availability_zone, question, REPORT_TIMEOUT_S
-            )
+            await self.readers.request(zone, question, REPORT_TIMEOUT_S)
         except CelerywharfError as error:
             logger.info(
                 'no report to the deciding host',
                 extra={'service': order.service, 'reason': error.message},
             )
             return
-        self.heard_s[key] = boot_time_s()
+        other.heard_s = self.register.now()
+        other.is_role_checked = False
+        self.zones.decided_until(zone, other.heard_s)
+
+    def _other_decider(self, step: RolloutStep) -> OtherDecider:
+        """Return the other host that decides."""
+        known = self.others.get(step.service)
+        if known is None or known.host != step.host:
+            known = OtherDecider(step.host, self.register.now())
+            self.others[step.service] = known
+            self.zones.forget_reports()
+        return known
 
     def _zone_tally(self, order: RolloutOrder) -> ServiceTally:
         """Return the counts of all hosts of the zone."""
-        own = {tally.service: tally for tally in self.register.tallies()}
         tally = ServiceTally(order.service, order.version)
         return tally.add_all(
             tallies[order.service]
-            for tallies in (own, *self.host_tallies.values())
+            for tallies in self._hosts().values()
             if order.service in tallies
         )
 
-    def _hears_all_zones(self) -> bool:
-        """Return whether the counts of all other zones are recent."""
-        oldest_s = boot_time_s() - TAKEOVER_S
-        return all(
-            self.zone_heard_s.get(zone, 0) >= oldest_s
-            for zone in self.readers.readers
-        )
+    def _count_arrivals(self, order: RolloutOrder, arrivals: Arrivals) -> int:
+        """Return how many requests have arrived since this host decides."""
+        now_s = self.register.now()
+        for host, tallies in self._hosts().items():
+            tally = tallies.get(order.service)
+            if tally is not None and tally.order_version == order.version:
+                arrivals.record(host, tally.requests, now_s)
+        of_zones = self.zones.of_order(order.service, order.version)
+        for zone, told in of_zones.items():
+            arrivals.record(zone, told.requests, now_s, counted_s=COUNTED_S)
+        return arrivals.total
+
+    def _hosts(self) -> dict[str, dict[str, ServiceTally]]:
+        """Return the counts of the hosts of the zone, by host."""
+        own = {tally.service: tally for tally in self.register.tallies()}
+        return {self.host: own, **self.host_tallies}
+
+    def _is_confirmed(self) -> bool:
+        """Return whether the store answers and all counts are known."""
+        now_s = self.register.now()
+        is_complete = self.zones.are_complete(self.readers.readers, now_s)
+        return is_complete and now_s - self.register.confirmed_s <= CONFIRMED_S
 
     def _is_decided_here(self, service: str) -> bool:
         stored = self.rows.get(service)
@@ -303,13 +368,6 @@
         self.apply_rows(row for row in current if row.key == service)
 
 
-def _keep_totals(tally: ServiceTally, known: ServiceTally | None) -> None:
-    """Keep the totals of a zone whose hosts have been lost meanwhile."""
-    if known is not None and known.order_version == tally.order_version:
-        tally.requests = max(tally.requests, known.requests)
-        tally.exposed = max(tally.exposed, known.exposed)
-
-
 def _describe(
     step: RolloutStep, tally: ServiceTally | None
 ) -> dict[str, object]:
--- a/celerywharf/sharing/_rollout_rows.py
+++ b/celerywharf/sharing/_rollout_rows.py
@@ -48,6 +48,7 @@
     early_part: float = Field(default=0, ge=0, le=1)
     requests: Count
     exposed: Count
+    peak: float = Field(default=0, ge=0)
     reason: str
 
 
