Know the last answers before a roll-out is done

What callers saw: a version that turned bad in the last two seconds before the deadline got `done` nearly always at 110 requests a second, and then all requests, as the servers of the other version stop.

Cause: `done` was decided by answers up to 0.8 s old, while the move begins only some 0.7 s before the deadline there, and answers that already spoke against the version did not hold it back.

Change: in the last 2 s of a move hosts and readers tell their counts in 0.3 of the usual periods, a reader getting at most 100 reports a second; `done` waits up to `rollback_ms` while the answers are likelier from a bad version than from a good one. It does not wait for the answers to the very last requests: each good version would be late at such rates.

--- a/celerywharf/rollouts/_decider.py
+++ b/celerywharf/rollouts/_decider.py
@@ -8,7 +8,7 @@
 
 from celerywharf.rollouts._bounds import RolloutBounds
 from celerywharf.rollouts._counts import ServiceTally
-from celerywharf.rollouts._evidence import judge
+from celerywharf.rollouts._evidence import Verdict, judge
 from celerywharf.rollouts._steps import (
     DONE_LEAD_S,
     GROWTH,
@@ -42,6 +42,8 @@
 COUNTED_S = 0.75
 # A host that has just begun to decide knows the requests a second after this.
 MIN_OBSERVED_S = 1.0
+# The last step waits while the answers are likelier from a bad version.
+MOST_DOUBT = 1.0
 MIN_SLOTS_PART = 0.5  # of the old servers' slots, that new ones must have
 MIN_EXPOSED = 10  # requests of which at least one must have been answered
 
@@ -119,7 +121,7 @@
                 replace(step, stage=Stage.rolled_back, reason=verdict.reason),
                 view,
             )
-        if self._may_end(step, view, now_s):
+        if self._may_end(step, view, now_s, verdict):
             return self._counted(
                 replace(step, stage=Stage.done, reason='all requests moved'),
                 view,
@@ -186,16 +188,21 @@
             )
         return None
 
-    def _may_end(self, step: RolloutStep, view: View, now_s: float) -> bool:
+    def _may_end(
+        self, step: RolloutStep, view: View, now_s: float, verdict: Verdict
+    ) -> bool:
         """Return whether all requests may stay at the new version for good.
 
         It takes the counts of all hosts, but not the requests a second: so a
         host that has just begun to decide does not exceed the deadline more
-        than it must.
+        than it must.  It is put off for a while if the answers so far are
+        likelier from a bad version than from a good one.
         """
         if step.stage is not Stage.moving or not view.is_confirmed:
             return False
         done_s = max(step.move_s + SETTLE_S, step.deadline_s - DONE_LEAD_S)
+        if verdict.weight >= MOST_DOUBT:
+            done_s += self.bounds.rollback_s
         return now_s >= max(done_s, self.began_s + COUNTED_S)
 
     def _plan_move(self, step: RolloutStep, view: View, now_s: float) -> float:
--- a/celerywharf/rollouts/_steps.py
+++ b/celerywharf/rollouts/_steps.py
@@ -10,6 +10,8 @@
 DONE_LEAD_S = 0.25
 # Calls that were sent to the old servers have ended after this time.
 SETTLE_S = 0.4
+# Answers of the last seconds before the last step are told at once.
+ENDING_S = 2.0
 # Traffic after the move may be this many times the most that was before it.
 GROWTH = 1.6
 
@@ -115,6 +117,15 @@
         until_s = max(self.deadline_s - DONE_LEAD_S, self.move_s + SETTLE_S)
         return rate * GROWTH * (until_s - self.move_s)
 
+    def is_ending(self, now_s: float) -> bool:
+        """Return whether the last step of a move comes soon.
+
+        Args:
+            now_s: seconds on the store's clock.
+        """
+        begins_s = self.deadline_s - ENDING_S
+        return self.stage is Stage.moving and now_s >= begins_s
+
     def carries_out(self, order: RolloutOrder) -> bool:
         """Return whether this is a step of an order."""
         return (self.order_version, self.to) == (order.version, order.to)
--- a/celerywharf/sharing/_rollout_exchange.py
+++ b/celerywharf/sharing/_rollout_exchange.py
@@ -31,6 +31,11 @@
 MAX_HOST_PERIOD_S = 0.5
 READER_FRACTION = 0.05
 MAX_READER_PERIOD_S = 0.25
+# Shortly before the last step, of these periods: what the answers of the last
+# second show must be known by then.
+ENDING_PART = 0.3
+# Reports a second that a reader may get for that; larger zones send fewer each.
+MAX_REPORTS_PER_S = 100
 # How long the store may wait for a step before it confirms the last one.
 STORE_POLL_S = 0.5
 READER_TIMEOUT_S = 0.4
@@ -175,8 +180,18 @@
 
     def _host_period_s(self) -> float:
         rollback_s = self.control.bounds.rollback_s
-        return min(rollback_s * HOST_FRACTION, MAX_HOST_PERIOD_S)
+        period_s = min(rollback_s * HOST_FRACTION, MAX_HOST_PERIOD_S)
+        zone_hosts = self.shared_store.lending.share.zone_hosts
+        least_s = min(zone_hosts / MAX_REPORTS_PER_S, period_s)
+        return max(period_s * self._period_part(), least_s)
 
     def _reader_period_s(self) -> float:
         rollback_s = self.control.bounds.rollback_s
-        return min(rollback_s * READER_FRACTION, MAX_READER_PERIOD_S)
+        period_s = min(rollback_s * READER_FRACTION, MAX_READER_PERIOD_S)
+        return period_s * self._period_part()
+
+    def _period_part(self) -> float:
+        now_s = self.register.store_time_s()
+        steps = self.register.steps()
+        is_ending = any(step.is_ending(now_s) for step, _ in steps)
+        return ENDING_PART if is_ending else 1
--- a/tests/rollouts/fleets.py
+++ b/tests/rollouts/fleets.py
@@ -27,6 +27,7 @@
 ROUTE_WEIGHTS = (60, 37, 3)
 # Until all hosts have told the deciding one, and until they know its step.
 REPORT_S = 0.8
+ENDING_REPORT_S = 0.35  # shortly before the last step
 TELL_S = 0.7
 
 
@@ -189,7 +190,9 @@
         for number, host in enumerate(self.hosts):
             if number not in self.trouble.cut_off:
                 tally.add_all(host.tallies())
-        self.at(REPORT_S, self.apply, tally)
+        is_ending = bool(self.steps) and self.step.is_ending(self.now_s)
+        report_s = ENDING_REPORT_S if is_ending else REPORT_S
+        self.at(report_s, self.apply, tally)
         self.at(0.25, self.decide)
 
     def apply(self, tally):
--- a/tests/rollouts/test_exposure.py
+++ b/tests/rollouts/test_exposure.py
@@ -108,3 +108,16 @@
         found += fleet.stage == 'rolled_back'
         assert len(fleet.bad_at_s) <= BOUNDS.exposure_slack + 20
     assert found >= 0.9 * len(SEEDS)
+
+
+@pytest.mark.parametrize('rate', [18, 110])
+@pytest.mark.parametrize('from_s', [9.5, 10, 10.5])
+def test_versions_that_turn_bad_at_the_end_are_rolled_back(rate, from_s):
+    """The answers of the last seconds are known before the last step."""
+    found = 0
+    for seed in SEEDS:
+        version = Version(failing=0.5, from_s=from_s)
+        fleet = Fleet(seed, 20, version, rate=rate, skew=1).run()
+        found += fleet.stage == 'rolled_back'
+        assert fleet.is_within_bounds
+    assert found >= 0.5 * len(SEEDS)
