Check the row of a doubted reader whatever its followers send

A reader that had been replaced, but still had followers, did not read its zone's row when another front decided a roll-out in its stead: each question of a follower put the check off by 5 s, so the two took the decision from each other.

--- a/celerywharf/sharing/_election.py
+++ b/celerywharf/sharing/_election.py
@@ -74,6 +74,8 @@
         failed_version: version of the row whose reader did not answer.
         reclaims: this front is the reader, whatever an older copy of the store
             says.
+        is_doubted: another front of the zone acts as its reader; requests of
+            others do not put off the next check.
         next_check_s: when to read the row next; None while the reader answers.
         last_request_s: when another front last sent a request, or may have
             begun to rely on this front.
@@ -85,6 +87,7 @@
         self.reader: Reader | None = None
         self.failed_version: int | None = None
         self.reclaims = False
+        self.is_doubted = False
         self.next_check_s: float | None = 0
         self.last_request_s = float('-inf')
 
@@ -100,6 +103,7 @@
         self.next_check_s = now_s + IDLE_CHECK_PERIOD_S
         reclaims = self.reclaims
         self.reclaims = False
+        self.is_doubted = False
         if row is None or row.version == self.failed_version:
             return ElectionStep.take_over
         if row.address == self.candidate.address:
@@ -142,6 +146,7 @@
     def doubt(self, now_s: float) -> None:
         """Record that another front of the zone acts as its reader."""
         if self.reader is None:
+            self.is_doubted = True
             self.next_check_s = now_s
 
     def postpone_check(self, now_s: float) -> None:
@@ -151,7 +156,8 @@
     def record_request(self, now_s: float) -> None:
         """Record a request from another front."""
         self.last_request_s = now_s
-        if self.next_check_s is not None and not self.reclaims:
+        is_urgent = self.reclaims or self.is_doubted
+        if self.next_check_s is not None and not is_urgent:
             self.next_check_s = max(
                 self.next_check_s,
                 now_s + FOLLOWER_TIMEOUT_S,
