Finish a roll-out in time while there is no evidence either way

Without an answer since the move, or with only broken connections, the weight of the evidence is exactly 1, and the last step was put off by rollback_ms: a service with few requests was done 5 s late.

--- a/celerywharf/rollouts/_decider.py
+++ b/celerywharf/rollouts/_decider.py
@@ -201,7 +201,7 @@
         if step.stage is not Stage.moving or not view.is_confirmed:
             return False
         done_s = max(step.move_s + SETTLE_S, step.deadline_s - DONE_LEAD_S)
-        if verdict.weight >= MOST_DOUBT:
+        if verdict.weight > MOST_DOUBT:
             done_s += self.bounds.rollback_s
         return now_s >= max(done_s, self.began_s + COUNTED_S)
 
--- a/tests/rollouts/test_last_step.py
+++ b/tests/rollouts/test_last_step.py
@@ -35,6 +35,11 @@
     assert _done_s(1, 40) == pytest.approx(9.8)
 
 
+def test_no_answers_do_not_delay_the_last_step():
+    """Without evidence a version is in no doubt."""
+    assert _done_s(0, 0) == pytest.approx(9.8)
+
+
 def test_the_last_step_waits_while_answers_look_bad():
     """A version in doubt is watched for as long as the roll-back may take."""
     assert _done_s(3, 10) == pytest.approx(9.8 + ROLLBACK_S)
