Count which zones have told their counts for each service

When the decider of one roll-out changed, this host forgot which zones had told it the counts of every other one, and waited 2.5 s again for a zone that was gone; and reports about one service passed for reports about another.

--- a/celerywharf/sharing/_rollout_control.py
+++ b/celerywharf/sharing/_rollout_control.py
@@ -237,7 +237,7 @@
         view = View(
             tally,
             *self.register.slots(order.service, order.to),
-            is_confirmed=self._is_confirmed(),
+            is_confirmed=self._is_confirmed(order.service),
             arrived=self._count_arrivals(order, deciding.arrivals),
         )
         now_s = self.register.store_time_s()
@@ -277,7 +277,7 @@
             return
         other.heard_s = self.register.now()
         other.is_role_checked = False
-        self.zones.decided_until(zone, other.heard_s)
+        self.zones.decided_until(order.service, zone, other.heard_s)
 
     def _other_decider(self, step: RolloutStep) -> OtherDecider:
         """Return the other host that decides."""
@@ -285,7 +285,7 @@
         if known is None or known.host != step.host:
             known = OtherDecider(step.host, self.register.now())
             self.others[step.service] = known
-            self.zones.forget_reports()
+            self.zones.forget_reports(step.service)
         return known
 
     def _zone_tally(self, order: RolloutOrder) -> ServiceTally:
@@ -314,10 +314,12 @@
         own = {tally.service: tally for tally in self.register.tallies()}
         return {self.host: own, **self.host_tallies}
 
-    def _is_confirmed(self) -> bool:
+    def _is_confirmed(self, service: str) -> bool:
         """Return whether the store answers and all counts are known."""
         now_s = self.register.now()
-        is_complete = self.zones.are_complete(self.readers.readers, now_s)
+        is_complete = self.zones.are_complete(
+            service, self.readers.readers, now_s
+        )
         return is_complete and now_s - self.register.confirmed_s <= CONFIRMED_S
 
     def _is_decided_here(self, service: str) -> bool:
--- a/celerywharf/sharing/_rollout_zones.py
+++ b/celerywharf/sharing/_rollout_zones.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from celerywharf.rollouts import COUNTED_S, ServiceTally
 
@@ -14,6 +15,7 @@
 GONE_S = 2.5
 
 Tallies = dict[str, ServiceTally]
+Time = TypeVar('Time')
 
 
 @dataclass(slots=True)
@@ -43,28 +45,31 @@
 class ZoneCounts:
     """The counts of other zones, and whether they are complete.
 
-    All times are monotonic seconds.
+    All times are monotonic seconds.  Each service may have a host of its own
+    that decides.
 
     Attributes:
         tallies: the counts by zone and service.
-        reports: when each zone told them.
-        complete_s: when the counts of each zone were last complete here, or at
-            the host that decided before.
+        reports: when each zone told them, by service and zone.
+        complete_s: when they were last complete here, or at the host that
+            decided before, by service and zone.
     """
 
     def __init__(self) -> None:
         self.tallies: dict[str, Tallies] = {}
-        self.reports: dict[str, ZoneReports] = {}
-        self.complete_s: dict[str, float] = {}
+        self.reports: dict[tuple[str, str], ZoneReports] = {}
+        self.complete_s: dict[tuple[str, str], float] = {}
 
     def learn(self, zone: str, tallies: Tallies, now_s: float) -> None:
         """Learn the counts of a zone."""
         known = self.tallies.setdefault(zone, {})
         for service, tally in tallies.items():
             _keep_totals(tally, known.get(service))
+            reports = self.reports.setdefault(
+                (service, zone), ZoneReports(now_s, now_s)
+            )
+            reports.record(now_s)
         known.update(tallies)
-        reports = self.reports.setdefault(zone, ZoneReports(now_s, now_s))
-        reports.record(now_s)
 
     def of_order(self, service: str, version: int) -> dict[str, ServiceTally]:
         """Return the counts of a service by zone, since an order."""
@@ -74,35 +79,44 @@
             if service in tallies and tallies[service].order_version == version
         }
 
-    def decided_until(self, zone: str, now_s: float) -> None:
+    def decided_until(self, service: str, zone: str, now_s: float) -> None:
         """Record that another host decides, in a zone that answers."""
-        self.complete_s[zone] = now_s
+        self.complete_s[service, zone] = now_s
 
-    def are_complete(self, zones: Iterable[str], now_s: float) -> bool:
-        """Return whether the counts of all zones are known.
+    def are_complete(
+        self, service: str, zones: Iterable[str], now_s: float
+    ) -> bool:
+        """Return whether the counts of a service are known of all zones.
 
         Those of a zone that has told nothing for some time are not waited
         for: all of its hosts may be lost, and its row does not expire.
         """
         waits = False
         for zone in zones:
-            reports = self.reports.get(zone)
+            reports = self.reports.get((service, zone))
             if reports is not None and reports.is_complete(now_s):
-                self.complete_s[zone] = now_s
+                self.complete_s[service, zone] = now_s
                 continue
-            since_s = self.complete_s.setdefault(zone, now_s)
+            since_s = self.complete_s.setdefault((service, zone), now_s)
             waits |= now_s - since_s < GONE_S
         return not waits
 
-    def forget_reports(self) -> None:
+    def forget_reports(self, service: str) -> None:
         """Forget when zones told their counts, as they tell another host."""
-        self.reports.clear()
-        self.complete_s.clear()
+        self.reports = _without(service, self.reports)
+        self.complete_s = _without(service, self.complete_s)
 
     def clear(self) -> None:
         """Forget all counts."""
         self.tallies.clear()
-        self.forget_reports()
+        self.reports.clear()
+        self.complete_s.clear()
+
+
+def _without(
+    service: str, times: dict[tuple[str, str], Time]
+) -> dict[tuple[str, str], Time]:
+    return {key: time for key, time in times.items() if key[0] != service}
 
 
 def _keep_totals(tally: ServiceTally, known: ServiceTally | None) -> None:
