Judge probes of engines on a clock that does not go on

test_an_idle_engine_of_the_first_two_is_chosen_without_further_probes failed once in a run of tests/forwarding at load 14: engines were probed again. Reports are used for 0.2 s of real time; when the process is held up for longer between two steps, they are stale in the test. The assertions stay; no scenario is about time.

--- a/tests/forwarding/test_reports.py
+++ b/tests/forwarding/test_reports.py
@@ -17,6 +17,16 @@
 
 scenarios('reports.feature')
 
+NOW_S = 100.0
+
+
+class StoppedClock(TimerService):
+    """Does not go on, however long the test is held up."""
+
+    def now(self):
+        """Return the same time always, seconds."""
+        return NOW_S
+
 
 class Engines:
     """Engines with scripted reports, ranked by their known load."""
@@ -26,7 +36,7 @@
         self.probes = 0
         self.placed = None
         self.loads = Loads()
-        self.timers = TimerService()
+        self.timers = StoppedClock()
         self.directory = Directory()
         self.health = ServerHealth(self.directory, self.loads)
         self.reports = Reports(
