Wait until a front follows its cut before a test goes on

Cause: the set-up. A front of standins.cut_fronts looks for its cut every 20 ms and nobody waited for that, so the requests that were to show f1 its lost paths reached the servers; nobody waited either for the 9 lookups before the paths came back. The log of the failing run shows three lookups with a second send to another desk right after the restore, none passed on.

Change: `Fleet.cut` returns when the front has applied the cut, and raises if it does not; the scenario waits for its lookups before it restores the paths. All checks stay as they were.

--- a/standins/cut_fronts.py
+++ b/standins/cut_fronts.py
@@ -9,6 +9,8 @@
 - ``refuse``: connections are reset, new ones are refused;
 - ``hang``: connections and connects fall silent;
 - ``live``: connections live on, new ones are refused.
+
+The front copies the content to the suffix `.applied` when the cut is in force.
 """
 
 import json
@@ -43,6 +45,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.cut = Cut()
+        self.content = ''
         closed = socket.socket()
         closed.bind(('127.0.0.1', 0))  # bound and not listening: it refuses
         silent = socket.socket()
@@ -64,13 +67,19 @@
 
     def _follow(self) -> None:
         self.loop.call_later(CHECK_PERIOD_S, self._follow)
-        cut = Cut()
-        if self.path.exists():
-            content = json.loads(self.path.read_text())
-            cut = Cut(content['how'], frozenset(content['servers']))
-        if cut == self.cut:
+        content = self.path.read_text() if self.path.exists() else ''
+        if content == self.content:
             return
+        self.content = content
+        self._apply(json.loads(content))
+        applied = self.path.with_suffix('.applied')
+        whole = applied.with_suffix('.applying')
+        whole.write_text(content)
+        whole.replace(applied)
+
+    def _apply(self, fields) -> None:
         previous = self.cut
+        cut = Cut(fields['how'], frozenset(fields['servers']))
         self.cut = cut
         for transfer in tuple(self.transfers.values()):
             address = urlsplit(transfer.request.url).netloc
--- a/standins/launching.py
+++ b/standins/launching.py
@@ -120,17 +120,26 @@
         self._spawn_host(name, settings, address, 'front')
 
     def cut(self, name: str, how: str, servers: list[str]) -> None:
-        """Cut a front of `standins.cut_fronts` off from backend servers.
+        """Cut a front of `standins.cut_fronts` off and wait until it is.
 
         Args:
             name: name of the front.
             how: see `standins.cut_fronts`.
             servers: their ``ip:port``; none restores all paths.
+
+        Raises:
+            TimeoutError: the front does not follow the cut.
         """
         path = self.folder / f'{name}.cut'
         whole = path.with_suffix('.new')
-        whole.write_text(json.dumps({'how': how, 'servers': servers}))
+        content = json.dumps({'how': how, 'servers': servers})
+        whole.write_text(content)
         whole.replace(path)
+        applied = path.with_suffix('.applied')
+        _wait_until(
+            lambda: applied.exists() and applied.read_text() == content,
+            f'{name} to follow its cut',
+        )
 
     def start_host(
         self,
--- a/tests/fronts/test_passing_on.py
+++ b/tests/fronts/test_passing_on.py
@@ -162,6 +162,7 @@
 
 @when('f1 has its paths back for 2 s')
 def _restore(rig, fleet, scene):
+    scene.join()
     fleet.cut('f1', '', [])
     time.sleep(2)
     scene.logged = _passed_on(fleet)
