Keep readers that only frozen hosts missed, and end two readers in 10 s

Cause: a front that wakes finds its question to the reader timed out and replaces the reader, whose answer lies in its socket. The former reader does not learn of it, as each request of a follower put off its next look at the zone's row. Each reader lends the zone's whole fixed number of retries.

Change: a time-out more than 0.2 s late does not show that the reader has failed; the front asks again with its next question. `is_doubted` is not needed any more.

--- a/celerywharf/sharing/_election.py
+++ b/celerywharf/sharing/_election.py
@@ -11,8 +11,9 @@
 # The first front that checks the row replaces a failed reader; the jitter keeps
 # most fronts from trying at the same time.
 CHECK_JITTER_S = 0.4
-# How often a reader without requests checks whether another has taken over.
-IDLE_CHECK_PERIOD_S = 10.0
+# How often a reader checks whether another has taken over.  A new reader lends
+# its fixed number of retries a retry window after it has taken over.
+CHECK_PERIOD_S = 10.0
 FOLLOWER_TIMEOUT_S = 5.0  # several times the request period of the others
 
 
@@ -60,7 +61,9 @@
 class ReaderElection:
     """Decides from the zone's row which front reads the store.
 
-    A reader keeps its role until it is replaced; the row does not expire.  A
+    A reader keeps its role until it finds that it was replaced; the row does
+    not expire.  It reads the row each ``CHECK_PERIOD_S`` while it reaches the
+    store, so two fronts act as the reader for about that long at most.  A
     front whose reader does not answer reads the store itself and writes its
     own entry on the condition that the row is unchanged, so exactly one front
     wins.
@@ -74,8 +77,6 @@
         failed_version: version of the row whose reader did not answer.
         reclaims: this front is the reader, whatever an older copy of the store
             says.
-        is_doubted: another front of the zone acts as its reader; requests of
-            others do not put off the next check.
         next_check_s: when to read the row next; None while the reader answers.
         last_request_s: when another front last sent a request, or may have
             begun to rely on this front.
@@ -87,7 +88,6 @@
         self.reader: Reader | None = None
         self.failed_version: int | None = None
         self.reclaims = False
-        self.is_doubted = False
         self.next_check_s: float | None = 0
         self.last_request_s = float('-inf')
 
@@ -100,10 +100,9 @@
         self.reader = None
         # Others may have read the row already and send requests from now on.
         self.last_request_s = now_s
-        self.next_check_s = now_s + IDLE_CHECK_PERIOD_S
+        self.next_check_s = now_s + CHECK_PERIOD_S
         reclaims = self.reclaims
         self.reclaims = False
-        self.is_doubted = False
         if row is None or row.version == self.failed_version:
             return ElectionStep.take_over
         if row.address == self.candidate.address:
@@ -146,7 +145,6 @@
     def doubt(self, now_s: float) -> None:
         """Record that another front of the zone acts as its reader."""
         if self.reader is None:
-            self.is_doubted = True
             self.next_check_s = now_s
 
     def postpone_check(self, now_s: float) -> None:
@@ -156,12 +154,6 @@
     def record_request(self, now_s: float) -> None:
         """Record a request from another front."""
         self.last_request_s = now_s
-        is_urgent = self.reclaims or self.is_doubted
-        if self.next_check_s is not None and not is_urgent:
-            self.next_check_s = max(
-                self.next_check_s,
-                now_s + FOLLOWER_TIMEOUT_S,
-            )
 
     def has_followers(self, now_s: float) -> bool:
         """Return whether other fronts may rely on this front's readings."""
--- a/celerywharf/sharing/_freshness.py
+++ b/celerywharf/sharing/_freshness.py
@@ -18,6 +18,7 @@
 READER_WAIT_S = 0.8  # how long the reader may wait for a change
 READER_ANSWER_SLACK_S = 0.5  # for a round trip in the zone and a busy reader
 MIN_INQUIRY_S = 0.05
+MAX_LATENESS_S = 0.2  # of a time-out, in a process that ran all the time
 MIN_POLL_SLACK_S = 0.2  # answers normally take a few milliseconds
 # Time-out of a call on a new connection that replaces outdated knowledge.
 FRESH_CALL_TIMEOUT_S = 0.3
@@ -105,6 +106,16 @@
     timeout_s: float
     conclusive: bool
 
+    def shows_failure(self, waited_s: float) -> bool:
+        """Return whether a reader that has not answered has failed.
+
+        A host that stood still has not seen what arrived meanwhile.
+
+        Args:
+            waited_s: how long this host has waited.
+        """
+        return self.conclusive and waited_s < self.timeout_s + MAX_LATENESS_S
+
 
 def plan_inquiry(left_s: float) -> Inquiry | None:
     """Return the next question to the reader; None if there is no time for one.
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -151,12 +151,14 @@
         await self._wait_for_first_check()
         reader = self.election.reader
         whole = Position(self.era.current, WHOLE_TABLE)
-        inquiry = plan_inquiry(self.tables[table].left_s(boot_time_s()))
+        asked_s = boot_time_s()
+        inquiry = plan_inquiry(self.tables[table].left_s(asked_s))
         reading = await self._read_from_reader(table, whole, inquiry)
         if reading is None:
+            judged = _judged(reader, inquiry, asked_s)
             self.calls.check_due()
             reading = await self._read_from_store(
-                table, self.store.read(table), _judged(reader, inquiry)
+                table, self.store.read(table), judged
             )
         if not reading.incomplete:
             self.tables[table].mirror.replace(reading)
@@ -176,8 +178,10 @@
         """
         reader = self.election.reader
         known_until_s = self.tables[table].freshness.ends_s()
-        inquiry = plan_inquiry(self.tables[table].left_s(boot_time_s()))
+        asked_s = boot_time_s()
+        inquiry = plan_inquiry(self.tables[table].left_s(asked_s))
         reading = await self._read_from_reader(table, after, inquiry)
+        judged = _judged(reader, inquiry, asked_s)
         if reading is None and await self._has_next_reader(table):
             return await self.watch(table, after, wait_s)
         if reading is None:
@@ -191,7 +195,7 @@
                     self.tables[table].left_s(boot_time_s()),
                     has_followers=self.election.has_followers(boot_time_s()),
                 ),
-                _judged(reader, inquiry),
+                judged,
             )
         if boot_time_s() > known_until_s:
             self.metrics.count('tables_confirmed_late', table=table)
@@ -280,8 +284,9 @@
         except HistoryGoneError:
             raise
         except CelerywharfError as error:
-            timed_out = boot_time_s() >= sent_s + inquiry.timeout_s
-            if not timed_out or inquiry.conclusive:
+            waited_s = boot_time_s() - sent_s
+            timed_out = waited_s >= inquiry.timeout_s
+            if not timed_out or inquiry.shows_failure(waited_s):
                 self._assess_failure(reader, error)
             return None
         self.reader_answers = True
@@ -402,6 +407,10 @@
         return LinkService(self.identity, key, default_codec())
 
 
-def _judged(reader: Reader | None, inquiry: Inquiry | None) -> Reader | None:
+def _judged(
+    reader: Reader | None, inquiry: Inquiry | None, asked_s: float
+) -> Reader | None:
     """Return the reader if its lack of an answer shows that it has failed."""
-    return reader if inquiry is not None and inquiry.conclusive else None
+    if inquiry is None or not inquiry.shows_failure(boot_time_s() - asked_s):
+        return None
+    return reader
