Keep a patched question from leaking into the tests that run later

test_large_tables failed in a run of the whole folder and passed alone. Cause: test_a_host_of_an_earlier_build_gets_the_whole_row patched TableQuestion in a context for each question; the contexts of hosts that ask at the same time overlap, and the last to end puts the patched class back for good. All later tests of the process ran as hosts of an earlier build. The class is now patched once for the test; what it demands is the same. tests/sharing and tests/retries: all pass in one process.

--- a/tests/sharing/test_large_configurations.py
+++ b/tests/sharing/test_large_configurations.py
@@ -7,7 +7,6 @@
 
 from celerywharf.platform import boot_time_s
 from celerywharf.sharing import _reader_calls
-from celerywharf.sharing._reader_calls import ReaderCalls
 from celerywharf.wire.sharing import TableQuestion
 from tests.sharing.simulated_fleet import Pipe, SimulatedFleet
 from tests.virtual_loop import run_virtually
@@ -145,14 +144,7 @@
 
 def test_a_host_of_an_earlier_build_gets_the_whole_row(monkeypatch):
     growth = Growth(3, 1700)
-    ask = ReaderCalls.ask
-
-    async def ask_as_before(calls, *arguments):
-        with monkeypatch.context() as earlier:
-            earlier.setattr(_reader_calls, 'TableQuestion', question_as_before)
-            return await ask(calls, *arguments)
-
-    monkeypatch.setattr(ReaderCalls, 'ask', ask_as_before)
+    monkeypatch.setattr(_reader_calls, 'TableQuestion', question_as_before)
     run_virtually(growth.play)
     assert len(growth.in_force_s) == 3
     assert not growth.total('content_bytes_sent')
