Do not take a stream for silent while this host does not read it

Callers of fast streams, 500 events a second, had them handed over to another engine beside 50 endless answers ("lost: silence", two sends).

Cause: an answer that has used more than its share of the event loop's time is not read for a time.

The transport now tells for how long a transfer rests (Transfer.on_rest), and the detector excuses that time if there has been an event since the last rest. An engine that sends much without events stays silent. A shorter excuse no longer cuts a longer one.

The whole suite was not run.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -211,8 +211,7 @@
         if self.read_budget.since_begin_s() > LONG_CALL_S:
             self._measure_all()
         for transfer in self.overdue:
-            rest_s = self.read_budget.settle(transfer.usage)
-            self.loop.call_later(rest_s, transfer.end_rest)
+            transfer.rest(self.read_budget.settle(transfer.usage))
         self.overdue = []
         if active < self.handle_count:
             self._finish_completed()
@@ -307,6 +306,12 @@
         if not self.overdue:
             self.transport.read_on(self)
 
+    def rest(self, rest_s: float) -> None:
+        """Let others be read for a time, in seconds."""
+        if self.on_rest is not None:
+            self.on_rest(rest_s)
+        self.transport.loop.call_later(rest_s, self.end_rest)
+
     def end_rest(self) -> None:
         """Continue reading after a time in which others were read."""
         self.overdue = False
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -131,7 +131,15 @@
 
 
 class Transfer(abc.ABC):
-    """A streamed exchange in progress."""
+    """A streamed exchange in progress.
+
+    Attributes:
+        on_rest: called with the time, in seconds, for which the response is
+            not read because it has used more than its share; None if nobody
+            wants to know.
+    """
+
+    on_rest: Callable[[float], None] | None = None
 
     @abc.abstractmethod
     def cancel(self) -> None:
--- a/celerywharf/forwarding/_silence.py
+++ b/celerywharf/forwarding/_silence.py
@@ -83,6 +83,7 @@
         gaps: recent pauses between events, seconds.
         has_events: whether any event has arrived.
         held: this host reads no events because the caller is too slow.
+        has_new_events: whether any event has arrived since the last rest.
         asked_s: when the engine last reported on a stream without events.
         at_work_s: when the engine last reported that it works on the next
             event of the stream.
@@ -100,6 +101,7 @@
         self.gaps: deque[float] = deque(maxlen=MAX_GAPS)
         self.has_events = False
         self.held = False
+        self.has_new_events = False
         self.asked_s = started_s
         self.at_work_s = float('-inf')
         self.excused_until_s = float('-inf')
@@ -111,11 +113,24 @@
 
         Events that the engine sent meanwhile are still to be read.
         """
-        self.excused_until_s = now_s + MIN_SILENCE_S
+        self._excuse_until(now_s + MIN_SILENCE_S)
+
+    def rest(self, until_s: float) -> None:
+        """Record that this host reads nothing until then.
+
+        It counts as silence unless there has been an event since the last rest,
+        so that an engine which sends much without events is silent.
+
+        Args:
+            until_s: when reading goes on, monotonic seconds.
+        """
+        if self.has_new_events:
+            self.excuse(until_s)
+        self.has_new_events = False
 
     def postpone(self, now_s: float) -> None:
         """Record that the send is kept although it is silent."""
-        self.excused_until_s = now_s + KEPT_S
+        self._excuse_until(now_s + KEPT_S)
 
     def record_report(self, now_s: float) -> None:
         """Record that the engine reported that it works on the stream."""
@@ -134,6 +149,7 @@
         if self.has_events:
             self.gaps.append(now_s - self.last_s)
         self.has_events = True
+        self.has_new_events = True
         self.last_s = now_s
         if self.on_progress is not None:
             self.on_progress(now_s)
@@ -164,6 +180,9 @@
             return math.inf
         return max(self._silent_until_s(alive_at_s), self.excused_until_s)
 
+    def _excuse_until(self, until_s: float) -> None:
+        self.excused_until_s = max(self.excused_until_s, until_s)
+
     def _silent_until_s(self, alive_at_s: float) -> float:
         last_alive_s = max(self.last_s, alive_at_s)
         if not self.has_events:
--- a/celerywharf/forwarding/_stream_sender.py
+++ b/celerywharf/forwarding/_stream_sender.py
@@ -149,6 +149,7 @@
             relay,
         )
         relay.transfer = transfer
+        transfer.on_rest = functools.partial(_rest, relay)
         self.placer.has_unused_choice = False
         send.version_send = context.rollouts.started(
             placement.server,
@@ -252,3 +253,8 @@
     """Take a stream back whose answer has not begun."""
     if relay.begun_at_s is None:
         relay.settle(Recalled('quarantined meanwhile'))
+
+
+def _rest(relay: StreamRelay, rest_s: float) -> None:
+    """Tell the detector that this host does not read the stream for a time."""
+    relay.detector.rest(relay.context.timers.now() + rest_s)
--- a/tests/adapters/test_endless_transfers.py
+++ b/tests/adapters/test_endless_transfers.py
@@ -19,19 +19,29 @@
 
 
 class SlowSink:
-    """Uses the processor for a fixed time for each piece of an answer."""
+    """Uses the processor for a fixed time for each piece of an answer.
+
+    Attributes:
+        pieces_while_resting: pieces after the turn in which a rest began and
+            before its end.
+    """
 
     def __init__(self):
         self.loop = asyncio.get_running_loop()
         self.pieces = 0
         self.pieces_of_turn = 0
         self.most_of_turn = 0
+        self.rests = 0
+        self.rests_until_s = self.loop.time()
+        self.pieces_while_resting = 0
 
     def on_headers(self, status, headers):
         """Ignore the head."""
 
     def on_chunk(self, chunk):
         """Use the processor."""
+        if self.loop.time() < self.rests_until_s:
+            self.pieces_while_resting += 1
         if not self.pieces_of_turn:
             self.loop.call_soon(self._end_turn)
         self.pieces += 1
@@ -39,6 +49,11 @@
         self.most_of_turn = max(self.most_of_turn, self.pieces_of_turn)
         _use_processor(PIECE_S)
 
+    def on_rest(self, rest_s):
+        """Record until when nothing is to be read."""
+        self.rests += 1
+        self.rests_until_s = self.loop.time() + rest_s
+
     def on_end(self, error):
         """Ignore the end."""
 
@@ -58,7 +73,8 @@
     sinks = []
     for address in addresses:
         sinks.append(SlowSink())
-        transport.stream(HttpRequest('GET', f'http://{address}/'), sinks[-1])
+        request = HttpRequest('GET', f'http://{address}/')
+        transport.stream(request, sinks[-1]).on_rest = sinks[-1].on_rest
         await asyncio.sleep(START_PERIOD_S)
     await asyncio.sleep(LASTS_S - TRANSFERS * START_PERIOD_S)
     transport.close()
@@ -85,3 +101,9 @@
 # A stream that began beside others held the event loop for 0.2 s at once.
 def test_an_answer_whose_pieces_take_long_is_paused_after_the_first(sinks):
     assert max(sink.most_of_turn for sink in sinks) <= PIECES_PER_TURN
+
+
+# Nobody knew that a stream was not being read, so it was taken for silent.
+def test_an_answer_is_not_read_for_the_time_that_is_told(sinks):
+    assert all(sink.rests for sink in sinks)
+    assert not any(sink.pieces_while_resting for sink in sinks)
--- a/tests/forwarding/silence.feature
+++ b/tests/forwarding/silence.feature
@@ -43,6 +43,52 @@
       | 3.24 | alive    |
       | 3.26 | dead     |
 
+  Scenario Outline: a stream that this host does not read is not silent
+    Given a stream with a gap target of 0.7 s and events at 1.0 1.03 1.06
+    When this host does not read it until 3.0
+    And it is checked at <now> s and its server last responded at 1.06 s
+    Then it is <liveness>
+
+    Examples:
+      | now  | liveness |
+      | 1.5  | alive    |
+      | 3.24 | alive    |
+      | 3.26 | dead     |
+
+  Scenario: a stream is not silent if each reading brings events
+    Given a stream with a gap target of 0.7 s and events at 1.0 1.03 1.06
+    When this host does not read it until 3.0
+    And the engine's next event arrives at 3.1
+    And this host does not read it until 5.0
+    And it is checked at 5.2 s and its server last responded at 1.06 s
+    Then it is alive
+
+  Scenario Outline: a stream of much without events is silent
+    Given a stream with a gap target of 0.7 s and events at <events>
+    When this host does not read it until 3.0
+    And this host does not read it until 5.0
+    And it is checked at <now> s and its server last responded at 0 s
+    Then it is <liveness>
+
+    Examples:
+      | events        | now  | liveness |
+      | 1.0 1.03 1.06 | 3.24 | alive    |
+      | 1.0 1.03 1.06 | 3.26 | dead     |
+      | none          | 0.95 | alive    |
+      | none          | 1.2  | suspect  |
+
+  Scenario Outline: a later excuse does not shorten the time of no reading
+    Given a stream with a gap target of 0.7 s and events at 1.0 1.03 1.06
+    When this host does not read it until 3.0
+    And <excuse>
+    And it is checked at 3.2 s and its server last responded at 1.06 s
+    Then it is alive
+
+    Examples:
+      | excuse                                      |
+      | this host wakes at 1.5 after it did not run |
+      | the send is kept at 1.5 for want of another |
+
   Scenario Outline: an engine that turns four times slower is not cut off
     Given a stream with a gap target of 0.7 s and events at <events>
     When it is checked at <now> s and its server last responded at 0 s
--- a/tests/forwarding/test_silence.py
+++ b/tests/forwarding/test_silence.py
@@ -37,6 +37,21 @@
     detector.excuse(at)
 
 
+@when(parsers.parse('this host does not read it until {until:g}'))
+def _rests(detector, until):
+    detector.rest(until)
+
+
+@when(parsers.parse("the engine's next event arrives at {at:g}"))
+def _event(detector, at):
+    detector.record_event(at)
+
+
+@when(parsers.parse('the send is kept at {at:g} for want of another'))
+def _kept(detector, at):
+    detector.postpone(at)
+
+
 @when(
     parsers.parse(
         'it is checked at {now:g} s and its server last responded at '
