Replace a roll-out step that cannot be read

What callers saw: a row of the table `rollouts` that something else had written stopped the roll-out of its service for good. The status stayed `running` or absent, and the new version kept the share it had.

Cause: an unreadable row was taken for none, so each write expected version 0 and failed, and the rows of the failed condition were dropped again. Besides, numbers out of range and wrong types that pydantic converts (`"share": true`, `"order_version": 2**52`, `"move_s": 1e300`) were taken as steps.

Change: `StoredSteps` keeps the version of an unreadable row. The last step that the register knows goes on in its place; the deciding host writes it again on the condition of that version, and a host that knows none begins the order. Until then readers confirm nothing, so nobody begins to move. Rows are decoded strictly, with bounds, and a step of an order that is newer than the row is none. Logged and counted (`unreadable_rollout_steps`) once for each version of a row.

--- a/celerywharf/fronts/_sharing.py
+++ b/celerywharf/fronts/_sharing.py
@@ -24,6 +24,7 @@
     RolloutControl,
     RolloutExchange,
     SharedStore,
+    StoredSteps,
     ZoneReaders,
 )
 from celerywharf.structures import HostIdentity
@@ -145,7 +146,7 @@
     """Return what carries out the operator's orders to move services."""
     bounds = settings.bounds
     control = RolloutControl(
-        context.rollouts,
+        StoredSteps(context.rollouts, context.metrics),
         shared_store.store,
         readers,
         RolloutBounds(
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -34,6 +34,7 @@
 )
 from celerywharf.platform._peer_headers import peer_headers
 from celerywharf.platform._rollouts import (
+    MAX_PERIOD_S,
     STATUS_TABLE,
     decode_order,
     encode_status,
@@ -59,6 +60,7 @@
     'CONFIGURATION_KEY',
     'CONFIGURATION_TABLE',
     'LEASE_PATH',
+    'MAX_PERIOD_S',
     'PROBE_PATH',
     'READY_PATH',
     'SERVER_TABLE',
--- a/celerywharf/sharing/_rollout_control.py
+++ b/celerywharf/sharing/_rollout_control.py
@@ -4,14 +4,13 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 
 from celerywharf.exceptions import CelerywharfError, PeerUnreachableError
 from celerywharf.platform import (
     STATUS_TABLE,
-    Row,
     RowChange,
     StoreClient,
     encode_status,
@@ -22,7 +21,6 @@
     Arrivals,
     RolloutBounds,
     RolloutOrder,
-    RolloutRegister,
     RolloutStep,
     ServiceTally,
     StepDecider,
@@ -32,12 +30,12 @@
 from celerywharf.sharing._readers import ZoneReaders
 from celerywharf.sharing._rollout_rows import (
     STEP_TABLE,
-    decode_step,
     encode_step,
     from_messages,
     to_message,
 )
 from celerywharf.sharing._rollout_zones import ZoneCounts
+from celerywharf.sharing._stored_steps import StoredStep, StoredSteps
 from celerywharf.wire import Sender
 from celerywharf.wire.rollouts import RolloutQuestion
 
@@ -53,14 +51,6 @@
 FIRST_CHANCE = 0.5  # that one of several readers writes the first step now
 
 
-@dataclass(frozen=True, slots=True)
-class StoredStep:
-    """A step, and the version of its row."""
-
-    step: RolloutStep
-    version: int
-
-
 @dataclass(slots=True)
 class Deciding:
     """What this host needs in order to decide about one order.
@@ -100,6 +90,7 @@
     """Decides steps, or reports to the host that does.
 
     Attributes:
+        steps: the steps in the store.
         register: what this host knows and has counted.
         store: the platform's store.
         readers: links to the readers of other zones.
@@ -107,7 +98,6 @@
         host: name and incarnation of this host.
         knows_service: returns whether the configuration has a service.
         check_role: checks whether this host is still the reader of its zone.
-        rows: the steps in the store, by service.
         status_versions: version of the row with the status, by service.
         deciding: what decides, by service and version of the order.
         others: the other hosts that decide, by service.
@@ -118,7 +108,7 @@
 
     def __init__(
         self,
-        register: RolloutRegister,
+        steps: StoredSteps,
         store: StoreClient,
         readers: ZoneReaders,
         bounds: RolloutBounds,
@@ -127,7 +117,8 @@
         random: Random,
     ) -> None:
         identity = readers.identity
-        self.register = register
+        self.steps = steps
+        self.register = steps.register
         self.store = store
         self.readers = readers
         self.bounds = bounds
@@ -135,7 +126,6 @@
         self.knows_service = knows_service
         self.check_role = check_role
         self.random = random
-        self.rows: dict[str, StoredStep] = {}
         self.status_versions: dict[str, int] = {}
         self.deciding: dict[tuple[str, int], Deciding] = {}
         self.others: dict[str, OtherDecider] = {}
@@ -143,16 +133,6 @@
         self.zones = ZoneCounts()
         self.unknown: set[RolloutOrder] = set()
 
-    def apply_rows(self, rows: Iterable[Row]) -> None:
-        """Learn steps from rows of their table."""
-        for row in rows:
-            step = decode_step(row.key, row.content)
-            if row.removed or step is None:
-                self.rows.pop(row.key, None)
-            else:
-                self.rows[row.key] = StoredStep(step, row.version)
-                self.register.learn_step(step, row.version)
-
     def learn_counts(self, sender: Sender, question: RolloutQuestion) -> None:
         """Learn the counts of another host or zone.
 
@@ -194,7 +174,7 @@
         self.zones.clear()
 
     async def _attend_to(self, order: RolloutOrder) -> None:
-        stored = self.rows.get(order.service)
+        stored = self.steps.rows.get(order.service)
         if stored is None or not stored.step.carries_out(order):
             if stored is None or self._is_newer(order, stored.step):
                 await self._begin(order, stored)
@@ -229,6 +209,11 @@
 
     async def _decide(self, order: RolloutOrder, stored: StoredStep) -> None:
         self.others.pop(order.service, None)
+        if order.service in self.steps.unreadable:
+            await self._write(
+                replace(stored.step, reason='its row was unreadable'), stored
+            )
+            return
         deciding = self.deciding.setdefault(
             (order.service, order.version), Deciding(StepDecider(self.bounds))
         )
@@ -323,7 +308,7 @@
         return is_complete and now_s - self.register.confirmed_s <= CONFIRMED_S
 
     def _is_decided_here(self, service: str) -> bool:
-        stored = self.rows.get(service)
+        stored = self.steps.rows.get(service)
         return stored is not None and stored.step.host == self.host
 
     async def _write(
@@ -341,18 +326,23 @@
         )
         changes = [
             RowChange(
-                step.service, encode_step(step), stored.version if stored else 0
+                step.service,
+                encode_step(step),
+                self.steps.row_version(step.service),
             )
         ]
-        if stored is None or encode_status(stored.step) != encode_status(step):
+        if (
+            stored is None
+            or step.service in self.steps.unreadable
+            or encode_status(stored.step) != encode_status(step)
+        ):
             changes.append(await self._status_change(step))
         self.status_versions.pop(step.service, None)
         written = await self.store.transact(STEP_TABLE, changes)
         if written.version is None:
-            self._apply_current(step.service, written.current)
+            self.steps.apply_current(step.service, written.current)
             return
-        self.rows[step.service] = StoredStep(step, written.version)
-        self.register.learn_step(step, written.version)
+        self.steps.learn(step, written.version)
         if len(changes) > 1:
             self.status_versions[step.service] = written.version
         logger.info('roll-out step', extra=_describe(step, tally))
@@ -365,10 +355,6 @@
             version = next((row.version for row in reading.rows), 0)
         return RowChange(key, encode_status(step), version, STATUS_TABLE)
 
-    def _apply_current(self, service: str, current: Iterable[Row]) -> None:
-        self.rows.pop(service, None)
-        self.apply_rows(row for row in current if row.key == service)
-
 
 def _describe(
     step: RolloutStep, tally: ServiceTally | None
--- a/celerywharf/sharing/_rollout_exchange.py
+++ b/celerywharf/sharing/_rollout_exchange.py
@@ -129,9 +129,9 @@
             reading = await store.read(STEP_TABLE)
         else:
             reading = await store.watch(STEP_TABLE, self.position, STORE_POLL_S)
-        self.control.apply_rows(reading.rows)
+        self.control.steps.apply_rows(reading.rows)
         self.position = reading.position
-        self.register.confirm()
+        self.control.steps.confirm()
         self.has_begun = True
 
     async def _ask_reader(self) -> None:
--- a/celerywharf/sharing/_rollout_rows.py
+++ b/celerywharf/sharing/_rollout_rows.py
@@ -9,7 +9,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from celerywharf.platform import Row, StoreClient
+from celerywharf.platform import MAX_PERIOD_S, Row, StoreClient
 from celerywharf.rollouts import (
     BUCKETS,
     RolloutStep,
@@ -26,20 +26,22 @@
 MAX_VERSIONS = 100
 
 Name = Annotated[str, Field(max_length=MAX_NAME)]
+Version = Annotated[str, Field(min_length=1, max_length=MAX_NAME)]
 Names = Annotated[tuple[Name, ...], Field(max_length=MAX_VERSIONS)]
 Count = Annotated[int, Field(ge=0, le=MAX_EXACT_INTEGER)]
+Seconds = Annotated[float, Field(ge=0, le=MAX_EXACT_INTEGER)]
 
 
 class _Step(BaseModel):
-    model_config = ConfigDict(extra='ignore', allow_inf_nan=False)
+    model_config = ConfigDict(extra='ignore', allow_inf_nan=False, strict=True)
 
-    to: Name
+    to: Version
     order_version: Count
-    period_s: float = Field(gt=0)
-    started_s: float
+    period_s: float = Field(gt=0, le=MAX_PERIOD_S)
+    started_s: Seconds
     stage: Stage
     share: float = Field(ge=0, le=1)
-    move_s: float
+    move_s: Seconds
     replaced: Names
     barred: Names
     host: Name
@@ -68,6 +70,17 @@
     return RolloutStep(service, **step.model_dump())
 
 
+def decode_row(row: Row) -> RolloutStep | None:
+    """Return the step in a row of the store; None if it is unreadable.
+
+    Also a step of an order that was written after the row is none.
+    """
+    step = decode_step(row.key, row.content)
+    if step is None or step.order_version > row.version:
+        return None
+    return step
+
+
 def to_message(tally: ServiceTally) -> ServiceCounts:
     """Convert counts to a message."""
     routes = [
@@ -125,9 +138,5 @@
         PlatformUnavailableError: the store did not answer.
     """
     reading = await store.read(STEP_TABLE)
-    steps = (_decode(row) for row in reading.rows)
+    steps = (decode_row(row) for row in reading.rows)
     return [step for step in steps if step is not None]
-
-
-def _decode(row: Row) -> RolloutStep | None:
-    return decode_step(row.key, row.content)
--- a/tests/fronts/rollouts.feature
+++ b/tests/fronts/rollouts.feature
@@ -50,6 +50,16 @@
     Then the status is rolled_back within 14 s of the order
     And after a second only v1 is sent requests
 
+  Scenario: something else writes the row of the steps
+    When lookups are sent to all fronts
+    And the row of the steps is written by something else
+    And v2 is ordered within 12 s and its desks come
+    And the row of the steps is written by something else when the stage is trial
+    Then the status is done within 13 s of the order
+    And v2 got at most 0.2 of the requests and 20 until the deadline
+    And after a second only v2 is sent requests
+    And a front has logged and counted the row
+
   Scenario: an order that is withdrawn stops the trial
     When lookups are sent to all fronts
     And v2 is ordered within 30 s and its desks come
--- a/tests/fronts/test_rollouts.py
+++ b/tests/fronts/test_rollouts.py
@@ -6,6 +6,7 @@
 import secrets
 import threading
 import time
+from urllib.request import urlopen
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -235,6 +236,23 @@
     fleet.control('store', refuse=False)
 
 
+@when('the row of the steps is written by something else')
+def _overwrite(rig):
+    rig.put('rollouts', 'desk', {'stage': 'paused'})
+
+
+@when(
+    parsers.parse(
+        'the row of the steps is written by something else when the stage is '
+        '{stage}'
+    )
+)
+def _overwrite_at(rig, stage):
+    _wait_for_stage(rig, stage)
+    time.sleep(0.5)
+    _overwrite(rig)
+
+
 @when(parsers.parse('the order is withdrawn when the stage is {stage}'))
 def _withdraw(rig, stage):
     _wait_for_stage(rig, stage)
@@ -339,6 +357,20 @@
     assert len(load.runs_of(version)) > served
 
 
+@then('a front has logged and counted the row')
+def _refused(rig, fleet):
+    counts = [
+        re.findall(
+            r'unreadable_rollout_steps_total ([\d.]+)', _metrics(address)
+        )
+        for address in rig.health.values()
+    ]
+    assert sum(float(count) for found in counts for count in found) >= 2
+    logs = ''.join(fleet.log(name) for name in rig.fronts)
+    assert 'roll-out step unreadable' in logs
+    assert 'its row was unreadable' in logs
+
+
 @then('no caller got an error')
 def _no_errors(load):
     load.stop()
@@ -359,6 +391,11 @@
     assert {'v1', 'v2'} == set.union(*by_request.values())
 
 
+def _metrics(address):
+    with urlopen(f'http://{address}/metrics') as response:
+        return response.read().decode()
+
+
 def _wait_for_stage(rig, stage):
     ends_s = time.monotonic() + 15
     while time.monotonic() < ends_s:
--- a/tests/rollouts/zoned_fleets.py
+++ b/tests/rollouts/zoned_fleets.py
@@ -4,8 +4,9 @@
 from random import Random
 
 from celerywharf.exceptions import PeerUnreachableError
+from celerywharf.metrics import Metrics
 from celerywharf.platform import Row, TransactionResult
-from celerywharf.sharing import RolloutControl
+from celerywharf.sharing import RolloutControl, StoredSteps
 from celerywharf.sharing._rollout_rows import STEP_TABLE, to_message
 from celerywharf.structures import Address, HostIdentity
 from celerywharf.wire.rollouts import RolloutQuestion
@@ -23,10 +24,15 @@
 class Store:
     """Rows that are written on the condition that they are unchanged."""
 
-    def __init__(self):
+    def __init__(self, version):
         self.era = types.SimpleNamespace(current=1)
         self.rows = {}
-        self.version = 0
+        self.version = version
+
+    def put(self, table, key, content):
+        """Write a row without a condition."""
+        self.version += 1
+        self.rows[table, key] = Row(key, content, False, self.version)
 
     async def read_row(self, table, key):
         row = self.rows.get((table, key))
@@ -86,7 +92,7 @@
             self.name, 'north', self.zone, Address('127.0.0.1', 1 + number), 1
         )
         self.control = RolloutControl(
-            register,
+            StoredSteps(register, Metrics()),
             fleet.store,
             Links(fleet, identity),
             BOUNDS,
@@ -109,7 +115,7 @@
     def __init__(self, seed, hosts, version, *, zones=ZONES, **options):
         super().__init__(seed, hosts, version, **options)
         self.zones = zones
-        self.store = Store()
+        self.store = Store(self.order.version)
         self.silent = set()
         self.members = [
             Host(self, number, register)
@@ -148,8 +154,8 @@
         if not self.reads(host):
             return
         row = self.store.rows.get((STEP_TABLE, SERVICE))
-        host.control.apply_rows([row] if row else [])
-        host.register.confirm()
+        host.control.steps.apply_rows([row] if row else [])
+        host.control.steps.confirm()
         self.at(STORE_PERIOD_S, self.follow, host)
 
     def attend(self, host):
@@ -160,7 +166,8 @@
         if host.register.services:
             _finish(host.control.attend())
         if self.store.version > before:
-            stored = host.control.rows[SERVICE].step
+            steps = host.control.steps
+            stored = steps.rows[SERVICE].step
             self.steps.append((self.now_s - ORDERED_S, stored))
         self.at(READER_PERIOD_S, self.attend, host)
 
@@ -198,6 +205,17 @@
         while self.readers[zone] is before:
             self.elect(zone)
 
+    def overwrite_step(self, content):
+        """Write the service's row as something else would."""
+        self.store.put(STEP_TABLE, SERVICE, content)
+
+    def overwrite_step_at(self, stage, content):
+        """Write the service's row after the first step of a stage."""
+        if self.steps and self.stage == stage:
+            self.overwrite_step(content)
+        else:
+            self.at(STORE_PERIOD_S, self.overwrite_step_at, stage, content)
+
     def kill(self, host):
         """End a host; its callers go to the others."""
         host.is_dead = True
