Let an order wait for its service without polling

What callers saw: nothing; but an order for a service that the configuration does not have kept all hosts polling while its row stood.

Cause: the register took such an order for one in progress; only the host that decides knew that the service was unknown.

Change: `ServiceState.is_listed` says whether the configuration has the service; without it no order is active. `OrderReader` sets it with each reading of the operator's table, which also wakes the exchange when the service appears. The period of an order without a step begins then; with a step it goes on from there, with the counts kept.

--- a/celerywharf/fronts/_rollout_orders.py
+++ b/celerywharf/fronts/_rollout_orders.py
@@ -7,6 +7,7 @@
 from celerywharf.exceptions import ProtocolError
 from celerywharf.platform import Row, decode_order, ordered_service
 from celerywharf.rollouts import RolloutOrder, RolloutRegister
+from celerywharf.routing import ConfigurationCache
 
 logger = logging.getLogger(__name__)
 
@@ -16,18 +17,27 @@
 
     Attributes:
         register: learns the orders.
+        configuration_cache: tells which services there are.
         unreadable: version of the row with an unreadable order, by service.
+        unlisted: version of the row with the order, by service that the
+            configuration does not have.
     """
 
-    def __init__(self, register: RolloutRegister) -> None:
+    def __init__(
+        self, register: RolloutRegister, configuration_cache: ConfigurationCache
+    ) -> None:
         self.register = register
+        self.configuration_cache = configuration_cache
         self.unreadable: dict[str, int] = {}
+        self.unlisted: dict[str, int] = {}
 
     def apply_rows(
         self, rows: list[Row], *, is_whole: bool, store_s: float
     ) -> None:
         """Learn the orders among rows of the operator's table.
 
+        Those of services that the configuration does not have wait for it.
+
         Args:
             rows: the rows of a reading.
             is_whole: orders that are not among the rows do not exist.
@@ -44,6 +54,7 @@
                 self._withdraw(service)
             else:
                 self._learn(service, row, store_s)
+        self._check_services(store_s)
 
     def _learn(self, service: str, row: Row, store_s: float) -> None:
         try:
@@ -62,7 +73,35 @@
                 'order_version': order.version,
             },
         )
-        self.register.set_order(service, order)
+        self.register.set_order(
+            service,
+            order,
+            is_listed=self.configuration_cache.has_service(service),
+        )
+
+    def _check_services(self, store_s: float) -> None:
+        for service, state in self.register.services.items():
+            if state.order is None:
+                continue
+            is_listed = self.configuration_cache.has_service(service)
+            self.register.set_listed(service, store_s, is_listed=is_listed)
+            if not is_listed:
+                self._report_unlisted(state.order)
+
+    def _report_unlisted(self, order: RolloutOrder) -> None:
+        """Log once that an order waits for its service.
+
+        Not before there is a configuration.
+        """
+        if (
+            self.configuration_cache.configuration is not None
+            and self.unlisted.get(order.service) != order.version
+        ):
+            self.unlisted[order.service] = order.version
+            logger.warning(
+                'roll-out of an unknown service',
+                extra={'service': order.service, 'to': order.to},
+            )
 
     def _withdraw(self, service: str) -> None:
         order = self._known(service)
--- a/celerywharf/fronts/_sharing.py
+++ b/celerywharf/fronts/_sharing.py
@@ -154,7 +154,6 @@
             bounds.exposure_slack,
             bounds.rollback_ms / MILLISECONDS,
         ),
-        context.configuration_cache.has_service,
         lambda: shared_store.election.doubt(boot_time_s()),
         random,
     )
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -422,7 +422,7 @@
     configuration = ConfigurationWatcher(
         source, random, context.configuration_cache
     )
-    orders = OrderReader(context.rollouts)
+    orders = OrderReader(context.rollouts, context.configuration_cache)
     configuration.row_subscribers.append(orders.apply_rows)
     return (
         configuration,
--- a/celerywharf/rollouts/_register.py
+++ b/celerywharf/rollouts/_register.py
@@ -5,7 +5,7 @@
 import copy
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Protocol
 
@@ -69,6 +69,7 @@
         ordered_s: when the order came, monotonic seconds.
         quota: requests that may still move before the last step.
         is_moved: all requests go to the new version, by the step.
+        is_listed: the configuration has the service.
         abandoned: versions of earlier orders that had no step here.
         tally: what this host has counted since the order.
         open_sends: those that have not ended.
@@ -83,6 +84,7 @@
     ordered_s: float = 0
     quota: float = 0
     is_moved: bool = False
+    is_listed: bool = True
     abandoned: frozenset[str] = frozenset()
     tally: ServiceTally = field(default_factory=lambda: ServiceTally('', 0))
     open_sends: set[VersionSend] = field(default_factory=set)
@@ -120,10 +122,50 @@
     def is_active(self) -> bool:
         """Return whether steps of the order are still to come."""
         step = self.current_step
-        if self.order is None:
+        if self.order is None or not self.is_listed:
             return False
         return step is None or not step.stage.is_final
 
+    def begin(
+        self,
+        order: RolloutOrder,
+        now_s: float,
+        credit: float,
+        slots: tuple[int, int],
+    ) -> None:
+        """Count anew, for an order that is carried out from now on.
+
+        Args:
+            order: the order.
+            now_s: monotonic seconds.
+            credit: sends to the new version that are due.
+            slots: of the new version's servers, and of the others.
+        """
+        self.order = order
+        self.is_moved = False
+        self.ordered_s = now_s
+        self.credit = credit
+        self.early_part = slots[0] / max(sum(slots), 1)
+        self.tally = ServiceTally(self.service, order.version)
+
+    def counts(self, now_s: float) -> ServiceTally:
+        """Return what was counted; sends that still wait are late."""
+        tally = ServiceTally(
+            self.tally.service,
+            self.tally.order_version,
+            self.tally.requests,
+            self.tally.exposed,
+        )
+        copies = {}
+        for name, counted in self.tally.routes.items():
+            tally.routes[name] = copy.deepcopy(counted)
+            copies[id(counted)] = tally.routes[name]
+        for send in self.open_sends:
+            copied = copies.get(id(send.tally))
+            if send.first_s is None and copied is not None:
+                copied.late[bucket_of(now_s - send.started_s)] += 1
+        return tally
+
 
 class RolloutRegister:
     """Chooses versions for sends by the steps of roll-outs, and counts them.
@@ -191,8 +233,21 @@
             if state.step is not None
         ]
 
-    def set_order(self, service: str, order: RolloutOrder | None) -> None:
-        """Learn an order of the operator, or that there is none."""
+    def set_order(
+        self,
+        service: str,
+        order: RolloutOrder | None,
+        *,
+        is_listed: bool = True,
+    ) -> None:
+        """Learn an order of the operator, or that there is none.
+
+        Args:
+            service: name of the service.
+            order: the order; None if there is none.
+            is_listed: the configuration has the service.  Otherwise the order
+                waits, and no steps or counts are exchanged for it.
+        """
         if not self.is_enabled or not (order or service in self.services):
             return
         state = self.services.setdefault(service, ServiceState(service))
@@ -201,14 +256,34 @@
             return
         if previous is not None and state.current_step is None:
             state.abandoned |= {previous.to}
+        state.is_listed = is_listed
         state.order = order
         if order is not None:
-            state.is_moved = False
-            state.ordered_s = self.now()
-            state.credit = self.random.random()
-            new_slots, old_slots = self.slots(service, order.to)
-            state.early_part = new_slots / max(new_slots + old_slots, 1)
-            state.tally = ServiceTally(service, order.version)
+            slots = self.slots(service, order.to)
+            state.begin(order, self.now(), self.random.random(), slots)
+        for subscriber in self.subscribers:
+            subscriber()
+
+    def set_listed(
+        self, service: str, store_s: float, *, is_listed: bool
+    ) -> None:
+        """Learn whether the configuration has a service with an order.
+
+        The period of an order without a step begins when it has.
+
+        Args:
+            service: name of the service.
+            store_s: the time on the store's clock, seconds.
+            is_listed: the configuration has the service.
+        """
+        state = self.services.get(service)
+        if state is None or state.is_listed is is_listed:
+            return
+        state.is_listed = is_listed
+        if is_listed and state.order and state.current_step is None:
+            order = replace(state.order, ordered_s=store_s)
+            slots = self.slots(service, order.to)
+            state.begin(order, self.now(), self.random.random(), slots)
         for subscriber in self.subscribers:
             subscriber()
 
@@ -339,7 +414,7 @@
         Sends that wait for their first event are counted as late.
         """
         return [
-            self._with_waiting(state)
+            state.counts(self.now())
             for state in self.services.values()
             if state.is_active
         ]
@@ -360,24 +435,6 @@
         counts = self.directory.software_versions.counts
         return frozenset(counts.get(service, ()))
 
-    def _with_waiting(self, state: ServiceState) -> ServiceTally:
-        tally = ServiceTally(
-            state.tally.service,
-            state.tally.order_version,
-            state.tally.requests,
-            state.tally.exposed,
-        )
-        copies = {}
-        for name, counted in state.tally.routes.items():
-            tally.routes[name] = copy.deepcopy(counted)
-            copies[id(counted)] = tally.routes[name]
-        now_s = self.now()
-        for send in state.open_sends:
-            copied = copies.get(id(send.tally))
-            if send.first_s is None and copied is not None:
-                copied.late[bucket_of(now_s - send.started_s)] += 1
-        return tally
-
     def _move(self, state: ServiceState, step: RolloutStep) -> Choice:
         if state.quota < 1:
             return self._hold(state)
--- a/celerywharf/sharing/_rollout_control.py
+++ b/celerywharf/sharing/_rollout_control.py
@@ -96,14 +96,12 @@
         readers: links to the readers of other zones.
         bounds: what a new version may get.
         host: name and incarnation of this host.
-        knows_service: returns whether the configuration has a service.
         check_role: checks whether this host is still the reader of its zone.
         status_versions: version of the row with the status, by service.
         deciding: what decides, by service and version of the order.
         others: the other hosts that decide, by service.
         host_tallies: counts of the other hosts of the zone, by host.
         zones: counts of the other zones.
-        unknown: orders of services that the configuration does not have.
     """
 
     def __init__(
@@ -112,7 +110,6 @@
         store: StoreClient,
         readers: ZoneReaders,
         bounds: RolloutBounds,
-        knows_service: Callable[[str], bool],
         check_role: Callable[[], None],
         random: Random,
     ) -> None:
@@ -123,7 +120,6 @@
         self.readers = readers
         self.bounds = bounds
         self.host = f'{identity.name}/{identity.incarnation}'
-        self.knows_service = knows_service
         self.check_role = check_role
         self.random = random
         self.status_versions: dict[str, int] = {}
@@ -131,7 +127,6 @@
         self.others: dict[str, OtherDecider] = {}
         self.host_tallies: dict[str, dict[str, ServiceTally]] = {}
         self.zones = ZoneCounts()
-        self.unknown: set[RolloutOrder] = set()
 
     def learn_counts(self, sender: Sender, question: RolloutQuestion) -> None:
         """Learn the counts of another host or zone.
@@ -157,14 +152,7 @@
             CelerywharfError: the store did not answer.
         """
         for order in self.register.orders():
-            if self.knows_service(order.service):
-                await self._attend_to(order)
-            elif order not in self.unknown:
-                self.unknown.add(order)
-                logger.warning(
-                    'roll-out of an unknown service',
-                    extra={'service': order.service, 'to': order.to},
-                )
+            await self._attend_to(order)
 
     def forget_counts(self) -> None:
         """Drop what was counted for roll-outs that have ended."""
