Take a store value that is not ASCII for one that cannot be decoded

Callers would have seen a front that no longer follows a table, and ends at its next start: another writer's row with a value that is not ASCII made b64decode raise ValueError, where only its subclass binascii.Error was caught. Found by reading in a review of roll-out rows. The row now has no content, like others that are not base64. The test failed before for that value and passes now.

--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import functools
 import time
 from collections.abc import Callable, Sequence
@@ -150,7 +149,7 @@
         if self.value is not None:
             try:
                 content = base64.b64decode(self.value, validate=True)
-            except binascii.Error:
+            except ValueError:
                 content = None
         return Row(self.key, content, self.tombstone, self.api_version)
 
--- a/tests/platform/test_store_pages.py
+++ b/tests/platform/test_store_pages.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from celerywharf.adapters.transports import HttpResponse, Transport
 from celerywharf.platform import StoreClient
 from celerywharf.structures import Address
@@ -26,8 +28,8 @@
 class Pages(Transport):
     """Answers each call with the next page."""
 
-    def __init__(self):
-        self.left = list(PAGES)
+    def __init__(self, pages=PAGES):
+        self.left = list(pages)
 
     async def fetch(self, request):
         body = json.dumps(self.left.pop(0)).encode()
@@ -48,3 +50,12 @@
     assert [row.key for row in reading.rows] == ['a', 'b']
     assert reading.version == 5
     assert reading.timing.store_s == 1
+
+
+# A value that is not ASCII ended the task that reads the table.
+@pytest.mark.parametrize('value', ['\u00e9\u00e9\u00e9\u00e9', '?', 'eHg'])
+def test_a_value_that_is_not_base64_has_no_content(value):
+    page = PAGES[1] | {'rows': [{'key': 'a', 'value': value}]}
+    store = StoreClient(Pages([page]), Address('127.0.0.1', 1))
+    reading = asyncio.run(store.read('servers'))
+    assert [row.content for row in reading.rows] == [None]
