Show that a zone far from the store does not come back, known red

Cause: the zone's row names the reader of before. All 100 fronts ask it, get no answer, and read 1.1 MB each over a link of 30 Mbit/s; calls for the zone's row then time out with the others ("the answer has stopped coming").

--- a/tests/sharing/test_large_tables.py
+++ b/tests/sharing/test_large_tables.py
@@ -65,6 +65,17 @@
         await self._wait_until_known()
         await self.fleet.stop()
 
+    async def play_loss(self):
+        """Let all hosts be lost at once and come back."""
+        self.fleet.start()
+        await self._wait_until_known()
+        self.fleet.network.region = Pipe(REGION_BYTES_PER_S)
+        for front in tuple(self.fleet.fronts.values()):
+            await front.kill()
+        self.fleet.start()
+        await self._wait_until_known()
+        await self.fleet.stop()
+
     def table_bytes(self):
         """Return the size of the store's answer with the whole table."""
         store = self.fleet.store
@@ -130,6 +141,15 @@
     assert carried_bytes < 2 * start.table_bytes()
 
 
+# Each asked the reader of before in vain, then read the whole table itself.
+def test_hosts_far_from_the_store_that_were_all_lost_soon_know_all_servers():
+    start = Start(100)
+    run_virtually(start.play_loss)
+    assert start.known_s < RECOVERS_S
+    carried_bytes = start.fleet.network.region.carried_bytes
+    assert carried_bytes < 2 * start.table_bytes()
+
+
 def test_hosts_that_read_a_large_table_load_their_reader_little():
     start = Start(100)
     run_virtually(start.play)
