Log by what the version of a resumed stream is known

Nothing said which source had named the version, nor how old it was, so three explanations could not be told apart: rows read long ago, a reading that was begun before the host was frozen, and another host that had missed the version as well.

"resumed stream" now names the possible versions, the evidence and, if this host read it from the store, its age; celerywharf_resumed_streams counts by service and evidence. The decision is unchanged.

--- a/celerywharf/forwarding/_request_log.py
+++ b/celerywharf/forwarding/_request_log.py
@@ -18,6 +18,7 @@
 )
 from celerywharf.forwarding._plans import Fail, PassOn, Step
 from celerywharf.forwarding._requests import IncomingRequest
+from celerywharf.origins import OriginKnowledge
 from celerywharf.peers import PeerHost
 
 logger = logging.getLogger(__name__)
@@ -98,6 +99,18 @@
             },
         )
 
+    def log_origin(self, knowledge: OriginKnowledge) -> None:
+        """Log which software versions may have begun a resumed stream."""
+        fields: dict[str, Any] = {
+            'request_id': self.request.headers.request_id,
+            'resumed_request': self.request.headers.resumed_request,
+            'possible_versions': sorted(knowledge.possible()),
+            'evidence': knowledge.evidence.value,
+        }
+        if knowledge.age_s is not None:
+            fields['age_ms'] = round(knowledge.age_s * MILLISECONDS)
+        logger.info('resumed stream', extra=fields)
+
     def log_relay(self, peer: PeerHost, outcome: Outcome, step: Step) -> None:
         """Log that the request was passed to another host."""
         self.peers.append(peer.name)
--- a/celerywharf/forwarding/_streams.py
+++ b/celerywharf/forwarding/_streams.py
@@ -218,9 +218,16 @@
         progress = self.progress
         if not progress.last_event or progress.software_version is not None:
             return True
-        possible = await self.context.origins.possible_versions(
+        knowledge = await self.context.origins.look_up(
             self.request.headers.resumed_request, self.service
         )
+        self.context.metrics.count(
+            'resumed_streams',
+            service=self.service,
+            evidence=knowledge.evidence.value,
+        )
+        self.request_log.log_origin(knowledge)
+        possible = knowledge.possible()
         if len(possible) == 1:
             progress.software_version = next(iter(possible))
         return len(possible) == 1
--- a/celerywharf/origins/__init__.py
+++ b/celerywharf/origins/__init__.py
@@ -13,6 +13,7 @@
     StreamOrigin,
 )
 from celerywharf.origins._streams import (
+    Evidence,
     OriginKnowledge,
     OriginSource,
     StreamOrigins,
@@ -22,6 +23,7 @@
     'MAX_LIFETIME_S',
     'MAX_ORIGINS',
     'MAX_VERSIONS',
+    'Evidence',
     'OriginKnowledge',
     'OriginRegister',
     'OriginSource',
--- a/celerywharf/origins/_streams.py
+++ b/celerywharf/origins/_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import enum
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,6 +19,27 @@
 )
 
 
+class Evidence(enum.Enum):
+    """By what the software versions of a stream are known.
+
+    The values are written to logs and metrics.
+    """
+
+    # This host has begun the stream or was told of it.
+    own_record = 'own record'
+    # The stream is in rows of the store.
+    stored_record = 'stored record'
+    # Another host knows the stream.
+    other_host = 'other host'
+    # The stream is unknown; the versions are those that the store has recorded.
+    stored_versions = 'stored versions'
+    # The stream is unknown; the versions are those that other hosts name.
+    other_hosts_versions = 'versions of other hosts'
+    # The stream is unknown; the versions are those of the known servers.
+    known_servers = 'known servers'
+    nothing = 'nothing'
+
+
 @dataclass(frozen=True, slots=True)
 class OriginKnowledge:
     """What is known of a stream.
@@ -26,10 +48,21 @@
         origin: where it began; None if nobody who answers knows.
         versions: the software versions that may have begun it if nobody knows;
             empty if that cannot be told.
+        evidence: by what they are known.
+        age_s: how long ago the evidence was read from the store, seconds; None
+            if it was not, or not by this host.
     """
 
     origin: StreamOrigin | None = None
     versions: frozenset[str] = frozenset()
+    evidence: Evidence = Evidence.nothing
+    age_s: float | None = None
+
+    def possible(self) -> frozenset[str]:
+        """Return the software versions that may have begun the stream."""
+        if self.origin is None:
+            return self.versions
+        return frozenset((self.origin.software_version,))
 
 
 class OriginSource(abc.ABC):
@@ -94,10 +127,8 @@
             now_s,
         )
 
-    async def possible_versions(
-        self, request_id: str, service: str
-    ) -> frozenset[str]:
-        """Return the software versions that may have begun a stream.
+    async def look_up(self, request_id: str, service: str) -> OriginKnowledge:
+        """Return which software versions may have begun a stream.
 
         That this host sees a single version does not tell: another one may have
         come while the host did not run or was cut off.
@@ -109,14 +140,14 @@
         """
         now_s = self.now()
         origin = self.register.find(request_id, now_s)
-        if origin is None and self.source is None:
-            return self.software_versions.recent(service, now_s)
-        if origin is None:
-            knowledge = await self.source.ask(request_id, service)
-            origin = knowledge.origin
-        if origin is None:
-            return knowledge.versions
-        return frozenset((origin.software_version,))
+        if origin is not None:
+            return OriginKnowledge(origin, evidence=Evidence.own_record)
+        if self.source is None:
+            return OriginKnowledge(
+                versions=self.software_versions.recent(service, now_s),
+                evidence=Evidence.known_servers,
+            )
+        return await self.source.ask(request_id, service)
 
     def has_begun(self) -> bool:
         """Return whether it can be found out where streams began."""
--- a/celerywharf/sharing/_origin_exchange.py
+++ b/celerywharf/sharing/_origin_exchange.py
@@ -14,6 +14,7 @@
 from celerywharf.origins import (
     MAX_LIFETIME_S,
     MAX_ORIGINS,
+    Evidence,
     OriginKnowledge,
     OriginSource,
     StreamOrigin,
@@ -114,19 +115,28 @@
     async def _find(self, request_id: str, service: str) -> OriginKnowledge:
         """Look the stream up as the reader of a zone, or without one."""
         is_reader = self.shared_store.is_reader
-        origin = await self.records.find(request_id, service, in_rows=is_reader)
-        if origin is not None:
-            return OriginKnowledge(origin)
+        found = await self.records.find(request_id, service, in_rows=is_reader)
+        if found.origin is not None:
+            return found
         replies = await self._ask_zones(request_id, service)
         known = [self._to_knowledge(reply) for reply in replies]
-        origin = next((each.origin for each in known if each.origin), None)
-        versions = frozenset[str]()
-        if is_reader:
-            versions = self._possible(service, replies)
-        if not is_reader or not self.records.is_current:
+        told = next((each for each in known if each.origin), None)
+        if told is not None:
+            return told
+        named = frozenset[str]().union(*(each.versions for each in known))
+        if not is_reader:
+            return OriginKnowledge(
+                versions=named, evidence=Evidence.other_hosts_versions
+            )
+        versions = self._possible(service, replies)
+        if not self.records.is_current:
             # Readers of other zones may have seen what this host has missed.
-            versions = versions.union(*(each.versions for each in known))
-        return OriginKnowledge(origin, versions)
+            versions |= named
+        return OriginKnowledge(
+            versions=versions,
+            evidence=Evidence.stored_versions,
+            age_s=self.records.age_s(),
+        )
 
     def _possible(
         self, service: str, replies: list[OriginAnswer]
@@ -168,10 +178,11 @@
         if is_reader and not question.passed_on:
             knowledge = await self._find(question.request_id, question.service)
         else:
+            found = await self.records.find(
+                question.request_id, question.service, in_rows=is_reader
+            )
             knowledge = OriginKnowledge(
-                await self.records.find(
-                    question.request_id, question.service, in_rows=is_reader
-                ),
+                found.origin,
                 self.records.possible(question.service, None),
             )
         return OriginAnswer(
@@ -297,8 +308,8 @@
         )
         for origin in filter(None, map(self._from_entry, reply.origins)):
             self.origins.register.learn(origin, self.origins.now())
-            return OriginKnowledge(origin, versions)
-        return OriginKnowledge(None, versions)
+            return OriginKnowledge(origin, versions, Evidence.other_host)
+        return OriginKnowledge(None, versions, Evidence.other_hosts_versions)
 
     def _to_entry(self, origin: StreamOrigin) -> OriginEntry:
         return OriginEntry(
--- a/celerywharf/sharing/_origin_records.py
+++ b/celerywharf/sharing/_origin_records.py
@@ -10,6 +10,8 @@
 from celerywharf.exceptions import CelerywharfError
 from celerywharf.origins import (
     MAX_ORIGINS,
+    Evidence,
+    OriginKnowledge,
     Recorder,
     StreamOrigin,
     StreamOrigins,
@@ -37,6 +39,7 @@
         store_time_s: returns the time on the store's clock, seconds.
         unwritten: streams to be recorded, by request id.
         read_s: when the rows were last read; infinitely long ago if never.
+        confirmed_s: begin of the last reading that succeeded; None before it.
         is_current: the last reading has succeeded.
         reading: the last reading that a question has caused; None before it.
         read_attempted: it has been tried to read them.
@@ -59,6 +62,7 @@
         self.store_time_s = store_time_s
         self.unwritten: OrderedDict[str, StreamOrigin] = OrderedDict()
         self.read_s = float('-inf')
+        self.confirmed_s: float | None = None
         self.is_current = False
         self.reading: asyncio.Task | None = None
         self.read_attempted = False
@@ -126,8 +130,8 @@
 
     async def find(
         self, request_id: str, service: str, *, in_rows: bool
-    ) -> StreamOrigin | None:
-        """Return where a stream began; None if this host can't tell.
+    ) -> OriginKnowledge:
+        """Return what this host knows of where a stream began.
 
         Args:
             request_id: id of the attempt that brought the first event.
@@ -136,9 +140,21 @@
         """
         now_s = self.origins.now()
         origin = self.origins.register.find(request_id, now_s)
-        if origin is None and in_rows:
-            return await self._find_in_rows(request_id, service)
-        return origin
+        if origin is not None:
+            return OriginKnowledge(origin, evidence=Evidence.own_record)
+        if in_rows:
+            origin = await self._find_in_rows(request_id, service)
+        if origin is None:
+            return OriginKnowledge()
+        return OriginKnowledge(
+            origin, evidence=Evidence.stored_record, age_s=self.age_s()
+        )
+
+    def age_s(self) -> float | None:
+        """Return the age of what was read, in seconds; None before that."""
+        if self.confirmed_s is None:
+            return None
+        return self.origins.now() - self.confirmed_s
 
     async def _find_in_rows(
         self, request_id: str, service: str
@@ -201,10 +217,12 @@
         )
 
     async def _read(self) -> None:
-        self.read_s = self.origins.now()
+        began_s = self.origins.now()
+        self.read_s = began_s
         self.is_current = False
         self.history.load(await self.rows.read())
         self.is_current = True
+        self.confirmed_s = began_s
 
     def _on_change(self) -> None:
         self.outdated = True
--- a/tests/origins/test_origins.py
+++ b/tests/origins/test_origins.py
@@ -58,7 +58,8 @@
 
     def possible(self, request_id):
         """Return at which versions a stream may have begun."""
-        return asyncio.run(self.origins.possible_versions(request_id, SERVICE))
+        knowledge = asyncio.run(self.origins.look_up(request_id, SERVICE))
+        return knowledge.possible()
 
 
 @given('a host that knows engines of versions v1 and v2', target_fixture='host')
