Count versions only if the store confirms them after the question

Cause: when nobody could be asked, OriginExchange took the rows of versions as they were last read. One version in them counted as knowledge, however old. The class: what a host last saw is taken for what is so; nothing marked the gap that a freeze or a cut leaves. A reading begun before the question counted, too, and its age was taken on a clock that stands still during a suspension.

If neither the own reader nor that of another zone has an answer given after the question, the stream is refused as not run. Readers that do not answer are looked up once more, and a version that only another reader sees counts.

Cost: if the store is lost soon after a front's start, streams are refused that went on before: readers of zones don't know each other yet.

--- a/celerywharf/sharing/_origin_records.py
+++ b/celerywharf/sharing/_origin_records.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable
@@ -17,13 +16,11 @@
     StreamOrigins,
     VersionHistory,
 )
+from celerywharf.sharing._origin_readings import OriginReadings
 from celerywharf.sharing._origin_rows import OriginRows
 
 logger = logging.getLogger(__name__)
 
-# Rows of other zones' readers that were lost may have come late.
-READ_PERIOD_S = 1.0
-READ_TIMEOUT_S = 0.2  # callers wait who take a stream up
 MAX_CONFLICTS = 8  # in a row, with readers that write the same row
 
 
@@ -38,10 +35,7 @@
         started_s: start of this process, on the clock of ``origins``.
         store_time_s: returns the time on the store's clock, seconds.
         unwritten: streams to be recorded, by request id.
-        read_s: when the rows were last read; infinitely long ago if never.
-        confirmed_s: begin of the last reading that succeeded; None before it.
-        is_current: the last reading has succeeded.
-        reading: the last reading that a question has caused; None before it.
+        readings: what was read of them, and when.
         read_attempted: it has been tried to read them.
         write_attempted: it has been tried to record versions.
         outdated: versions have changed since they were last written.
@@ -61,10 +55,7 @@
         self.started_s = origins.now()
         self.store_time_s = store_time_s
         self.unwritten: OrderedDict[str, StreamOrigin] = OrderedDict()
-        self.read_s = float('-inf')
-        self.confirmed_s: float | None = None
-        self.is_current = False
-        self.reading: asyncio.Task | None = None
+        self.readings = OriginReadings(rows, self.history)
         self.read_attempted = False
         self.write_attempted = False
         self.outdated = True
@@ -115,7 +106,7 @@
         """
         try:
             if not self.rows.is_read:
-                await self._read()
+                await self.readings.read()
             await self._write_versions()
             await self._write_streams()
         except CelerywharfError as error:
@@ -128,85 +119,60 @@
             self.read_attempted = True
         return True
 
-    async def find(
-        self, request_id: str, service: str, *, in_rows: bool
-    ) -> OriginKnowledge:
+    def find(self, request_id: str) -> OriginKnowledge:
         """Return what this host knows of where a stream began.
 
         Args:
             request_id: id of the attempt that brought the first event.
-            service: name of the service.
-            in_rows: whether to look into the rows, too, as a reader does.
         """
-        now_s = self.origins.now()
-        origin = self.origins.register.find(request_id, now_s)
+        origin = self.origins.register.find(request_id, self.origins.now())
         if origin is not None:
             return OriginKnowledge(origin, evidence=Evidence.own_record)
-        if in_rows:
-            origin = await self._find_in_rows(request_id, service)
-        if origin is None:
-            return OriginKnowledge()
-        return OriginKnowledge(
-            origin, evidence=Evidence.stored_record, age_s=self.age_s()
-        )
-
-    def age_s(self) -> float | None:
-        """Return the age of what was read, in seconds; None before that."""
-        if self.confirmed_s is None:
-            return None
-        return self.origins.now() - self.confirmed_s
-
-    async def _find_in_rows(
-        self, request_id: str, service: str
-    ) -> StreamOrigin | None:
-        found = self._find(request_id)
-        if found is None:
-            await self._read_lately()
-            found = self._find(request_id)
-        return found
-
-    async def _read_lately(self) -> None:
-        """Read the rows unless that was done a moment ago.
-
-        Questions that come at once share a reading.
-        """
-        is_due = self.origins.now() - self.read_s > READ_PERIOD_S
-        if self.reading is None or (is_due and self.reading.done()):
-            self.reading = asyncio.get_running_loop().create_task(
-                self._try_to_read()
-            )
-        await asyncio.shield(self.reading)
-
-    async def _try_to_read(self) -> None:
-        try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                await self._read()
-        except TimeoutError:
-            logger.info('origins of streams not read in time')
-        except CelerywharfError as error:
-            logger.info(
-                'origins of streams not read', extra={'reason': error.message}
+        origin = self._find_in_rows(request_id)
+        if origin is not None:
+            return OriginKnowledge(
+                origin,
+                evidence=Evidence.stored_record,
+                age_s=self.readings.age_s(),
             )
+        return OriginKnowledge()
 
     def possible(
-        self, service: str, alive: Collection[str] | None
-    ) -> frozenset[str]:
+        self, service: str, alive: Collection[str] | None, asked_s: float
+    ) -> OriginKnowledge:
         """Return the versions that may have begun a stream nobody knows.
 
+        What was recorded before the question does not tell: the stream may
+        have begun at a version that has come since.
+
         Args:
             service: name of the service.
             alive: names of the readers of all other zones; None if a front was
                 lost that may have begun streams nobody knows.
+            asked_s: when the question came, on the clock of ``readings``.
 
         Returns:
-            The versions; none if the rows have not been read.
+            The versions; none if the store has not answered since.
         """
-        if not self.rows.is_read:
-            return frozenset()
+        if not self.readings.is_confirmed(asked_s):
+            return OriginKnowledge()
         readers = () if alive is None else {self.name, *alive}
-        return self.history.possible(service, readers, self.store_time_s())
+        recorded = self.history.possible(service, readers, self.store_time_s())
+        return OriginKnowledge(
+            versions=recorded | self._unrecorded(service),
+            evidence=Evidence.stored_versions,
+            age_s=self.readings.age_s(),
+        )
 
-    def _find(self, request_id: str) -> StreamOrigin | None:
+    def _unrecorded(self, service: str) -> frozenset[str]:
+        present = self.origins.software_versions.present().get(service, ())
+        return frozenset(present) - self.recorded(service)
+
+    def recorded(self, service: str) -> frozenset[str]:
+        """Return the versions that are recorded and have not expired."""
+        return self.history.recent(service, self.store_time_s())
+
+    def _find_in_rows(self, request_id: str) -> StreamOrigin | None:
         store_s = self.store_time_s()
         stored = self.rows.find(request_id, store_s)
         if stored is None:
@@ -216,14 +182,6 @@
             request_id, stored.service, stored.software_version, expires_s
         )
 
-    async def _read(self) -> None:
-        began_s = self.origins.now()
-        self.read_s = began_s
-        self.is_current = False
-        self.history.load(await self.rows.read())
-        self.is_current = True
-        self.confirmed_s = began_s
-
     def _on_change(self) -> None:
         self.outdated = True
 
@@ -254,7 +212,11 @@
             )
             if entries is None:
                 return True
+            before_s = self.readings.confirmed_s
             current = await self.rows.write_versions(service, entries)
+            if self.readings.confirmed_s != before_s:
+                # A reading overtook the answer, which may be the older one.
+                self.readings.confirmed_s = float('-inf')
             written = entries if current is None else current
             self.history.replace(service, written)
         return False
--- a/celerywharf/sharing/_origin_rows.py
+++ b/celerywharf/sharing/_origin_rows.py
@@ -155,18 +155,21 @@
             PlatformUnavailableError: the store did not answer.
         """
         reading = await self.store.read(ORIGIN_TABLE)
-        versions = {}
-        self.version_rows = {}
         self.own_rows = {}
         for row in reading.rows:
-            if row.key.startswith(VERSION_PREFIX):
-                service = row.key.removeprefix(VERSION_PREFIX)
-                self.version_rows[service] = row.version
-                versions[service] = decode_versions(row.content) or ()
-            elif row.key.startswith(STREAM_PREFIX):
+            if row.key.startswith(STREAM_PREFIX):
                 self._learn_batch(row)
         self.is_read = True
-        return versions
+        return self._learn_versions(reading.rows)
+
+    async def read_versions(self) -> dict[str, tuple[VersionEntry, ...]]:
+        """Read the rows of versions only, which are few, by service.
+
+        Raises:
+            PlatformUnavailableError: the store did not answer.
+        """
+        reading = await self.store.read(ORIGIN_TABLE, VERSION_PREFIX)
+        return self._learn_versions(reading.rows)
 
     def find(self, request_id: str, store_s: float) -> StoredOrigin | None:
         """Return where a stream began, as the rows tell; None if they don't."""
@@ -254,6 +257,18 @@
         versions = {key: version for key, (version, _) in expired}
         return list(versions.items())[:MAX_REMOVED_ROWS]
 
+    def _learn_versions(
+        self, rows: Iterable[Row]
+    ) -> dict[str, tuple[VersionEntry, ...]]:
+        self.version_rows = {}
+        versions = {}
+        for row in rows:
+            if row.key.startswith(VERSION_PREFIX):
+                service = row.key.removeprefix(VERSION_PREFIX)
+                self.version_rows[service] = row.version
+                versions[service] = decode_versions(row.content) or ()
+        return versions
+
     def _learn_batch(self, row: Row) -> None:
         place = row.key.removeprefix(STREAM_PREFIX)
         zone, _, number = place.rpartition('/')
--- a/celerywharf/sharing/_readers.py
+++ b/celerywharf/sharing/_readers.py
@@ -32,6 +32,7 @@
         links: links with the key of each of them.
         next_lookup_s: the rows are not read again before this time.
         lookup: the last reading of the rows; None before the first.
+        is_read: the rows have been read.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.links: dict[str, LinkService] = {}
         self.next_lookup_s = float('-inf')
         self.lookup: asyncio.Task | None = None
+        self.is_read = False
 
     @property
     def own_zone(self) -> str:
@@ -74,8 +76,11 @@
 
     async def ensure_known(self) -> None:
         """Read the rows if no reader of another zone is known yet."""
-        if self.readers or self.zones == 1:
-            return
+        if not self.readers and self.zones > 1:
+            await self.refresh()
+
+    async def refresh(self) -> None:
+        """Read the rows, unless that was done in the last second."""
         self._look_up(MIN_LOOKUP_PERIOD_S)
         if self.lookup is not None:
             await asyncio.wait({self.lookup})
@@ -101,6 +106,7 @@
         except CelerywharfError as error:
             logger.info('no readers read', extra={'reason': error.message})
             return
+        self.is_read = True
         for row in reading.rows:
             reader = decode_reader(row)
             if reader is not None and row.key != self.own_zone:
