Keep the readers of other zones known for a loss of the store

Cause: readers of zones looked each other up rarely after their start. One whose other zone had started later, or had elected another reader since, told its streams to nobody while the store was away, and nobody answered for them.

A reader that was just elected announces itself by an empty notice; the others look it up then.

--- a/celerywharf/sharing/_origin_notices.py
+++ b/celerywharf/sharing/_origin_notices.py
@@ -14,6 +14,7 @@
 from celerywharf.platform import SERVER_TABLE, boot_time_s
 from celerywharf.sharing._origin_messages import from_entry, to_entry
 from celerywharf.sharing._origin_records import OriginRecords
+from celerywharf.sharing._reader_discovery import ReaderDiscovery
 from celerywharf.sharing._readers import ZoneReaders
 from celerywharf.sharing._store import SharedStore
 from celerywharf.tasks import Part
@@ -46,6 +47,7 @@
         shared_store: tells who the reader of the zone is.
         readers: links to the readers of other zones.
         other_zones: names of the other availability zones.
+        discovery: keeps the readers of other zones known.
         records: what the reader of the zone records in the store.
         untold: streams that were not passed on yet, by request id.
         recorded: ids of those among them that were passed to ``records``.
@@ -67,6 +69,7 @@
         self.shared_store = shared_store
         self.readers = readers
         self.other_zones = other_zones
+        self.discovery = ReaderDiscovery(shared_store, readers, other_zones)
         self.records = records
         self.untold: OrderedDict[str, StreamOrigin] = OrderedDict()
         self.recorded: set[str] = set()
@@ -87,6 +90,12 @@
         super().start()
         self.spawn(self._pass_on_repeatedly())
         self.spawn(self._record_repeatedly())
+        self.discovery.start()
+
+    async def stop(self) -> None:
+        """Stop the tasks."""
+        await self.discovery.stop()
+        await super().stop()
 
     def _record(self) -> None:
         """Bring the rows up to date, unless that is being done."""
@@ -109,6 +118,8 @@
             self.origins.register.learn(origin, self.origins.now())
             if self.shared_store.is_reader and not notice.passed_on:
                 self._pass_on_later(origin)
+        if not notice.origins and notice.passed_on:
+            self.discovery.look_up_soon()
         return OriginAnswer([])
 
     def _pass_on_later(self, origin: StreamOrigin) -> None:
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import defaultdict
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from celerywharf.exceptions import (
@@ -76,6 +76,7 @@
         limits: request limits that servers have stated, shared in the zone.
         server: serves the other fronts, with this front's key.
         client: link to the reader, with the reader's key; None without one.
+        elected_subscribers: called when this front has become the reader.
     """
 
     def __init__(
@@ -115,6 +116,7 @@
         self.server.subscribe(RetryQuestion, lending.answer)
         self.server.on_link_ended = lending.link_ended
         self.client: LinkService | None = None
+        self.elected_subscribers: list[Callable[[], None]] = []
 
     @property
     def era(self) -> StoreEra:
@@ -400,7 +402,10 @@
             self.client = None
         reader = self.election.reader
         if reader is None:
+            was_reader = self.is_reader
             self.lending.begin(after_another=replaced)
+            for subscriber in () if was_reader else self.elected_subscribers:
+                subscriber()
             return
         self.client = self._create_link_service(reader.key)
         self.lending.follow(reader.address, self.client)
--- a/celerywharf/wire/origins.py
+++ b/celerywharf/wire/origins.py
@@ -26,7 +26,8 @@
 class OriginNotice:
     """Passes on where streams began.
 
-    The reply is an empty ``OriginAnswer``.
+    The reply is an empty ``OriginAnswer``.  A notice without streams from
+    another zone says that its sender has become the reader there.
 
     Attributes:
         origins: the streams.
--- a/tests/fronts/test_software_versions.py
+++ b/tests/fronts/test_software_versions.py
@@ -17,6 +17,8 @@
 scenarios('software_versions.feature')
 scenarios('versions_after_loss.feature')
 scenarios('stale_versions.feature')
+scenarios('lone_versions.feature')
+scenarios('late_zones.feature')
 
 ZONES = ('north-1', 'north-2')
 VERSIONS = ('v1', 'v2')
