Pass streams on that a former reader is told of

A front that had lost its zone's reader role kept the streams that others still told it for itself: nobody passed them to the new reader or to other zones, so they were unknown, and refused, once that front was lost.

Cause: only a reader passed notices on. Now every front passes on streams that it didn't know; known ones aren't passed back and forth. Found by reading; test_a_stream_told_to_a_former_reader_is_passed_on_once fails before.

--- a/celerywharf/sharing/_origin_notices.py
+++ b/celerywharf/sharing/_origin_notices.py
@@ -115,8 +115,14 @@
             origin = from_entry(entry, self.origins.now())
             if origin is None:
                 continue
-            self.origins.register.learn(origin, self.origins.now())
-            if self.shared_store.is_reader and not notice.passed_on:
+            now_s = self.origins.now()
+            known = self.origins.register.find(origin.request_id, now_s)
+            self.origins.register.learn(origin, now_s)
+            # A front that is the reader no longer tells the new one; known
+            # streams are not passed back and forth.
+            if not notice.passed_on and (
+                self.shared_store.is_reader or known is None
+            ):
                 self._pass_on_later(origin)
         if not notice.origins and notice.passed_on:
             self.discovery.look_up_soon()
--- a/tests/sharing/test_untold_origins.py
+++ b/tests/sharing/test_untold_origins.py
@@ -5,6 +5,7 @@
 
 from celerywharf.origins import StreamOrigin
 from celerywharf.sharing._origin_notices import OriginNotices
+from celerywharf.wire.origins import OriginEntry, OriginNotice
 
 TRIES = 3
 
@@ -62,3 +63,14 @@
 
     assert not any(asyncio.run(tell()))
     assert recorded == due
+
+
+def test_a_stream_told_to_a_former_reader_is_passed_on_once():
+    notices = _notices([], is_reader=False)
+    entry = OriginEntry('r1', 'narrator', 'v1', 60)
+    notice = OriginNotice([entry], passed_on=False)
+    asyncio.run(notices._on_notice(None, notice))
+    assert list(notices.untold) == ['r1']
+    notices._forget(['r1'])
+    asyncio.run(notices._on_notice(None, notice))
+    assert not notices.untold
