Judge the age of roll-out steps on the clock that counts suspensions

After its machine was suspended, a front went on to move requests to another version by a step that it had confirmed before: its clock stood still meanwhile, so the step seemed 1.5 s old at most.

RolloutRegister takes ages from boot_time_s; the times of sends stay on the timers' clock.

--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -89,10 +89,11 @@
         random=random,
         rollouts=RolloutRegister(
             directory,
-            timers.now,
+            boot_time_s,
             store_time_s,
             random,
             is_enabled=_allows_rollouts(settings),
+            sends_now=timers.now,
         ),
         leases=Leases(
             transport, timers, loads, health, limits, reports, metrics
--- a/celerywharf/rollouts/_register.py
+++ b/celerywharf/rollouts/_register.py
@@ -180,7 +180,8 @@
 
     Attributes:
         directory: the known backend servers.
-        now: returns monotonic seconds.
+        now: returns monotonic seconds, with the time of suspensions.
+        sends_now: returns monotonic seconds for the times of sends.
         store_time_s: returns the time on the store's clock, seconds.
         is_enabled: the deployment allows roll-outs.
         services: what is known, by service.
@@ -197,9 +198,11 @@
         random: Random,
         *,
         is_enabled: bool,
+        sends_now: Callable[[], float] | None = None,
     ) -> None:
         self.directory = directory
         self.now = now
+        self.sends_now = sends_now or now
         self.store_time_s = store_time_s
         self.random = random
         self.is_enabled = is_enabled
@@ -402,7 +405,7 @@
             state.credit -= 1
         send = VersionSend(
             state.tally.routes[route, is_new],
-            self.now(),
+            self.sends_now(),
             state.open_sends.discard,
         )
         state.open_sends.add(send)
@@ -414,7 +417,7 @@
         Sends that wait for their first event are counted as late.
         """
         return [
-            state.counts(self.now())
+            state.counts(self.sends_now())
             for state in self.services.values()
             if state.is_active
         ]
