Count the window of retries on the clock that counts suspensions

After a suspension of its machine, a front allowed retries for requests of long ago, as the window of its own budget stood still with the clock.

--- a/celerywharf/fronts/_context.py
+++ b/celerywharf/fronts/_context.py
@@ -51,7 +51,7 @@
         has_recovery_windows=settings.backends.recovery_windows,
     )
     metrics = Metrics()
-    retries = build_retry_limiter(settings, timers.now, random)
+    retries = build_retry_limiter(settings, boot_time_s, random)
     health.windows.hosts = functools.partial(_hosts, retries.share)
     health.windows.grants_leases = functools.partial(
         _grants_leases, configuration_cache
--- a/tests/fronts/test_suspended_machines.py
+++ b/tests/fronts/test_suspended_machines.py
@@ -1,5 +1,6 @@
 """What a front takes for present after its machine was suspended."""
 
+import asyncio
 import time
 from dataclasses import replace
 from random import Random
@@ -76,3 +77,21 @@
     for _ in range(REQUESTS):
         register.record_request(SERVICE)
     assert not _served(register)['v2']
+
+
+def test_requests_before_a_suspension_allow_no_retries_after_it(
+    machine, context
+):
+    retries = context.retries
+    retries.budget.fixed = 0
+    retries.lender = None
+    retries.share = None
+    for _ in range(REQUESTS):
+        retries.record_request(SERVICE)
+    machine.steady_s += 1
+    machine.suspended_s = 3 * retries.budget.window_s
+
+    async def count_taken():
+        return sum([await retries.take(SERVICE) for _ in range(REQUESTS)])
+
+    assert not asyncio.run(count_taken())
