Date confirmed roll-out steps by when the store gave the answer

A front that stood still while an answer of the store lay unread dated the step at its receipt, and moved requests by a step that might have been taken back since.

Steps are now as old as the answer: by the store's clock within the time of the call, and by the time of the question for an answer of the reader. test_unknown_services has a stand-in that now returns the timing of its answers.

--- a/celerywharf/sharing/_rollout_exchange.py
+++ b/celerywharf/sharing/_rollout_exchange.py
@@ -10,6 +10,7 @@
 
 from celerywharf.exceptions import CelerywharfError, PeerUnreachableError
 from celerywharf.platform import HistoryGoneError, Position
+from celerywharf.routing import AnswerTiming
 from celerywharf.sharing._rollout_control import RolloutControl
 from celerywharf.sharing._rollout_rows import (
     STEP_TABLE,
@@ -131,7 +132,7 @@
             reading = await store.watch(STEP_TABLE, self.position, STORE_POLL_S)
         self.control.steps.apply_rows(reading.rows)
         self.position = reading.position
-        self.control.steps.confirm()
+        self.control.steps.confirm(self._age_s(reading.timing))
         self.has_begun = True
 
     async def _ask_reader(self) -> None:
@@ -142,6 +143,7 @@
         if reader is None or client is None:
             return
         counts = [to_message(tally) for tally in self.register.tallies()]
+        asked_s = self.register.now()
         reply = await client.request(
             reader.address, RolloutQuestion(counts, ''), READER_TIMEOUT_S
         )
@@ -149,7 +151,7 @@
             step = decode_step(row.service, row.content)
             if step is not None:
                 self.register.learn_step(step, row.version)
-        self.register.confirm(reply.age_s + READER_TIMEOUT_S / 2)
+        self.register.confirm(reply.age_s + self.register.now() - asked_s)
 
     async def _attend(self) -> None:
         """Decide or report, as the reader of the zone."""
@@ -175,6 +177,16 @@
         age_s = self.register.now() - self.register.confirmed_s
         return RolloutAnswer(rows, min(age_s, UNKNOWN_AGE_S))
 
+    def _age_s(self, timing: AnswerTiming) -> float:
+        """Return how long ago, at most, the store gave an answer, in seconds.
+
+        Its clock tells, within the time between the call and now.
+        """
+        now_s = self.register.now()
+        age_s = self.register.store_time_s() - timing.store_s
+        age_s = min(age_s, now_s - timing.sent_s)
+        return max(age_s, now_s - timing.received_s)
+
     def _is_reader(self) -> bool:
         return self.shared_store.is_reader
 
--- a/celerywharf/sharing/_stored_steps.py
+++ b/celerywharf/sharing/_stored_steps.py
@@ -79,15 +79,15 @@
             return self.unreadable.get(service, 0)
         return stored.version
 
-    def confirm(self) -> None:
-        """Record that the steps are current, as far as they can be read.
+    def confirm(self, age_s: float = 0) -> None:
+        """Record that the steps were current so many seconds ago.
 
         Until an unreadable row has been replaced, nobody begins to move: it
         may have been written in place of a step that takes the move back.
         """
         orders = self.register.orders()
         if self.unreadable.keys().isdisjoint(each.service for each in orders):
-            self.register.confirm()
+            self.register.confirm(age_s)
 
     def _refuse(self, row: Row) -> None:
         service = row.key
--- /dev/null
+++ b/tests/rollouts/test_stale_confirmations.py
@@ -0,0 +1,77 @@
+"""Roll-out hosts that stood still while steps were written."""
+
+import asyncio
+import time
+from dataclasses import replace
+from random import Random
+from types import SimpleNamespace
+
+from celerywharf.backends import Directory
+from celerywharf.metrics import Metrics
+from celerywharf.platform import Position, ReadResult
+from celerywharf.rollouts import RolloutRegister
+from celerywharf.routing import AnswerTiming
+from celerywharf.sharing import RolloutExchange, StoredSteps
+from tests.rollouts.fleets import BOUNDS
+from tests.rollouts.test_rollout_register import (
+    MOVING,
+    ORDER,
+    SERVICE,
+    _served,
+    _server,
+)
+from tests.virtual_loop import run_virtually
+
+STOP_S = 5
+REQUESTS = 50
+STEP = replace(MOVING, started_s=0, period_s=60, move_s=2, share=0)
+
+
+class StoppedReader:
+    """A reader that reads an answer of the store long after it was given."""
+
+    def __init__(self):
+        directory = Directory()
+        for number, version in enumerate(('v1', 'v1', 'v2', 'v2')):
+            directory.update(_server(number, version), 0)
+        self.register = RolloutRegister(
+            directory,
+            time.monotonic,
+            time.monotonic,
+            Random(1),
+            is_enabled=True,
+        )
+        control = SimpleNamespace(
+            register=self.register,
+            store=self,
+            steps=StoredSteps(self.register, Metrics()),
+            bounds=BOUNDS,
+            forget_counts=int,
+        )
+        shared_store = SimpleNamespace(
+            server=SimpleNamespace(subscribe=lambda *_: None), is_reader=True
+        )
+        self.exchange = RolloutExchange(control, shared_store, Random(1))
+
+    async def watch(self, _table, _position, _wait_s):
+        """Return that there is no newer step, as of the begin."""
+        sent_s = time.monotonic()
+        await asyncio.sleep(STOP_S)
+        timing = AnswerTiming(sent_s, time.monotonic(), sent_s)
+        return ReadResult((), 1, timing)
+
+    async def follow(self):
+        """Read the steps once; return where requests go then."""
+        self.register.set_order(SERVICE, replace(ORDER, period_s=60))
+        self.register.learn_step(STEP, 8)
+        self.exchange.has_begun = True
+        self.exchange.position = Position(1, 1)
+        await self.exchange._follow()
+        for _ in range(REQUESTS):
+            self.register.record_request(SERVICE)
+        return _served(self.register)
+
+
+def test_an_answer_given_before_a_stop_confirms_no_step():
+    served = run_virtually(lambda: StoppedReader().follow())
+    assert not served['v2']
--- a/tests/rollouts/test_unknown_services.py
+++ b/tests/rollouts/test_unknown_services.py
@@ -14,6 +14,7 @@
 from celerywharf.metrics import Metrics
 from celerywharf.platform import Row
 from celerywharf.rollouts import RolloutRegister, RolloutStep
+from celerywharf.routing import AnswerTiming
 from celerywharf.sharing import RolloutExchange, StoredSteps
 from celerywharf.wire.rollouts import RolloutAnswer
 from tests.rollouts.fleets import BOUNDS, SERVICE
@@ -77,12 +78,17 @@
         self.calls['attend'] += 1
 
     async def read(self, table):
-        return types.SimpleNamespace(rows=[], position=1)
+        return self.no_rows()
 
     async def watch(self, table, position, wait_s):
         self.calls['watch'] += 1
         await asyncio.sleep(wait_s)
-        return types.SimpleNamespace(rows=[], position=1)
+        return self.no_rows()
+
+    def no_rows(self):
+        now_s = time.monotonic()
+        timing = AnswerTiming(now_s, now_s, now_s)
+        return types.SimpleNamespace(rows=[], position=1, timing=timing)
 
     async def request(self, address, question, timeout_s):
         self.calls['request'] += 1
