Ask the deciding host again after a stop of one's own

A reader that had stood still took the time of its own stop for the silence of the host that decides a roll-out, and took the decision over. It now asks once before it judges.

--- a/celerywharf/sharing/_rollout_control.py
+++ b/celerywharf/sharing/_rollout_control.py
@@ -225,10 +225,12 @@
         other = self._other_decider(step)
         silent_s = self.register.now() - other.heard_s
         is_own_zone = step.availability_zone == self.readers.own_zone
+        # The silence may be a stop of this host, which then has to ask again.
+        is_judged = other.is_role_checked
         if is_own_zone or silent_s > ROLE_CHECK_S:
             other.check_once(self.check_role)
         patience_s = ROLE_CHECK_S if is_own_zone else TAKEOVER_S
-        if silent_s > patience_s:
+        if is_judged and silent_s > patience_s:
             await self._write(
                 replace(step, reason='the deciding host did not answer'), stored
             )
--- a/tests/rollouts/test_stale_confirmations.py
+++ b/tests/rollouts/test_stale_confirmations.py
@@ -12,7 +12,7 @@
 from celerywharf.rollouts import RolloutRegister
 from celerywharf.routing import AnswerTiming
 from celerywharf.sharing import RolloutExchange, StoredSteps
-from tests.rollouts.fleets import BOUNDS
+from tests.rollouts.fleets import BOUNDS, Version
 from tests.rollouts.test_rollout_register import (
     MOVING,
     ORDER,
@@ -20,6 +20,7 @@
     _served,
     _server,
 )
+from tests.rollouts.zoned_fleets import ZonedFleet
 from tests.virtual_loop import run_virtually
 
 STOP_S = 5
@@ -75,3 +76,24 @@
 def test_an_answer_given_before_a_stop_confirms_no_step():
     served = run_virtually(lambda: StoppedReader().follow())
     assert not served['v2']
+
+
+def _decided_by(control):
+    stored = control.steps.rows[SERVICE]
+    return stored.step.host
+
+
+def test_a_stop_of_its_own_is_not_the_silence_of_the_deciding_host():
+    fleet = ZonedFleet(1, 6, Version(), rate=40)
+    fleet.run(4)
+    woken = next(
+        reader
+        for reader in fleet.readers.values()
+        if reader is not fleet.decider_host
+    ).control
+    decided_by = _decided_by(woken)
+    other = woken.others[SERVICE]
+    other.heard_s = woken.register.now() - STOP_S
+    other.is_role_checked = False
+    asyncio.run(woken.attend())
+    assert _decided_by(woken) == decided_by
