Let order leases lapse while the holder's machine is suspended

A host whose machine was suspended went on to send orders under a lease that had lapsed meanwhile, as its clock had stood still. An engine that checks fencing refuses them; others ran them beside the next holder's.

--- a/celerywharf/orders/_reconciler.py
+++ b/celerywharf/orders/_reconciler.py
@@ -41,6 +41,7 @@
     WriteOutcomeUnknown,
 )
 from celerywharf.orders._weight_queue import WeightQueue
+from celerywharf.platform import boot_time_s
 from celerywharf.tables import REVISION_KEY, BackendServer
 
 if TYPE_CHECKING:
@@ -232,7 +233,7 @@
         return row
 
     def _now(self) -> float:
-        return self.host.timers.now()
+        return boot_time_s()
 
     def _record(self, name: str, order: str = '', **details: str) -> None:
         self.host.recorder.record(
