--- a/celerywharf/sharing/_election.py
+++ b/celerywharf/sharing/_election.py
@@ -14,6 +14,8 @@
 # How often a reader checks whether another has taken over.  A new reader lends
 # its fixed number of retries a retry window after it has taken over.
 CHECK_PERIOD_S = 10.0
+# A reader that has stood still for this long may have been replaced.
+STOP_S = 1.0
 FOLLOWER_TIMEOUT_S = 5.0  # several times the request period of the others
 
 
@@ -143,10 +145,18 @@
             self.next_check_s = now_s
 
     def doubt(self, now_s: float) -> None:
-        """Record that another front of the zone acts as its reader."""
+        """Record that another front of the zone may act as its reader."""
         if self.reader is None:
             self.next_check_s = now_s
 
+    def slept(self, began_s: float, now_s: float) -> None:
+        """Record how long the wait for the next turn has taken.
+
+        If it was much longer than intended, this front has stood still.
+        """
+        if now_s - began_s > STOP_S:
+            self.doubt(now_s)
+
     def postpone_check(self, now_s: float) -> None:
         """Schedule the next check after the row could not be read."""
         self.next_check_s = now_s + CHECK_JITTER_S * (1 + self.random.random())
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -372,7 +372,9 @@
                         'zone row check failed',
                         extra={'reason': error.message},
                     )
+            began_s = boot_time_s()
             await asyncio.sleep(CHECK_PERIOD_S)
+            self.election.slept(began_s, boot_time_s())
 
     async def _check_row(self) -> None:
         zone_row = self.zone_row
--- a/tests/sharing/test_replaced_readers.py
+++ b/tests/sharing/test_replaced_readers.py
@@ -16,6 +16,8 @@
 # The period of a reader's checks and the time of a check.
 REPLACED_S = 10.5
 OUTAGE_S = 30.0
+STOOD_STILL_S = 2.0
+WOKEN_S = 0.5
 CHANGE_PERIOD_S = 0.1
 
 
@@ -75,6 +77,20 @@
     run_virtually(play)
 
 
+def test_a_reader_replaced_while_it_stood_still_lends_no_more_when_it_wakes():
+    async def play():
+        fleet, _, others = await begin()
+        replace_reader(fleet, others[0])
+        await asyncio.sleep(AFTER_STOP_S)
+        assert others[0] in readers_of(fleet)
+        asyncio.get_running_loop().virtual_selector.now_s += STOOD_STILL_S
+        await asyncio.sleep(WOKEN_S)
+        assert readers_of(fleet) == [others[0]]
+        await fleet.stop()
+
+    run_virtually(play)
+
+
 def test_fronts_know_a_change_in_time_while_their_reader_steps_down():
     async def play():
         fleet, _, others = await begin()
