--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -52,6 +52,8 @@
 ELECTION_CHECK_S = 0.02
 # What is left for a call of the store if the zone has no reader by then.
 ELECTION_MARGIN_S = 0.3
+# How long a front without the table waits for the zone's next reader.
+ELECTION_S = 2.0
 # A read and a write of the zone's row, each about to time out.
 START_TIMEOUT_S = 2.0
 
@@ -152,11 +154,17 @@
             PlatformUnavailableError: neither the reader nor the store answered.
         """
         await self._wait_for_first_check()
-        reader = self.election.reader
         whole = Position(self.era.current, WHOLE_TABLE)
-        asked_s = boot_time_s()
-        inquiry = plan_inquiry(self.tables[table].left_s(asked_s))
-        reading = await self._read_from_reader(table, whole, inquiry)
+        elected_by_s = boot_time_s() + ELECTION_S
+        is_elected = True
+        while is_elected:
+            reader = self.election.reader
+            asked_s = boot_time_s()
+            inquiry = plan_inquiry(self.tables[table].left_s(asked_s))
+            reading = await self._read_from_reader(table, whole, inquiry)
+            is_elected = reading is None and await self._has_next_reader(
+                table, elected_by_s
+            )
         if reading is None:
             judged = _judged(reader, inquiry, asked_s)
             self.calls.check_due()
@@ -185,7 +193,7 @@
         inquiry = plan_inquiry(self.tables[table].left_s(asked_s))
         reading = await self._read_from_reader(table, after, inquiry)
         judged = _judged(reader, inquiry, asked_s)
-        if reading is None and await self._has_next_reader(table):
+        if reading is None and await self._has_next_reader(table, float('inf')):
             return await self.watch(table, after, wait_s)
         if reading is None:
             self.calls.check_due()
@@ -221,17 +229,22 @@
         """Return whether this front reads the store for the others."""
         return self.lending.pool is not None
 
-    async def _has_next_reader(self, table: str) -> bool:
+    async def _has_next_reader(self, table: str, latest_s: float) -> bool:
         """Return whether the zone has another reader; wait while it elects.
 
         If all fronts read a large table themselves meanwhile, it would take
         them longer.
+
+        Args:
+            table: what is to be read; it stays known while this front waits.
+            latest_s: when to stop waiting, in seconds of CLOCK_BOOTTIME.
         """
         election = self.election
         if election.reader is not None:
             return False
         while election.reader is None and not self.is_reader:
-            left_s = self.tables[table].left_s(boot_time_s())
+            now_s = boot_time_s()
+            left_s = min(self.tables[table].left_s(now_s), latest_s - now_s)
             if left_s < ELECTION_MARGIN_S or not self.calls.reachable:
                 return False
             await asyncio.sleep(ELECTION_CHECK_S)
