Read the whole table if an answer to a watch may be cut

Cause: the store ends an answer at 1 MB and doesn't say whether there are more changes; StoreClient.watch dated such a part like the whole. An answer of several rows and over half of that now counts as lost history, so that the whole table is read, page by page.

--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -22,7 +22,7 @@
 from celerywharf.platform._eras import Position, StoreEra, read_era
 from celerywharf.routing import AnswerTiming
 from celerywharf.structures import Address
-from celerywharf.units import DOCUMENT_BYTES
+from celerywharf.units import DOCUMENT_BYTES, MEBIBYTE
 
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
@@ -40,6 +40,9 @@
 # A page has at most 1 MB of rows; a configuration of thousands of routes is a
 # few MB.
 MAX_ANSWER_BYTES = DOCUMENT_BYTES
+# The store ends an answer at 1 MB, before the first row that does not fit, and
+# does not say whether there are more changes.
+MAX_CHANGES_BYTES = MEBIBYTE // 2
 
 
 class HistoryGoneError(PlatformUnavailableError):
@@ -160,6 +163,11 @@
     now_ms: float = Field(alias='nowMs')
     has_more: bool = Field(default=False, alias='hasMore')
 
+    def may_be_cut(self) -> bool:
+        """Return whether changes may be missing at the end of the answer."""
+        size_bytes = sum(len(row.value or '') for row in self.rows)
+        return len(self.rows) > 1 and size_bytes > MAX_CHANGES_BYTES
+
 
 class StoreClient:
     """Reads, watches and writes tables of the metadata store.
@@ -233,8 +241,9 @@
             fresh_connection: whether to use a new connection.
 
         Raises:
-            HistoryGoneError: the store no longer has these changes, or has
-                come back from an older copy; read the whole table again.
+            HistoryGoneError: the store no longer has these changes, has come
+                back from an older copy, or may have more of them than one
+                answer holds; read the whole table again.
             PlatformUnavailableError: the store did not answer.
         """
         if after.era != self.era.current:
@@ -250,6 +259,8 @@
         )
         if timing.era != after.era:
             raise HistoryGoneError('the store has come back from a copy')
+        if answer.may_be_cut():
+            raise HistoryGoneError('more changes than an answer holds')
         rows = tuple(row.row() for row in answer.rows)
         return ReadResult(rows, answer.api_version, timing)
 
--- a/tests/platform/test_store_pages.py
+++ b/tests/platform/test_store_pages.py
@@ -6,7 +6,7 @@
 import pytest
 
 from celerywharf.adapters.transports import HttpResponse, Transport
-from celerywharf.platform import StoreClient
+from celerywharf.platform import HistoryGoneError, Position, StoreClient
 from celerywharf.structures import Address
 
 PAGES = (
@@ -23,6 +23,7 @@
         'hasMore': False,
     },
 )
+LARGE_VALUE = 'AAAA' * 100_000
 
 
 class Pages(Transport):
@@ -59,3 +60,26 @@
     store = StoreClient(Pages([page]), Address('127.0.0.1', 1))
     reading = asyncio.run(store.read('servers'))
     assert [row.content for row in reading.rows] == [None]
+
+
+def _watch(*values):
+    """Return the changes of an answer with rows of these values."""
+    rows = [
+        {'key': 'config', 'value': value, 'apiVersion': 3 + number}
+        for number, value in enumerate(values)
+    ]
+    store = StoreClient(
+        Pages([PAGES[1] | {'rows': rows}]), Address('127.0.0.1', 1)
+    )
+    store.era.observe(1)
+    return asyncio.run(store.watch('op', Position(1, 2), 0)).rows
+
+
+def test_changes_that_an_answer_may_not_hold_are_read_with_the_whole_table():
+    with pytest.raises(HistoryGoneError):
+        _watch(LARGE_VALUE, LARGE_VALUE)
+
+
+def test_changes_that_an_answer_holds_are_taken_over():
+    assert len(_watch(LARGE_VALUE)) == 1
+    assert len(_watch(LARGE_VALUE, 'AAAA')) == 2
