Refuse answers with an invalid status or an ambiguous length

A reviewer added heads whose length curl reads otherwise than the transport: spaces before the colon, signs, lengths beyond 63 bits.

ResponseHead, split off CurlTransfer, takes statuses of three digits, 100 to 599, and lengths that all receivers read alike; all else ends the transfer as lost. One transport reads all answers, so calls, streams, the hop between hosts and the store have it.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -14,9 +14,9 @@
 import pycurl
 
 from celerywharf.adapters._read_budget import ReadBudget, Usage
+from celerywharf.adapters._response_head import ResponseHead
 from celerywharf.adapters._responses import ResponseCollector, ResponsePool
 from celerywharf.adapters.transports import (
-    MAX_HEAD_BYTES,
     HttpRequest,
     HttpResponse,
     StreamSink,
@@ -30,9 +30,6 @@
 MAX_CONNECTIONS = 4096
 # What is read before a pause has an effect.
 BUFFER_BYTES = 4096
-# Status lines, headers and trailers of one exchange; curl keeps each of them,
-# with some hundred bytes more.
-MAX_HEAD_LINES = 500
 # Ordinary answers are not measured: lines and small pieces are charged in
 # groups, and what is read without any only after a call of curl has taken long.
 CHARGED_PIECES = 32
@@ -40,10 +37,8 @@
 LARGE_PIECE_BYTES = 1024
 LONG_CALL_S = 0.0005
 MEASURING_S = 0.05
-FIRST_FINAL_STATUS = 200  # 1xx responses are interim
 # A time-out that fires this much late shows that this process did not run.
 LATE_S = 0.1
-STATUS_DIGITS = 3
 # The longest transfer that is judged by its progress.
 MAX_TRANSFER_S = 15.0
 LINE_BREAKS = frozenset('\r\n\0')
@@ -254,10 +249,7 @@
 
     Attributes:
         closed: cancelled or ended; the sink receives nothing more.
-        head_bytes: size of all status lines, headers and trailers received.
-        head_lines: number of these lines.
-        head_complete: the final headers have arrived; what curl passes as
-            headers after that are trailers, which are ignored.
+        head: what has been received of the head of the response.
         held: the sink wants nothing until it resumes the transfer.
         overdue: paused because reading it took too much time.
         usage: the time that reading it took.
@@ -275,12 +267,8 @@
         self.transport = transport
         self.sink = sink
         self.request = request
-        self.headers: dict[str, str] = {}
-        self.status = 0
+        self.head = ResponseHead()
         self.closed = False
-        self.head_bytes = 0
-        self.head_lines = 0
-        self.head_complete = False
         self.held = False
         self.overdue = False
         self.usage = Usage()
@@ -336,28 +324,25 @@
 
     def error(self, code: int, message: str) -> TransportError:
         """Convert a failure of curl to an exception with its verdict."""
-        if self._is_head_too_large():
+        if self.head.is_too_large():
             return ResponseTooLargeError('response headers exceed the limit')
+        if self.head.is_malformed:
+            return TransportError('malformed response head')
         sent = self.curl.getinfo(pycurl.REQUEST_SIZE)
         verdict = Verdict.may_have_run
         if code in NEVER_SENT_CODES or not sent:
             verdict = Verdict.not_run
         error = TransportError(message or f'curl error {code}', verdict=verdict)
-        error.answer_begun = self.head_complete
+        error.answer_begun = self.head.is_complete
         error.late = code == pycurl.E_OPERATION_TIMEDOUT and self._is_late()
         return error
 
-    def _is_head_too_large(self) -> bool:
-        return (
-            self.head_bytes > MAX_HEAD_BYTES or self.head_lines > MAX_HEAD_LINES
-        )
-
     def _has_ended(self) -> bool:
         """Return whether what curl takes for an end can be one.
 
         To curl a connection that closes inside a head ends the response.
         """
-        return self.head_complete or self.request.connect_only
+        return self.head.is_complete or self.request.connect_only
 
     def _is_late(self) -> bool:
         """Return whether a time-out has fired much later than it was due."""
@@ -423,28 +408,21 @@
         curl.setopt(pycurl.CUSTOMREQUEST, _encode(self.request.method))
 
     def _on_header(self, line: bytes) -> int | None:
-        self.head_bytes += len(line)
-        self.head_lines += 1
-        if self._is_head_too_large():
+        head = self.head
+        head.count(line)
+        if head.is_too_large():
             return ABORT
         self._charge()
-        if self.head_complete:
+        if head.is_complete:
             return None
-        text = line.decode('latin-1').strip()
-        if text.startswith('HTTP/'):
-            self.status = _status(text)
-            self.headers = {}
-        elif text:
-            name, _, value = text.partition(':')
-            self.headers[name.strip().lower()] = value.strip()
-        elif self.status >= FIRST_FINAL_STATUS:
-            self.head_complete = True
+        head.add(line)
+        if head.is_malformed:
+            return ABORT
+        if head.is_complete:
             self._notify(
                 functools.partial(
-                    self.sink.on_headers,
-                    self.status,
-                    self.headers,
-                ),
+                    self.sink.on_headers, head.status, head.headers
+                )
             )
         return None
 
@@ -481,12 +459,6 @@
     return text.encode('latin-1')
 
 
-def _status(line: str) -> int:
-    """Return the status of a status line, 0 if it has none."""
-    status = line.partition(' ')[2][:STATUS_DIGITS]
-    return int(status) if status.isdecimal() else 0
-
-
 class _BodyReader:
     """Supplies a request body to curl, unless the guard forbids it."""
 
--- /dev/null
+++ b/celerywharf/adapters/_response_head.py
@@ -0,0 +1,80 @@
+"""Reads the head of a response, line by line."""
+
+from __future__ import annotations
+
+import re
+
+from celerywharf.adapters.transports import (
+    FRAMING_HEADERS,
+    MAX_HEAD_BYTES,
+)
+
+# Status lines, headers and trailers of one exchange; curl keeps each of them,
+# with some hundred bytes more.
+MAX_HEAD_LINES = 500
+FIRST_FINAL_STATUS = 200  # 1xx responses are interim
+STATUS_LINE = re.compile(r'HTTP/\d(?:\.\d)? ([1-5]\d\d)(?: |$)')
+# Lengths beyond 63 bits are ignored by curl.
+LENGTH = re.compile(r'0*\d{1,18}')
+
+
+class ResponseHead:
+    """The head of a response as far as it has been received.
+
+    Attributes:
+        status: of the last status line; 0 before the first, and if it is not
+            of three digits, 100 to 599.
+        headers: by name in lower case.
+        size_bytes: size of all status lines, headers and trailers received.
+        line_count: number of these lines.
+        is_begun: a status line has arrived and the blank line after it has not.
+        is_malformed: the status line is invalid, or the length of the body is
+            stated in a way that receivers read differently.
+        is_complete: the final headers have arrived; what follows are trailers,
+            which are ignored.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.size_bytes = 0
+        self.line_count = 0
+        self.is_begun = False
+        self.is_malformed = False
+        self.is_complete = False
+
+    def is_too_large(self) -> bool:
+        """Return whether the limits of a head are exceeded."""
+        return (
+            self.size_bytes > MAX_HEAD_BYTES or self.line_count > MAX_HEAD_LINES
+        )
+
+    def count(self, line: bytes) -> None:
+        """Count a line of a head or a trailer."""
+        self.size_bytes += len(line)
+        self.line_count += 1
+
+    def add(self, line: bytes) -> None:
+        """Read a line of a head that is not complete."""
+        text = line.decode('latin-1').strip()
+        if text and self.is_begun:
+            self._add_header(text)
+        elif text:
+            match = STATUS_LINE.match(text)
+            self.status = int(match[1]) if match else 0
+            self.is_malformed = match is None
+            self.is_begun = True
+            self.headers = {}
+        else:
+            self.is_begun = False
+            self.is_complete = self.status >= FIRST_FINAL_STATUS
+
+    def _add_header(self, text: str) -> None:
+        name, _, value = text.partition(':')
+        key, value = name.rstrip().lower(), value.strip()
+        self.headers[key] = value
+        is_spaced = name[-1:].isspace()
+        if key in FRAMING_HEADERS and is_spaced:
+            self.is_malformed = True
+        if key == 'content-length' and not LENGTH.fullmatch(value):
+            self.is_malformed = True
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -18,6 +18,8 @@
 # Status lines, headers and trailers of one exchange, interim responses
 # included.
 MAX_HEAD_BYTES = SMALL_MESSAGE_BYTES
+# Headers that state where the body ends.
+FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 # Headers that apply to a single connection and must not be forwarded.
 HOP_BY_HOP = frozenset(
     (
@@ -36,6 +38,18 @@
 )
 
 
+def is_framed(headers: Mapping[str, str]) -> bool:
+    """Return whether headers state where the body ends.
+
+    Args:
+        headers: of a response, names in lower case.
+    """
+    coding = headers.get('transfer-encoding')
+    if coding is None:
+        return 'content-length' in headers
+    return coding.rpartition(',')[2].strip().lower() == 'chunked'
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """One HTTP request.
--- a/celerywharf/forwarding/_peer_sends.py
+++ b/celerywharf/forwarding/_peer_sends.py
@@ -8,7 +8,11 @@
 from typing import Any
 from urllib.parse import quote
 
-from celerywharf.adapters.transports import HttpRequest, HttpResponse
+from celerywharf.adapters.transports import (
+    HttpRequest,
+    HttpResponse,
+    is_framed,
+)
 from celerywharf.exceptions import TransportError
 from celerywharf.forwarding._context import ForwardingContext
 from celerywharf.forwarding._outcomes import (
@@ -19,7 +23,7 @@
     PeerFailed,
     Refused,
 )
-from celerywharf.forwarding._relays import FRAMING_HEADERS, StreamRelay
+from celerywharf.forwarding._relays import StreamRelay
 from celerywharf.forwarding._requests import IncomingRequest
 from celerywharf.forwarding._sends import CONNECT_TIMEOUT_S, failed_send
 from celerywharf.peers import (
@@ -204,7 +208,7 @@
         if self.headers is not None:
             return
         self.status = status
-        self.framed = not FRAMING_HEADERS.isdisjoint(headers)
+        self.framed = is_framed(headers)
         self.headers = _answer_headers(headers)
         outcome = _failure(status, headers)
         if outcome is None and (
--- a/celerywharf/forwarding/_relays.py
+++ b/celerywharf/forwarding/_relays.py
@@ -8,7 +8,11 @@
 from dataclasses import replace
 from http import HTTPStatus
 
-from celerywharf.adapters.transports import HttpResponse, Transfer
+from celerywharf.adapters.transports import (
+    HttpResponse,
+    Transfer,
+    is_framed,
+)
 from celerywharf.backends import BackendServer
 from celerywharf.exceptions import TransportError
 from celerywharf.forwarding._caller import Caller
@@ -42,7 +46,6 @@
 )
 from celerywharf.units import SMALL_MESSAGE_BYTES
 
-FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 MAX_ERROR_BODY_BYTES = SMALL_MESSAGE_BYTES
 # Events without tokens that an engine may send beyond one for each token.
 EXTRA_EVENTS = 16
@@ -179,7 +182,7 @@
         self.context.loads.mark_alive(self.server.name, now_s)
         self.context.health.reached(self.server)
         self.status = status
-        self.framed = not FRAMING_HEADERS.isdisjoint(headers)
+        self.framed = is_framed(headers)
         self.headers = read_answer_headers(headers)
         outcome = refusal(self.request, status, self.headers) or invalid_answer(
             self.request, status, self.headers
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -1,8 +1,8 @@
 """Stand-in for a backend server that breaks off its answers.
 
 It serves in threads of the calling process.  Each request but those for the
-report is read as a whole and answered with given bytes, after which the
-connection is closed or reset.
+report is read, as a whole or its head only, and answered with given bytes,
+after which the connection is ended.
 """
 
 from __future__ import annotations
@@ -27,8 +27,11 @@
 POLL_S = 0.02
 # Bytes that have not been read when a connection is reset are lost.
 READ_S = 0.05
+# Long enough for curl to see the end of the answer.
+HALF_CLOSED_S = 0.2
 CLOSED = 'closed'
 RESET = 'reset'
+HALF_CLOSED = 'half closed'
 
 _SIGNED = (
     'HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Stamp: s\r\n'
@@ -60,6 +63,16 @@
         f'{_SIGNED}Content-Length: 99\n\n{_EVENT}'.replace('\r\n', '\n')
     ),
 }
+# Answers of no sound status.
+BAD_STATUSES = {
+    status: f'{_SIGNED}Content-Length: 2\r\n\r\n{{}}'.replace('200', status)
+    for status in ('000', '0', '099', '-01', '600', '999', '2000', '20')
+}
+# Answers that end with their connection.
+UNFRAMED = {
+    'HTTP/1.1': f'{_SIGNED}\r\n{{}}',
+    'HTTP/1.0': f'{_SIGNED}\r\n{{}}'.replace('HTTP/1.1', 'HTTP/1.0'),
+}
 # Whole answers of few bytes.
 WHOLE_ANSWERS = {
     'length': f'{_SIGNED}Content-Length: 2\r\n\r\n{{}}',
@@ -78,7 +91,9 @@
     Attributes:
         answers: what it sends to a request each time that it comes; the last
             one from then on.  ``ID`` in it stands for the id of the request.
-        ending: how connections end, ``CLOSED`` or ``RESET``.
+        ending: how connections end: ``CLOSED``, ``RESET``, or ``HALF_CLOSED``
+            and closed ``HALF_CLOSED_S`` later.
+        reads_bodies: whether it reads a request as a whole or its head only.
         request_ids: of the requests that were read as a whole, in order;
             servers that share the list take turns with their answers.
         born_ms: Unix time of its start.
@@ -89,10 +104,12 @@
         self,
         *answers: str,
         ending: str = CLOSED,
+        reads_bodies: bool = True,
         request_ids: list[str] | None = None,
     ) -> None:
         self.answers: Sequence[str] = answers
         self.ending = ending
+        self.reads_bodies = reads_bodies
         self.request_ids = [] if request_ids is None else request_ids
         self.born_ms = int(time.time() * MS_PER_S)
         self.server = _Server(('127.0.0.1', 0), _Handler)
@@ -157,26 +174,38 @@
             self.break_off(head)
 
     def read(self) -> bytes:
-        """Return the head of a request after its whole body was read."""
+        """Return the head of a request, once what is to be read was read."""
         received = b''
-        while not _is_whole(received):
+        while not self.is_read(received):
             chunk = self.request.recv(SMALL_MESSAGE_BYTES)
             if not chunk:
                 return b''
             received += chunk
         return received.partition(HEAD_END)[0]
 
+    def is_read(self, received: bytes) -> bool:
+        """Return whether enough of a request was read to answer it."""
+        if self.server.breaking.reads_bodies:
+            return _is_whole(received)
+        return HEAD_END in received
+
     def break_off(self, head: bytes) -> None:
         """Answer a request and end its connection."""
         breaking = self.server.breaking
         request_id = REQUEST_ID.search(head)
         answer = breaking.next_answer(request_id[1].decode())
         self.request.sendall(answer)
-        if breaking.ending == RESET:
-            time.sleep(READ_S)
-            linger = struct.pack('ii', 1, 0)
-            self.request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            self.request.close()
+        match breaking.ending:
+            case 'reset':
+                time.sleep(READ_S)
+                linger = struct.pack('ii', 1, 0)
+                self.request.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+                self.request.close()
+            case 'half closed':
+                self.request.shutdown(socket.SHUT_WR)
+                time.sleep(HALF_CLOSED_S)
 
 
 def _is_whole(received: bytes) -> bool:
