Take no answer for whole that ends before its request was written

Cause: to curl, and to the transport, the end of the connection ends a body without a length, also if the request had not been written. Such an answer is now lost ("may have run"); one that states its length, or a 204, 304 or an answer to HEAD, stays whole. A refusal holds by its head alone, so an unframed Not-Run to half an upload is still a refusal.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -318,8 +318,8 @@
         if self.closed:
             return
         self.closed = True
-        if error is None and not self._has_ended():
-            error = TransportError('response without a complete head')
+        if error is None:
+            error = self._incomplete_reason()
         self.sink.on_end(error)
 
     def error(self, code: int, message: str) -> TransportError:
@@ -337,12 +337,29 @@
         error.late = code == pycurl.E_OPERATION_TIMEDOUT and self._is_late()
         return error
 
-    def _has_ended(self) -> bool:
-        """Return whether what curl takes for an end can be one.
+    def _incomplete_reason(self) -> TransportError | None:
+        """Return why a response that curl takes for complete is not.
 
-        To curl a connection that closes inside a head ends the response.
+        None if it is complete.
+
+        To curl a connection that closes inside a head ends the response, and so
+        does one that closes while the request is being written.
         """
-        return self.head.is_complete or self.request.connect_only
+        if self.request.connect_only:
+            return None
+        if not self.head.is_complete:
+            return TransportError('response without a complete head')
+        ends_with_connection = self.head.ends_with_connection(
+            self.request.method
+        )
+        if ends_with_connection and not self._is_written():
+            return TransportError('response ended before the request')
+        return None
+
+    def _is_written(self) -> bool:
+        """Return whether the whole request has been written."""
+        size_bytes = len(self.request.body or b'')
+        return self.curl.getinfo(pycurl.SIZE_UPLOAD_T) >= size_bytes
 
     def _is_late(self) -> bool:
         """Return whether a time-out has fired much later than it was due."""
--- a/celerywharf/adapters/_response_head.py
+++ b/celerywharf/adapters/_response_head.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import re
+from http import HTTPStatus
 
 from celerywharf.adapters.transports import (
     FRAMING_HEADERS,
     MAX_HEAD_BYTES,
+    is_framed,
 )
 
 # Status lines, headers and trailers of one exchange; curl keeps each of them,
@@ -16,6 +18,7 @@
 STATUS_LINE = re.compile(r'HTTP/\d(?:\.\d)? ([1-5]\d\d)(?: |$)')
 # Lengths beyond 63 bits are ignored by curl.
 LENGTH = re.compile(r'0*\d{1,18}')
+BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
 class ResponseHead:
@@ -69,6 +72,16 @@
             self.is_begun = False
             self.is_complete = self.status >= FIRST_FINAL_STATUS
 
+    def ends_with_connection(self, method: str) -> bool:
+        """Return whether only the end of the connection ends the response.
+
+        Args:
+            method: method of the request.
+        """
+        if method == 'HEAD' or self.status in BODILESS_STATUSES:
+            return False
+        return not is_framed(self.headers)
+
     def _add_header(self, text: str) -> None:
         name, _, value = text.partition(':')
         key, value = name.rstrip().lower(), value.strip()
--- a/celerywharf/forwarding/_leases.py
+++ b/celerywharf/forwarding/_leases.py
@@ -25,7 +25,7 @@
 )
 from celerywharf.exceptions import ProtocolError, TransportError
 from celerywharf.forwarding._reports import Reports
-from celerywharf.forwarding._statements import availability_recorder
+from celerywharf.forwarding._statements import HeadRecorder
 from celerywharf.limits import ServerLimiter
 from celerywharf.metrics import Metrics
 from celerywharf.platform import (
@@ -181,7 +181,9 @@
             timeout_s=LEASE_TIMEOUT_S,
             connect_timeout_s=LEASE_TIMEOUT_S,
             max_body_bytes=SMALL_MESSAGE_BYTES,
-            on_headers=availability_recorder(self.health, self.limits, server),
+            on_headers=HeadRecorder(
+                self.health, self.limits, server
+            ).on_headers,
         )
 
     def _unanswered(
--- a/celerywharf/forwarding/_reports.py
+++ b/celerywharf/forwarding/_reports.py
@@ -18,7 +18,7 @@
     ProtocolError,
     TransportError,
 )
-from celerywharf.forwarding._statements import availability_recorder
+from celerywharf.forwarding._statements import HeadRecorder
 from celerywharf.limits import ServerLimiter
 from celerywharf.platform import (
     PROBE_PATH,
@@ -151,7 +151,9 @@
             timeout_s=REPORT_TIMEOUT_S,
             connect_timeout_s=REPORT_TIMEOUT_S,
             max_body_bytes=MAX_REPORT_BYTES,
-            on_headers=availability_recorder(self.health, self.limits, server),
+            on_headers=HeadRecorder(
+                self.health, self.limits, server
+            ).on_headers,
         )
         for _ in range(MAX_PROBES - 1):
             try:
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -20,7 +20,7 @@
     Refused,
 )
 from celerywharf.forwarding._requests import IncomingRequest
-from celerywharf.forwarding._statements import availability_recorder
+from celerywharf.forwarding._statements import HeadRecorder
 from celerywharf.peers import PeerHost
 from celerywharf.platform import (
     AnswerHeaders,
@@ -218,6 +218,7 @@
         answer_timeout_s: how long to wait for the answer.
     """
     started_s = context.timers.now()
+    recorder = HeadRecorder(context.health, context.limits, server)
     context.loads.started(server.name, 0, started_s)
     context.health.started(server)
     try:
@@ -230,17 +231,23 @@
                     remaining_s,
                     admission=engine_admission(context, request, server),
                 ),
-                on_headers=availability_recorder(
-                    context.health, context.limits, server
-                ),
+                on_headers=recorder.on_headers,
             ),
             answer_timeout_s,
         )
     finally:
         context.loads.ended(server.name, 0)
         context.health.ended(server)
-    if isinstance(outcome, HttpResponse):
-        outcome = _classify(context, request, server, outcome, started_s)
+    match outcome:
+        case HttpResponse():
+            outcome = _classify(context, request, server, outcome, started_s)
+        case Lost() if recorder.head is not None:
+            # A refusal holds without its body.
+            stated = _classify(
+                context, request, server, recorder.head, started_s
+            )
+            if isinstance(stated, Refused):
+                outcome = stated
     record_outcome(context, server, outcome)
     if isinstance(outcome, Answered):
         took_s = context.timers.now() - started_s
--- a/celerywharf/forwarding/_statements.py
+++ b/celerywharf/forwarding/_statements.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import functools
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from http import HTTPStatus
 
+from celerywharf.adapters.transports import HttpResponse
 from celerywharf.backends import BackendServer, ServerHealth
 from celerywharf.limits import ServerLimiter
 from celerywharf.platform import AnswerHeaders, read_answer_headers
@@ -15,8 +15,6 @@
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
 
-OnHeaders = Callable[[int, Mapping[str, str]], None]
-
 
 def record_availability(
     health: ServerHealth,
@@ -46,19 +44,28 @@
         limits.pause(server.incarnation, headers.pause_s)
 
 
-def availability_recorder(
-    health: ServerHealth, limits: ServerLimiter, server: BackendServer
-) -> OnHeaders:
-    """Return a function that passes the head of an answer on to be recorded."""
-    return functools.partial(_record_head, health, limits, server)
+class HeadRecorder:
+    """Records the head of an answer as soon as it has arrived.
 
+    Attributes:
+        head: the answer without its body; None before the head has arrived.
+    """
 
-def _record_head(
-    health: ServerHealth,
-    limits: ServerLimiter,
-    server: BackendServer,
-    status: int,
-    headers: Mapping[str, str],
-) -> None:
-    parsed = read_answer_headers(headers)
-    record_availability(health, limits, server, status, parsed)
+    def __init__(
+        self,
+        health: ServerHealth,
+        limits: ServerLimiter,
+        server: BackendServer,
+    ) -> None:
+        self.health = health
+        self.limits = limits
+        self.server = server
+        self.head: HttpResponse | None = None
+
+    def on_headers(self, status: int, headers: Mapping[str, str]) -> None:
+        """Record what the server says of its availability."""
+        self.head = HttpResponse(status, headers, b'')
+        parsed = read_answer_headers(headers)
+        record_availability(
+            self.health, self.limits, self.server, status, parsed
+        )
