Pause transfers that have no connection yet

A front that paused or resumed an answer whose transfer was just connecting, or whose callback had ended it, got pycurl.error 43 from pause, and the call failed.

curl can't pause such a transfer: the error is passed over, and the first line of the head is held back instead while the transfer is to be paused.

--- a/celerywharf/adapters/_curl.py
+++ b/celerywharf/adapters/_curl.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import io
 import math
@@ -139,7 +140,10 @@
         if transfer.curl not in self.transfers:
             return
         self.read_budget.begin()
-        transfer.curl.pause(pycurl.PAUSE_CONT)
+        # Without a connection there is nothing to resume; if a callback has
+        # ended the transfer, curl reports that.
+        with contextlib.suppress(pycurl.error):
+            transfer.curl.pause(pycurl.PAUSE_CONT)
         self._socket_action(pycurl.SOCKET_TIMEOUT, 0)
 
     def charge(self, transfer: CurlTransfer) -> None:
@@ -286,7 +290,10 @@
         """Stop reading from the socket until ``resume``."""
         self.held = True
         if self.curl in self.transport.transfers:
-            self.curl.pause(pycurl.PAUSE_RECV)
+            # curl cannot pause a transfer that has no connection yet; then
+            # ``_on_header`` does.
+            with contextlib.suppress(pycurl.error):
+                self.curl.pause(pycurl.PAUSE_RECV)
 
     def resume(self) -> None:
         """Continue reading after ``pause``."""
@@ -426,6 +433,8 @@
 
     def _on_header(self, line: bytes) -> int | None:
         head = self.head
+        if self.held and not head.line_count:
+            return pycurl.WRITEFUNC_PAUSE
         head.count(line)
         if head.is_too_large():
             return ABORT
