Ignore signals while a front that has stopped exits

Cause: asyncio restores the default action of signals when the loop is closed, some 0.2 s before the process ends. SIGHUP, SIGTERM and SIGINT are now ignored from the end of the stop on. A signal in the few microseconds between the two calls still has its default action.

--- a/celerywharf/fronts/_serving.py
+++ b/celerywharf/fronts/_serving.py
@@ -34,8 +34,10 @@
 
 async def _serve_front(loaded: FrontSettings, path: str | Path) -> None:
     front = Front(loaded, Path(path))
-    Signals(front, is_patient=True).subscribe()
+    signals = Signals(front, is_patient=True)
+    signals.subscribe()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, front.reload)
     await front.start()
     await front.stopped.wait()
+    signals.ignore(signal.SIGHUP)
--- a/celerywharf/signals.py
+++ b/celerywharf/signals.py
@@ -6,6 +6,8 @@
 import signal
 from typing import Any, Protocol
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class Stoppable(Protocol):
     """A process that can stop gracefully or at once."""
@@ -35,9 +37,23 @@
     def subscribe(self) -> None:
         """Handle SIGTERM and SIGINT on the running event loop."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.handle_signal, number)
 
+    def ignore(self, *others: int) -> None:
+        """Ignore further signals while the stopped process exits.
+
+        Closing the event loop would restore their default actions.
+
+        Args:
+            others: signals that the event loop handles besides those
+                subscribed to.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (*STOP_SIGNALS, *others):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
     def handle_signal(self, number: int) -> None:
         """Start to drain, or to stop if draining has already begun.
 
--- a/tests/fronts/test_planned_stop.py
+++ b/tests/fronts/test_planned_stop.py
@@ -130,3 +130,16 @@
     answers = [each[2] for each in sent]
     untrue = [answer for answer in answers if answer.status not in UNKNOWN]
     assert not untrue, (len(untrue), untrue[0])
+
+
+@pytest.mark.parametrize('number', [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_to_a_front_that_has_stopped_changes_no_exit_code(rig, number):
+    front = rig.fleet.members['f1']
+    front.process.send_signal(signal.SIGTERM)
+    output = rig.fleet.folder / 'f1.out'
+    while '"message": "stopped"' not in output.read_text():
+        assert front.is_running
+    while front.is_running:
+        front.process.send_signal(number)
+        time.sleep(0.005)
+    assert front.process.wait() == 0
