Send the states of several runs in one message in the stand-in engine

A link now sends one message at a time, and runs that change meanwhile share the next one. A run still goes on only once its state was sent; no bound or check changed.

--- a/standins/model_servers.py
+++ b/standins/model_servers.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import json
 import os
 import random
@@ -14,12 +13,12 @@
 from dataclasses import dataclass, field
 from typing import Any, TextIO
 
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
 from tornado.iostream import StreamClosedError
 from tornado.web import Application
 
 from standins import control
 from standins.admitting import DEFAULT_URGENCY, URGENCY, UrgentSlots
+from standins.copies import CopyLink
 from standins.endless import ANSWERS, EndlessAnswer
 
 OK = 200
@@ -159,6 +158,7 @@
         leases: when leases end, monotonic seconds, by name.
         leases_used: names of the leases that requests have used.
         leases_dropped: names of the leases that were released.
+        copy_links: links to servers that keep copies, by their address.
     """
 
     def __init__(self, name: str, record_file: TextIO | None = None) -> None:
@@ -174,7 +174,7 @@
         self.leases: dict[str, float] = {}
         self.leases_used: list[str] = []
         self.leases_dropped: list[str] = []
-        self.http = AsyncHTTPClient()
+        self.copy_links: dict[str, CopyLink] = {}
 
     def record(self) -> dict[str, Any]:
         """Return all runs."""
@@ -240,11 +240,9 @@
 
     async def copy(self, address: str, run: ServedRun) -> None:
         """Send the state of a run to another server."""
-        body = json.dumps({'id': run.request_id, 'events': run.events})
-        request = HTTPRequest(f'http://{address}/copy', 'POST', body=body)
-        # A run continues without its copy if the other server fails.
-        with contextlib.suppress(OSError, HTTPError):
-            await self.http.fetch(request, raise_error=False)
+        if address not in self.copy_links:
+            self.copy_links[address] = CopyLink(address)
+        await self.copy_links[address].copy(run.request_id, run.events)
 
 
 class _ReportHandler(control.ProtocolHandler):
@@ -279,8 +277,7 @@
 
 class _CopyHandler(control.ProtocolHandler):
     def post(self) -> None:
-        copy = self.read_json()
-        self.standin.copies[copy['id']] = copy['events']
+        self.standin.copies.update(self.read_json())
         self.answer(OK, {})
 
 
