--- a/soak/rigs.py
+++ b/soak/rigs.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import secrets
 import signal
 import threading
 import time
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from http import HTTPStatus
 
@@ -26,6 +28,7 @@
 from soak.schedules import Event, Targets
 from standins.fronts import PlatformRig
 from standins.launching import Fleet
+from standins.processes import ManagedProcess
 
 # Availability zone of each front.
 FRONTS = {'f1': 'north-1', 'f2': 'north-1', 'f3': 'north-2', 'f4': 'north-2'}
@@ -42,6 +45,7 @@
 DRAIN_PERIOD_S = 2.5  # a draining server keeps serving this long
 FRONT_EXIT_TIMEOUT_S = 5.0  # grace period of a front, 4 s, and 1 s more
 POLL_PERIOD_S = 0.05
+KILL_TIMEOUT_S = 1.0  # from the kernel's signal to the end of the process
 FRONT_STARTUP_S = 3.0  # time that a front takes to start on a busy machine
 # Values that end a fault, by switch; all other switches are set to false.
 NORMAL_SETTINGS: dict[str, float | None] = {
@@ -52,6 +56,23 @@
 }
 
 
+@contextlib.contextmanager
+def unless_killed(member: ManagedProcess) -> Iterator[None]:
+    """Pass over a call that fails because another fault ends the process.
+
+    Raises:
+        OSError: the call failed, but the process runs on.
+    """
+    try:
+        yield
+    except OSError:
+        ends_s = time.monotonic() + KILL_TIMEOUT_S
+        while member.is_running and time.monotonic() < ends_s:
+            time.sleep(POLL_PERIOD_S)
+        if member.is_running:
+            raise
+
+
 class SoakRig(PlatformRig):
     """Fronts, backend servers and a store, with links between them.
 
@@ -154,7 +175,8 @@
         name = self.current_instances[event.fault.server]
         match event.fault:
             case KillServer(server):
-                self.fleet.kill(name)
+                with unless_killed(self.fleet.members[name]):
+                    self.fleet.kill(name)
                 time.sleep(ENTRY_EXPIRY_S)
                 self.put('servers', name, None)
                 time.sleep(event.span_s)
@@ -162,11 +184,15 @@
             case DrainServer(server) if not self.is_responsive(name):
                 pass  # already killed or suspended, so it cannot drain
             case DrainServer(server):
-                self.register(name, *SERVERS[server], state='draining', seq=2)
+                with unless_killed(self.fleet.members[name]):
+                    self.register(
+                        name, *SERVERS[server], state='draining', seq=2
+                    )
                 self.replace_instance(server, name)
                 time.sleep(DRAIN_PERIOD_S + event.span_s)
                 self.put('servers', name, None)
-                self.fleet.kill(name)
+                with unless_killed(self.fleet.members[name]):
+                    self.fleet.kill(name)
             case PauseServer():
                 self.pause(name, event.span_s)
             case SpoilServer(_, switch, setting):
@@ -210,14 +236,16 @@
         member = self.fleet.members[name]
         if not self.is_responsive(name):
             return
-        self.fleet.control(name, **{switch: setting})
+        with unless_killed(member):
+            self.fleet.control(name, **{switch: setting})
         time.sleep(span_s)
         while member.is_paused:
             time.sleep(POLL_PERIOD_S)
         if member.is_running:
-            self.fleet.control(
-                name, **{switch: NORMAL_SETTINGS.get(switch, False)}
-            )
+            with unless_killed(member):
+                self.fleet.control(
+                    name, **{switch: NORMAL_SETTINGS.get(switch, False)}
+                )
 
     def pause(self, name: str, span_s: float) -> None:
         """Suspend a process for a span."""
