Look a reader that does not answer up at once the first time

Callers who took streams up 0.6 s after the store had returned got 503, "no host knows which software version began the stream": 8 of 24, those sent to a front whose zone had no reader yet.

Cause, from the logs: f2 looked up the reader of the other zone at 218.84 s; the new process of f3 replaced its row at 218.87. At 219.13 f3 refused the old key, and the rows were not read again, as that is done once a second at most.

Now a reader that does not answer is looked up at once, however lately the rows were read; the same one again once a second at most, so a lost reader costs each front that asks it one reading more.

--- a/celerywharf/sharing/_readers.py
+++ b/celerywharf/sharing/_readers.py
@@ -33,6 +33,8 @@
         next_lookup_s: the rows are not read again before this time.
         lookup: the last reading of the rows; None before the first.
         is_read: the rows have been read.
+        doubted: the last reader of each zone that was looked up again at once,
+            as it did not answer.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self.next_lookup_s = float('-inf')
         self.lookup: asyncio.Task | None = None
         self.is_read = False
+        self.doubted: dict[str, Reader] = {}
 
     @property
     def own_zone(self) -> str:
@@ -71,7 +74,7 @@
                 reader.address, message, timeout_s
             )
         except CelerywharfError:
-            self._look_up(MIN_LOOKUP_PERIOD_S)
+            self._doubt(zone, reader)
             raise
 
     async def ensure_known(self) -> None:
@@ -91,14 +94,30 @@
         for link in self.links.values():
             await link.close()
 
-    def _look_up(self, period_s: float) -> None:
-        """Read the rows in the background, unless that was done lately."""
+    def _doubt(self, zone: str, reader: Reader) -> None:
+        """Look a reader up that did not answer, at once the first time.
+
+        The rows may have been read just before it was replaced.
+        """
+        if self.doubted.get(zone) == reader:
+            self._look_up(MIN_LOOKUP_PERIOD_S)
+        elif self._look_up(0):
+            self.doubted[zone] = reader
+
+    def _look_up(self, period_s: float) -> bool:
+        """Read the rows in the background, unless that was done lately.
+
+        Returns:
+            Whether a reading has been begun.
+        """
         now_s = boot_time_s()
         if now_s < self.next_lookup_s - LOOKUP_PERIOD_S + period_s:
-            return
-        if self.lookup is None or self.lookup.done():
-            self.next_lookup_s = now_s + LOOKUP_PERIOD_S
-            self.lookup = self.spawn(self._read_rows())
+            return False
+        if self.lookup is not None and not self.lookup.done():
+            return False
+        self.next_lookup_s = now_s + LOOKUP_PERIOD_S
+        self.lookup = self.spawn(self._read_rows())
+        return True
 
     async def _read_rows(self) -> None:
         try:
