--- /dev/null
+++ b/review/rig_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the second review: store, backend servers, callers, fronts."""
