--- a/review/rig_2/memory.py
+++ b/review/rig_2/memory.py
@@ -14,7 +14,7 @@
 
 MEMORY_MB = 300
 CHECK_S = 0.05
-REPORT_S = 5.0
+REPORT_S = 2.0
 SERVERS = 4
 STAYING_CALLERS = 7
 SMALL_BYTES = 8000
