review: case 6 shows the cause that it claims

A look into a front showed that readers of streams that were left are empty, and that cycles of references took the memory.

--- a/review/rig_2/callers.py
+++ b/review/rig_2/callers.py
@@ -84,6 +84,13 @@
             self.connection[1].close()
         self.connection = None
 
+    async def write_body(
+        self, call: Call, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send the body of a request."""
+        writer.write(bytes(call.size))
+        await writer.drain()
+
     async def _connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -96,8 +103,8 @@
 
     async def _exchange(self, call: Call) -> None:
         reader, writer = await self._connect()
-        writer.write(call.head() + bytes(call.size))
-        await writer.drain()
+        writer.write(call.head())
+        await self.write_body(call, writer)
         head = await read_head(reader)
         call.status = int(head.start[1])
         call.headers = head.headers
--- a/review/rig_2/memory.py
+++ b/review/rig_2/memory.py
@@ -16,6 +16,7 @@
 CHECK_S = 0.05
 REPORT_S = 2.0
 SERVERS = 4
+DESKS = 3
 STAYING_CALLERS = 7
 SMALL_BYTES = 8000
 LARGE_BYTES = 4_000_000
@@ -27,6 +28,7 @@
 
     Attributes:
         servers: backend servers of streams.
+        desks: backend servers of purchases.
         calls: of the callers that stay, by caller.
         has_ended: no new requests are to be sent.
     """
@@ -38,6 +40,10 @@
             BackendServer(f'i-{number}', 'narrator', Pace())
             for number in range(SERVERS)
         ]
+        self.desks = [
+            BackendServer(f'i-desk-{number}', 'indexdesk', Pace())
+            for number in range(DESKS)
+        ]
         self.calls: list[list[Call]] = []
         self.has_ended = False
         self.began_s = time.monotonic()
@@ -52,7 +58,7 @@
 
     async def run(self) -> None:
         """Run the case and end with its exit code."""
-        await self.platform.start(self.servers)
+        await self.platform.start([*self.servers, *self.desks])
         front = self.platform.add_front('front-glw-a-1')
         await front.wait_until_ready()
         self.began_s = time.monotonic()
