fronts, sharing: say why a host is not ready and what it waits for

A host that never gets a table whole looked like one that reads it: each incomplete answer counted as a reading.

- The health check logs the conditions that are not met when they change and every 10 s, names them in its answer, and counts them (not_ready_checks{condition}).
- A host that has lacked contents of a table for 2.5 s says so: how many, from which reader, since when, how many transfers ended without the content and why the last did.
- Incomplete answers have a counter of their own.

No behaviour changes but for the body of a 503 of the health check.

--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -25,7 +25,7 @@
     build_shared_store,
     build_zone_readers,
 )
-from celerywharf.fronts._status import StatusPage, build_status_server
+from celerywharf.fronts._status import Conditions, build_status_server
 from celerywharf.fronts._watchers import build_watchers
 from celerywharf.platform import StoreClient, boot_time_s
 from celerywharf.routing import ConfigurationCache
@@ -181,18 +181,20 @@
         apply_retry_ratio(self.context.retries, bounds.retry_ratio)
         logging.getLogger().setLevel(settings.log.level.upper())
 
-    def ready(self) -> bool:
-        """Return whether the load balancer should send connections here."""
-        return all(
-            (
-                not self.gateway.admission.draining,
-                self.watchers[1].position is not None,
-                self.quarantine_exchange.has_begun,
-                self.context.origins.has_begun(),
-                self.context.rollouts.has_begun(),
-                self.configuration_cache.accepts_keys(boot_time_s()),
-            )
-        )
+    def _conditions(self) -> Conditions:
+        """Return what must hold for the front to get new connections."""
+        admission = self.gateway.admission
+        context = self.context
+        return {
+            'not stopping': lambda: not admission.draining,
+            'servers read': lambda: self.watchers[1].position is not None,
+            'quarantine read': lambda: self.quarantine_exchange.has_begun,
+            'stream origins read': context.origins.has_begun,
+            'rollouts read': context.rollouts.has_begun,
+            'configuration current': lambda: (
+                self.configuration_cache.accepts_keys(boot_time_s())
+            ),
+        }
 
     def _parts(self) -> tuple[Part, ...]:
         parts = (
@@ -222,9 +224,7 @@
         front = self.settings.front
         callers = self._build_server(self.gateway)
         callers.add_sockets(bind('[front] listen', front.listen))
-        status = build_status_server(
-            StatusPage(self.ready, self.context.metrics)
-        )
+        status = build_status_server(self._conditions(), self.context.metrics)
         status.add_sockets(bind('[front] health', front.health))
         if front.metrics is not None:
             status.add_sockets(bind('[front] metrics', front.metrics))
--- a/celerywharf/fronts/_status.py
+++ b/celerywharf/fronts/_status.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from celerywharf.fronts._readiness import Conditions, Readiness
 from celerywharf.metrics import EXPOSITION_CONTENT_TYPE, Metrics, expose
-from celerywharf.platform import READY_PATH
+from celerywharf.platform import READY_PATH, boot_time_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,11 +18,11 @@
     """The data behind the endpoints.
 
     Attributes:
-        ready: returns whether the front should get new connections.
+        readiness: checks the conditions for new connections.
         metrics: counters and histograms of the front.
     """
 
-    ready: Callable[[], bool]
+    readiness: Readiness
     metrics: Metrics
 
 
@@ -35,8 +35,10 @@
 
     def get(self) -> None:
         """Answer the load balancer's health check."""
-        if not self.page.ready():
+        unmet = self.page.readiness.check()
+        if unmet:
             self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+            self.write({'unmet': unmet})
 
 
 class MetricsHandler(RequestHandler):
@@ -52,9 +54,15 @@
         self.write(expose(self.page.metrics))
 
 
-def build_status_server(page: StatusPage) -> HTTPServer:
-    """Return the HTTP server for health check and metrics."""
-    options = {'page': page}
+def build_status_server(conditions: Conditions, metrics: Metrics) -> HTTPServer:
+    """Return the HTTP server for health check and metrics.
+
+    Args:
+        conditions: what must hold for the front to get new connections.
+        metrics: counters and histograms of the front.
+    """
+    readiness = Readiness(conditions, boot_time_s, metrics)
+    options = {'page': StatusPage(readiness, metrics)}
     application = Application(
         [
             (READY_PATH, ReadyHandler, options),
--- a/celerywharf/sharing/_reader_calls.py
+++ b/celerywharf/sharing/_reader_calls.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Coroutine, MutableMapping
 from dataclasses import dataclass
 from typing import Any
 
-from celerywharf.exceptions import NotFoundError, PeerUnreachableError
+from celerywharf.exceptions import (
+    CelerywharfError,
+    NotFoundError,
+    PeerUnreachableError,
+)
 from celerywharf.limits import StatedLimits
 from celerywharf.platform import (
     CONFIGURATION_TABLE,
@@ -21,11 +26,14 @@
 from celerywharf.sharing._announcers import Announcer
 from celerywharf.sharing._answers import SharedTable, decode_rows
 from celerywharf.sharing._content_exchange import ContentExchange, Source
+from celerywharf.sharing._content_waits import ContentWaits
 from celerywharf.sharing._freshness import Inquiry
 from celerywharf.sharing._limit_messages import from_message
 from celerywharf.sharing._replies import ReplyCheck
 from celerywharf.wire.sharing import WHOLE_TABLE, TableAnswer, TableQuestion
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class DatedAnswer:
@@ -84,6 +92,7 @@
         announcer: says what the reader is told of this host; None if that is
             nothing.
         arrivals: rows whose contents are on their way, by table.
+        waits: since when contents of a table are missing.
     """
 
     def __init__(
@@ -100,6 +109,7 @@
         self.replies = ReplyCheck(era)
         self.announcer: Announcer | None = None
         self.arrivals: dict[str, Arrival] = {}
+        self.waits = ContentWaits()
 
     async def ask(
         self, reader: Source, table: str, after: Position, inquiry: Inquiry
@@ -151,6 +161,8 @@
         """Stop to wait for the contents of a table."""
         arrival = self.arrivals.pop(table, None)
         if arrival is not None:
+            if not arrival.transfer.done() or _has_failed(arrival.transfer):
+                self.waits.failed(table, _failure(arrival.transfer))
             arrival.transfer.cancel()
 
     def close(self) -> None:
@@ -206,6 +218,7 @@
         reply = answered.reply
         rows = decode_rows(reply, self.exchange.cache)
         self.tables[table].freshness.confirm(answered.known_s)
+        self._end_wait(table)
         return ReadResult(rows, reply.version, answered.timing)
 
     def _missing(self, reply: TableAnswer) -> tuple[bytes, ...]:
@@ -229,6 +242,7 @@
         if not missing:
             self.drop(table)
             return self._whole(table, answered)
+        self._report_wait(reader, table, missing)
         arrival = self.arrivals.get(table)
         if arrival is None or not arrival.is_from(reader, missing):
             self.drop(table)
@@ -247,6 +261,35 @@
             ),
         )
 
+    def _report_wait(
+        self, reader: Source, table: str, missing: tuple[bytes, ...]
+    ) -> None:
+        now_s = boot_time_s()
+        wait = self.waits.lacks(table, len(missing), now_s)
+        if not wait.is_due(now_s):
+            return
+        wait.reported_s = now_s
+        logger.warning(
+            'contents of a table are missing',
+            extra={
+                'table': table,
+                'reader': str(reader.address),
+                'missing': wait.missing,
+                'waited_s': round(now_s - wait.since_s, 3),
+                'failures': wait.failures,
+                'reason': wait.reason,
+            },
+        )
+
+    def _end_wait(self, table: str) -> None:
+        wait = self.waits.ended(table)
+        if wait is not None and wait.reported_s is not None:
+            waited_s = boot_time_s() - wait.since_s
+            logger.info(
+                'contents of a table are complete',
+                extra={'table': table, 'waited_s': round(waited_s, 3)},
+            )
+
     async def _fetch(self, digests: tuple[bytes, ...], reader: Source) -> None:
         for digest in digests:
             await self.exchange.fetch(digest, reader)
@@ -296,6 +339,13 @@
     return transfer.cancelled() or transfer.exception() is not None
 
 
+def _failure(transfer: asyncio.Task[None]) -> str:
+    if not transfer.done() or transfer.cancelled():
+        return 'other contents are needed'
+    error = transfer.exception()
+    return error.message if isinstance(error, CelerywharfError) else str(error)
+
+
 def _observe(transfer: asyncio.Task[None]) -> None:
     """Take the error of a transfer that nobody waits for any more."""
     if not transfer.cancelled():
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -307,7 +307,10 @@
             return None
         self.reader_answers = True
         self.lending.learn_hosts(zone_hosts)
-        self.metrics.count('table_readings', source='reader')
+        if reading.incomplete:
+            self.metrics.count('incomplete_table_readings', table=table)
+        else:
+            self.metrics.count('table_readings', source='reader')
         return reading
 
     def _assess_failure(self, reader: Reader, error: CelerywharfError) -> None:
