sharing: keep all contents that the rows of a table need

Cause: large contents travel apart from the rows, named by their digests, and a host kept four of them, whatever one answer named. With five or more the reader had dropped the first before it was asked for it, and the other host had dropped it when the fifth came. So no answer ever became whole; each question began the same transfer anew.

What is kept is bounded by the tables, which a host holds anyway; added is the compressed form.

--- a/celerywharf/sharing/_answers.py
+++ b/celerywharf/sharing/_answers.py
@@ -93,6 +93,17 @@
         """Return whether the store is sending a large answer."""
         return now_s - self.received_s < RECEIVING_S
 
+    def digests(self, cache: ContentCache) -> Iterable[bytes]:
+        """Yield the digests of the contents that this table needs."""
+        if self.snapshots.newest is not None:
+            yield self.snapshots.newest.digest
+        rows = self.mirror.rows.values()
+        yield from cache.digests(
+            row.content
+            for row in rows
+            if row.content is not None and len(row.content) >= MIN_BYTES
+        )
+
     def notify(self) -> None:
         """Wake up all tasks that wait for a change."""
         mirror = self.mirror
--- a/celerywharf/sharing/_contents.py
+++ b/celerywharf/sharing/_contents.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import zlib
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from celerywharf.exceptions import ProtocolError
@@ -12,7 +13,8 @@
 # Smaller contents travel inside the answer: asking for them takes longer.
 MIN_BYTES = 8 * KIBIBYTE
 DIGEST_BYTES = 16
-KEPT = 4  # a host may still be getting one that has been replaced
+KEPT = 4
+KEPT_UNUSED = 2  # a host may still be getting one that has been replaced
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,13 +35,18 @@
 class ContentCache:
     """The large contents that this host has, each compressed once.
 
+    Contents in use are kept however many there are: an answer that names more
+    of them than are kept would never be whole.
+
     Attributes:
-        by_digest: in the order in which they were needed last.
+        by_digest: the oldest first.
+        users: return the digests of the contents in use.
     """
 
     def __init__(self) -> None:
         self.by_digest: dict[bytes, Content] = {}
         self.by_plain: dict[bytes, Content] = {}
+        self.users: list[Callable[[], Iterable[bytes]]] = []
 
     def pack(self, plain: bytes) -> Content:
         """Return a content with its compressed form."""
@@ -53,6 +60,13 @@
         """Return a content; None if this host does not have it."""
         return self.by_digest.get(digest)
 
+    def digests(self, plains: Iterable[bytes]) -> Iterable[bytes]:
+        """Yield the digests of those contents that this host has packed."""
+        for plain in plains:
+            known = self.by_plain.get(plain)
+            if known is not None:
+                yield known.digest
+
     def unpack(self, digest: bytes, packed: bytes) -> Content:
         """Keep a content that another host has sent.
 
@@ -71,11 +85,18 @@
     def _keep(self, content: Content) -> Content:
         self.by_digest[content.digest] = content
         self.by_plain[content.plain] = content
-        while len(self.by_digest) > KEPT:
-            oldest = self.by_digest.pop(next(iter(self.by_digest)))
-            self.by_plain.pop(oldest.plain, None)
+        if len(self.by_digest) > KEPT:
+            self._drop_unused()
         return content
 
+    def _drop_unused(self) -> None:
+        in_use = {digest for user in self.users for digest in user()}
+        unused = [each for each in self.by_digest if each not in in_use]
+        kept = max(KEPT - len(in_use), KEPT_UNUSED)
+        for digest in unused[:-kept]:
+            dropped = self.by_digest.pop(digest)
+            self.by_plain.pop(dropped.plain, None)
+
 
 def _digest(plain: bytes) -> bytes:
     return hashlib.sha256(plain).digest()[:DIGEST_BYTES]
--- a/celerywharf/sharing/_reader_calls.py
+++ b/celerywharf/sharing/_reader_calls.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine, MutableMapping
+from collections.abc import Coroutine, Iterable, MutableMapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -110,6 +110,7 @@
         self.announcer: Announcer | None = None
         self.arrivals: dict[str, Arrival] = {}
         self.waits = ContentWaits()
+        exchange.cache.users.append(self._digests_in_use)
 
     async def ask(
         self, reader: Source, table: str, after: Position, inquiry: Inquiry
@@ -221,12 +222,18 @@
         self._end_wait(table)
         return ReadResult(rows, reply.version, answered.timing)
 
+    def _digests_in_use(self) -> Iterable[bytes]:
+        """Yield the digests of rows that are known or on their way."""
+        for table in self.tables.values():
+            yield from table.digests(self.exchange.cache)
+        for arrival in self.arrivals.values():
+            yield from _named(arrival.answered.reply)
+
     def _missing(self, reply: TableAnswer) -> tuple[bytes, ...]:
         """Return the digests of contents that this host lacks."""
-        named = (reply.snapshot, *(row.digest for row in reply.rows))
         cache = self.exchange.cache
         return tuple(
-            digest for digest in named if digest and cache.find(digest) is None
+            digest for digest in _named(reply) if cache.find(digest) is None
         )
 
     def _resolve(
@@ -301,6 +308,13 @@
                 self.limits.merge(statement)
 
 
+def _named(reply: TableAnswer) -> Iterable[bytes]:
+    """Yield the digests of the contents that an answer needs."""
+    if reply.snapshot:
+        yield reply.snapshot
+    yield from (row.digest for row in reply.rows if row.digest)
+
+
 async def _unless_arrived(
     question: Coroutine[Any, Any, TableAnswer], arrival: Arrival | None
 ) -> TableAnswer | None:
