sharing: neither keep nor pass on large entries that name no server

What callers saw: nothing by itself; each host of a zone got and kept the whole of entries that no host can use. 60 of 60 kB are 3.6 MB on each host, in two forms, and as much on the links of its zone for each host that reads through another.

Cause: rows were shared as the store has them, and only each watcher found that they name no server.

Change: the host that reads the store keeps an entry of 1 KiB or more without its content if it is malformed. It counts as unreadable as before, there and at the hosts that it is passed on to; the reader's log has the reason.

--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -55,6 +55,9 @@
     WriteResult,
     boot_time_s,
 )
+from celerywharf.platform._unusable_entries import (
+    without_unusable_content,
+)
 
 __all__ = (
     'CONFIGURATION_KEY',
@@ -101,4 +104,5 @@
     'read_request_headers',
     'server_headers',
     'status_key',
+    'without_unusable_content',
 )
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -16,6 +16,7 @@
 from celerywharf.metrics import Metrics
 from celerywharf.platform import (
     CONFIGURATION_TABLE,
+    SERVER_TABLE,
     HistoryGoneError,
     Position,
     ReadResult,
@@ -23,6 +24,7 @@
     StoreEra,
     boot_time_s,
     outlives_copy,
+    without_unusable_content,
 )
 from celerywharf.routing import ConfigurationCache
 from celerywharf.sharing._answers import SharedTable, answer
@@ -101,6 +103,7 @@
         self.metrics = metrics
         self.tables: dict[str, SharedTable] = defaultdict(SharedTable)
         self.tables[CONFIGURATION_TABLE].mirror.outlives = outlives_copy
+        self.tables[SERVER_TABLE].mirror.condense = without_unusable_content
         self.era.subscribers.append(self._on_store_restored)
         self.zone_row = ZoneRow(store, identity, election.candidate)
         self.calls = StoreCalls(store, election.random)
--- a/tests/sharing/test_large_entries.py
+++ b/tests/sharing/test_large_entries.py
@@ -42,6 +42,8 @@
     Attributes:
         found_s: how long it took until all fronts knew a new server.
         recovered_s: how long it took after all fronts were killed.
+        kept_bytes: contents that each front kept before that.
+        content_bytes: what fronts had sent each other of contents.
     """
 
     def __init__(self, rows, row_bytes, kind):
@@ -52,6 +54,8 @@
         self.random = Random(1)
         self.found_s = None
         self.recovered_s = None
+        self.kept_bytes = {}
+        self.content_bytes = 0
 
     async def play(self):
         fleet = self.fleet
@@ -62,6 +66,7 @@
         await asyncio.sleep(SETTLES_S)
         fleet.register('d3')
         self.found_s = await self.wait_until_known()
+        self._measure()
         for name in PLACES:
             await fleet.restart(name)
         self.recovered_s = await self.wait_until_known()
@@ -81,6 +86,15 @@
             await asyncio.sleep(SAMPLE_S)
         return boot_time_s() - began_s
 
+    def _measure(self):
+        for name, front in self.fleet.fronts.items():
+            table = front.shared.tables['servers']
+            self.kept_bytes[name] = sum(
+                len(row.content or b'') for row in table.mirror.current_rows()
+            )
+            metrics = front.shared.metrics
+            self.content_bytes += metrics.total('content_bytes_sent')
+
     def _all_known(self):
         servers = set(self.fleet.servers)
         if self.kind == 'sound':
@@ -105,3 +119,12 @@
     assert writer.recovered_s is not None
     assert writer.found_s < FOUND_S
     assert writer.recovered_s < RECOVERS_S
+
+
+# Entries that no host can use filled its memory and the links of its zone.
+@pytest.mark.parametrize('kind', ['text', 'nested lists'])
+def test_large_malformed_rows_stay_neither_on_hosts_nor_on_their_links(kind):
+    writer = Writer(60, 60 * KILOBYTE, kind)
+    run_virtually(writer.play)
+    assert writer.content_bytes < 100 * KILOBYTE
+    assert max(writer.kept_bytes.values()) < 100 * KILOBYTE
