sharing: read the store when the reader lacks contents that it names

Cause: a transfer that ends with 'this host does not have the content' began anew with the next question. Only a reader that does not answer led to the store.

Change: a wait for contents is given up after three transfers that ended without their content and 2.5 s, or if other contents have taken the place of those for 15 s. The host then reads the table from the store, says so, and keeps its reader. A transfer that goes on is not given up. If the store does not answer, the reader is asked again.

--- a/celerywharf/sharing/_content_waits.py
+++ b/celerywharf/sharing/_content_waits.py
@@ -6,6 +6,13 @@
 
 FIRST_REPORT_S = 2.5  # contents of several megabytes usually take less
 REPORT_PERIOD_S = 10.0
+# After this many transfers without their content the reader does not have
+# what it names.
+MAX_FAILURES = 3
+MAX_WAIT_S = 2.5
+# Contents that are replaced faster than they come, as in a series of large
+# configurations, are waited for longer: the store would be no faster.
+MAX_REPLACED_WAIT_S = 15.0
 
 
 @dataclass(slots=True)
@@ -16,6 +23,7 @@
         since_s: when the first content was found missing.
         missing: number of contents that are missing now.
         failures: transfers that have ended without their content.
+        replacements: transfers that other contents have taken the place of.
         reason: why the last of them did; empty before the first.
         reported_s: when the wait was last reported; None before the first
             time.
@@ -24,9 +32,21 @@
     since_s: float
     missing: int = 0
     failures: int = 0
+    replacements: int = 0
     reason: str = ''
     reported_s: float | None = None
 
+    def is_vain(self, now_s: float) -> bool:
+        """Return whether the reader is not expected to give the contents.
+
+        Not as long as one transfer is under way, however long it takes: a
+        transfer that has stopped ends by itself.
+        """
+        waited_s = now_s - self.since_s
+        if self.failures >= MAX_FAILURES and waited_s >= MAX_WAIT_S:
+            return True
+        return self.replacements > 0 and waited_s >= MAX_REPLACED_WAIT_S
+
     def is_due(self, now_s: float) -> bool:
         """Return whether the wait is to be reported."""
         if self.reported_s is None:
@@ -57,6 +77,24 @@
             wait.failures += 1
             wait.reason = reason
 
+    def replaced(self, table: str) -> None:
+        """Record that a transfer is given up for that of other contents."""
+        wait = self.waits.get(table)
+        if wait is not None:
+            wait.replacements += 1
+
+    def give_up(self, table: str, now_s: float) -> Wait | None:
+        """Return the wait if a table is to be read from the store instead.
+
+        It begins anew, so that the reader is asked again if the store does
+        not answer.
+        """
+        wait = self.waits.get(table)
+        if wait is None or not wait.is_vain(now_s):
+            return None
+        self.waits[table] = Wait(now_s, wait.missing)
+        return wait
+
     def ended(self, table: str) -> Wait | None:
         """Record that nothing is missing; return the wait that has ended."""
         return self.waits.pop(table, None)
--- a/celerywharf/sharing/_reader_calls.py
+++ b/celerywharf/sharing/_reader_calls.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from celerywharf.exceptions import (
-    CelerywharfError,
     NotFoundError,
     PeerUnreachableError,
 )
@@ -27,7 +26,7 @@
 from celerywharf.sharing._answers import SharedTable, decode_rows
 from celerywharf.sharing._content_exchange import ContentExchange, Source
 from celerywharf.sharing._content_waits import ContentWaits
-from celerywharf.sharing._freshness import Inquiry
+from celerywharf.sharing._freshness import Inquiry, plan_inquiry
 from celerywharf.sharing._limit_messages import from_message
 from celerywharf.sharing._replies import ReplyCheck
 from celerywharf.wire.sharing import WHOLE_TABLE, TableAnswer, TableQuestion
@@ -112,6 +111,27 @@
         self.waits = ContentWaits()
         exchange.cache.users.append(self._digests_in_use)
 
+    def plan(self, table: str) -> Inquiry | None:
+        """Return the next question to the reader.
+
+        Returns:
+            None if there is no time for one, or if the reader has not given
+            contents that it names: then the store is to be called.
+        """
+        now_s = boot_time_s()
+        wait = self.waits.give_up(table, now_s)
+        if wait is None:
+            return plan_inquiry(self.tables[table].left_s(now_s))
+        logger.warning(
+            'contents of a table given up',
+            extra={
+                'table': table,
+                'waited_s': round(now_s - wait.since_s, 3),
+                'reason': wait.reason,
+            },
+        )
+        return None
+
     async def ask(
         self, reader: Source, table: str, after: Position, inquiry: Inquiry
     ) -> tuple[ReadResult, int]:
@@ -162,10 +182,14 @@
         """Stop to wait for the contents of a table."""
         arrival = self.arrivals.pop(table, None)
         if arrival is not None:
-            if not arrival.transfer.done() or _has_failed(arrival.transfer):
-                self.waits.failed(table, _failure(arrival.transfer))
+            self._record_end(table, arrival.transfer)
             arrival.transfer.cancel()
 
+    def read_elsewhere(self, table: str) -> None:
+        """Stop to wait for contents: the store has given the whole table."""
+        self.drop(table)
+        self._end_wait(table)
+
     def close(self) -> None:
         """Stop to wait for any contents."""
         for table in tuple(self.arrivals):
@@ -284,10 +308,20 @@
                 'missing': wait.missing,
                 'waited_s': round(now_s - wait.since_s, 3),
                 'failures': wait.failures,
+                'replacements': wait.replacements,
                 'reason': wait.reason,
             },
         )
 
+    def _record_end(self, table: str, transfer: asyncio.Task[None]) -> None:
+        """Record how a transfer ends, unless it has what it was to get."""
+        if not transfer.done() or transfer.cancelled():
+            self.waits.replaced(table)
+            return
+        error = transfer.exception()
+        if error is not None:
+            self.waits.failed(table, str(error))
+
     def _end_wait(self, table: str) -> None:
         wait = self.waits.ended(table)
         if wait is not None and wait.reported_s is not None:
@@ -353,13 +387,6 @@
     return transfer.cancelled() or transfer.exception() is not None
 
 
-def _failure(transfer: asyncio.Task[None]) -> str:
-    if not transfer.done() or transfer.cancelled():
-        return 'other contents are needed'
-    error = transfer.exception()
-    return error.message if isinstance(error, CelerywharfError) else str(error)
-
-
 def _observe(transfer: asyncio.Task[None]) -> None:
     """Take the error of a transfer that nobody waits for any more."""
     if not transfer.cancelled():
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -30,7 +30,7 @@
 from celerywharf.sharing._answers import SharedTable, answer
 from celerywharf.sharing._content_exchange import ContentExchange, Source
 from celerywharf.sharing._election import ElectionStep, Reader, ReaderElection
-from celerywharf.sharing._freshness import Inquiry, plan_inquiry
+from celerywharf.sharing._freshness import Inquiry
 from celerywharf.sharing._lending import Lending
 from celerywharf.sharing._limit_messages import to_message
 from celerywharf.sharing._reader_calls import ReaderCalls
@@ -163,7 +163,7 @@
         while is_elected:
             reader = self.election.reader
             asked_s = boot_time_s()
-            inquiry = plan_inquiry(self.tables[table].left_s(asked_s))
+            inquiry = self.inquiries.plan(table)
             reading = await self._read_from_reader(table, whole, inquiry)
             is_elected = reading is None and await self._has_next_reader(
                 table, elected_by_s
@@ -193,7 +193,7 @@
         reader = self.election.reader
         known_until_s = self.tables[table].freshness.ends_s()
         asked_s = boot_time_s()
-        inquiry = plan_inquiry(self.tables[table].left_s(asked_s))
+        inquiry = self.inquiries.plan(table)
         reading = await self._read_from_reader(table, after, inquiry)
         judged = _judged(reader, inquiry, asked_s)
         if reading is None and await self._has_next_reader(table, float('inf')):
@@ -276,7 +276,7 @@
             self._report_reader_failure(
                 reader, 'it hears no store, but this front does'
             )
-        self.inquiries.drop(table)
+        self.inquiries.read_elsewhere(table)
         answered_s = self.calls.answer_clock.answered_s(reading.timing)
         self.tables[table].on_store_answer(answered_s)
         self.metrics.count('table_readings', source='store')
--- a/tests/sharing/test_large_entries.py
+++ b/tests/sharing/test_large_entries.py
@@ -7,6 +7,7 @@
 import pytest
 
 from celerywharf.platform import boot_time_s
+from celerywharf.sharing._contents import ContentCache
 from tests.sharing.simulated_fleet import SimulatedFleet
 from tests.virtual_loop import run_virtually
 
@@ -36,6 +37,11 @@
     }
 
 
+def drop_all_but_four(cache):
+    for digest in tuple(cache.by_digest)[:-4]:
+        cache.by_plain.pop(cache.by_digest.pop(digest).plain)
+
+
 class Writer:
     """Writes rows of another writer into the table of servers.
 
@@ -121,6 +127,17 @@
     assert writer.recovered_s < RECOVERS_S
 
 
+# A reader of an earlier build drops contents before they are asked for.
+def test_hosts_whose_reader_lacks_contents_read_the_store(monkeypatch):
+    monkeypatch.setattr(ContentCache, '_drop_unused', drop_all_but_four)
+    writer = Writer(20, 10 * KILOBYTE, 'sound')
+    run_virtually(writer.play)
+    assert writer.found_s is not None
+    assert writer.found_s < RECOVERS_S
+    assert writer.recovered_s is not None
+    assert writer.recovered_s < RECOVERS_S
+
+
 # Entries that no host can use filled its memory and the links of its zone.
 @pytest.mark.parametrize('kind', ['text', 'nested lists'])
 def test_large_malformed_rows_stay_neither_on_hosts_nor_on_their_links(kind):
