rollouts: keep the steps of a service with many former versions readable

After about a hundred releases of one service no further order was carried out. Each step lists the versions that were tried or replaced before, and the row may hold any number of them, but a step with more than 100 was read as malformed, also by the host that had written it. That host then wrote the same step again, without end, and no other host ever learned it.

The number of versions that are read is now bounded by the size of the row alone. The first step of an order is fitted to half of a row; beyond that former versions without servers are dropped first, with a warning. So what is written can be read.

--- a/celerywharf/sharing/_rollout_control.py
+++ b/celerywharf/sharing/_rollout_control.py
@@ -31,6 +31,7 @@
 from celerywharf.sharing._rollout_rows import (
     STEP_TABLE,
     encode_step,
+    fit_row,
     from_messages,
     to_message,
 )
@@ -186,14 +187,25 @@
             return
         state = self.register.services[order.service]
         barred = state.barred
-        replaced = self.register.versions(order.service) - barred - {order.to}
+        running = self.register.versions(order.service)
+        replaced = running - barred - {order.to}
         step = replace(
             first_step(order, self.bounds),
             replaced=tuple(sorted(replaced)),
             barred=tuple(sorted(barred)),
             early_part=state.early_part,
         )
-        await self._write(step, stored)
+        fitted = fit_row(step, running)
+        if len(fitted.barred) < len(step.barred):
+            logger.warning(
+                'former versions dropped from a roll-out',
+                extra={
+                    'service': order.service,
+                    'kept': len(fitted.barred),
+                    'dropped': len(step.barred) - len(fitted.barred),
+                },
+            )
+        await self._write(fitted, stored)
 
     async def _decide(self, order: RolloutOrder, stored: StoredStep) -> None:
         self.others.pop(order.service, None)
--- a/celerywharf/sharing/_rollout_rows.py
+++ b/celerywharf/sharing/_rollout_rows.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
-from dataclasses import asdict
+from collections.abc import Collection, Iterable
+from dataclasses import asdict, replace
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -17,17 +17,18 @@
     ServiceTally,
     Stage,
 )
-from celerywharf.units import MAX_EXACT_INTEGER
+from celerywharf.units import MAX_EXACT_INTEGER, SMALL_MESSAGE_BYTES
 from celerywharf.wire.rollouts import RouteCounts, ServiceCounts
 
 # One row a service, which is the key.  Running fleets know this name.
 STEP_TABLE = 'rollouts'
 MAX_NAME = 200
-MAX_VERSIONS = 100
+# Half of what a row of the store holds; later steps of an order are longer.
+MAX_STEP_BYTES = SMALL_MESSAGE_BYTES // 2
 
 Name = Annotated[str, Field(max_length=MAX_NAME)]
 Version = Annotated[str, Field(min_length=1, max_length=MAX_NAME)]
-Names = Annotated[tuple[Name, ...], Field(max_length=MAX_VERSIONS)]
+Names = tuple[Name, ...]
 Count = Annotated[int, Field(ge=0, le=MAX_EXACT_INTEGER)]
 Seconds = Annotated[float, Field(ge=0, le=MAX_EXACT_INTEGER)]
 
@@ -61,6 +62,25 @@
     return json.dumps(fields).encode()
 
 
+def fit_row(step: RolloutStep, running: Collection[str]) -> RolloutStep:
+    """Return a step without the barred versions that its row cannot hold.
+
+    Args:
+        step: the first step of an order.
+        running: versions that have servers; they are dropped last.
+    """
+    left_bytes = MAX_STEP_BYTES - len(encode_step(replace(step, barred=())))
+    with_servers = frozenset(step.barred).intersection(running)
+    without = frozenset(step.barred) - with_servers
+    barred = []
+    for version in (*sorted(with_servers), *sorted(without)):
+        left_bytes -= len(json.dumps(version)) + len(', ')
+        if left_bytes < 0:
+            break
+        barred.append(version)
+    return replace(step, barred=tuple(sorted(barred)))
+
+
 def decode_step(service: str, content: bytes | None) -> RolloutStep | None:
     """Return the step in a service's row; None if it is unreadable."""
     try:
