origins: record a service with more software versions than are kept once

While a service had more than 32 software versions, the reader of each zone wrote its row of versions again without end: each time the versions that had been left out took the place of others, so what was to be recorded always differed from what was. Nothing told of it, and the record of streams counted as out of date.

Which versions are kept no longer depends on what was recorded before: of those that are equally old the names decide. The second merge finds nothing to write.

Before, the new test got a tuple of versions for the second record instead of None.

--- a/celerywharf/origins/_history.py
+++ b/celerywharf/origins/_history.py
@@ -176,5 +176,10 @@
         for entry in entries.values()
         if entry.gone_s is None or now_s - entry.gone_s <= VERSIONS_KEPT_S
     ]
-    kept.sort(key=lambda entry: (entry.gone_s is None, entry.gone_s or 0))
+    kept.sort(key=_by_end)
     return tuple(kept[-MAX_VERSIONS:])
+
+
+def _by_end(entry: VersionEntry) -> tuple[bool, float, str]:
+    # The name makes the choice the same each time.
+    return entry.gone_s is None, entry.gone_s or 0, entry.software_version
--- a/tests/origins/test_version_history.py
+++ b/tests/origins/test_version_history.py
@@ -1,6 +1,11 @@
 """Which versions may have begun a stream that nobody knows."""
 
-from celerywharf.origins import Recorder, VersionEntry, VersionHistory
+from celerywharf.origins import (
+    MAX_VERSIONS,
+    Recorder,
+    VersionEntry,
+    VersionHistory,
+)
 
 SERVICE = 'narrator'
 OLD = Recorder('f1/1', 'north-1', 0)
@@ -142,3 +147,10 @@
 
 def test_nothing_recorded_tells_nothing():
     assert possible(VersionHistory(), 1, NEW) == frozenset()
+
+
+def test_more_versions_than_are_kept_are_not_written_again_and_again():
+    history = VersionHistory()
+    present = [f'v{number}' for number in range(MAX_VERSIONS + 8)]
+    assert record(history, OLD, 1, *present)
+    assert record(history, OLD, 2, *present) is None
