origins: a row that the store rejects does not keep others from it

An entry of a server may name a service whose row of versions the store does not take: with the prefix its key exceeds 200 bytes, or many long versions exceed the size of a row. Each attempt to record versions ended there. Services behind it and all streams that began were never recorded, for any service, so they were unknown after the loss of all hosts; the call was repeated every second for as long as the entry existed.

The store's client now tells a rejected call (400, 413) from one that may succeed later. A rejected row is reported once, as a warning, and written again only when the versions have changed; what may have begun a stream of that service counts as unknown. Everything else is recorded.

--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -30,6 +30,10 @@
 MS_PER_S = 1000
 # 412: the precondition of a write failed; the body has the current rows.
 ACCEPTED_STATUSES = frozenset((HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED))
+# A call that is malformed or too large for the store.
+REJECTED_STATUSES = frozenset(
+    (HTTPStatus.BAD_REQUEST, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+)
 ERA_HEADER = 'store-era'
 CALL_TIMEOUT_S = 1.0  # a healthy store answers in a few milliseconds
 # A long poll not answered this long after its wait time is given up.
@@ -51,6 +55,12 @@
     code = 'history_gone'
 
 
+class CallRejectedError(PlatformUnavailableError):
+    """The store will not perform the call, however often it is made."""
+
+    code = 'call_rejected'
+
+
 @dataclass(frozen=True, slots=True)
 class Row:
     """One row of a table.
@@ -360,6 +370,8 @@
         self.era.observe(era)
         if response.status == HTTPStatus.GONE:
             raise HistoryGoneError('the store no longer has these changes')
+        if response.status in REJECTED_STATUSES:
+            raise CallRejectedError(f'{call}: {response.status}')
         if response.status not in ACCEPTED_STATUSES:
             raise PlatformUnavailableError(f'{call}: {response.status}')
         try:
--- a/celerywharf/sharing/_origin_records.py
+++ b/celerywharf/sharing/_origin_records.py
@@ -16,6 +16,7 @@
     StreamOrigins,
     VersionHistory,
 )
+from celerywharf.platform import CallRejectedError
 from celerywharf.sharing._origin_readings import OriginReadings
 from celerywharf.sharing._origin_rows import OriginRows
 
@@ -39,6 +40,7 @@
         read_attempted: it has been tried to read them.
         write_attempted: it has been tried to record versions.
         outdated: versions have changed since they were last written.
+        rejected: versions of services whose rows the store rejects.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.read_attempted = False
         self.write_attempted = False
         self.outdated = True
+        self.rejected: dict[str, frozenset[str]] = {}
         origins.software_versions.subscribers.append(self._on_change)
 
     @property
@@ -152,9 +155,10 @@
             asked_s: when the question came, on the clock of ``readings``.
 
         Returns:
-            The versions; none if the store has not answered since.
+            The versions; none if the store has not answered since, or does not
+            take their row.
         """
-        if not self.readings.is_confirmed(asked_s):
+        if service in self.rejected or not self.readings.is_confirmed(asked_s):
             return OriginKnowledge()
         readers = () if alive is None else {self.name, *alive}
         recorded = self.history.possible(service, readers, self.store_time_s())
@@ -190,11 +194,13 @@
         if not present or not self.outdated:
             return  # no entry of a server has been read yet, or all is written
         self.outdated = False
+        for gone in self.rejected.keys() - present.keys():
+            self.rejected.pop(gone)
         services = {*present, *self.history.entries, *self.history.unsaved}
         try:
             for service in services:
                 versions = present.get(service, frozenset())
-                if not await self._write_service(service, versions):
+                if not await self._try_to_write(service, versions):
                     self.outdated = True
         except CelerywharfError:
             self.outdated = True
@@ -202,6 +208,28 @@
         finally:
             self.write_attempted = True
 
+    async def _try_to_write(
+        self, service: str, present: frozenset[str]
+    ) -> bool:
+        """Record the versions of a service, unless the store rejects them.
+
+        Returns:
+            Whether there is nothing left to write.
+        """
+        if self.rejected.get(service) == present:
+            return True
+        try:
+            is_recorded = await self._write_service(service, present)
+        except CallRejectedError as error:
+            self.rejected[service] = present
+            logger.warning(
+                'versions of a service not recorded',
+                extra={'service': service, 'reason': error.message},
+            )
+            return True
+        self.rejected.pop(service, None)
+        return is_recorded
+
     async def _write_service(
         self, service: str, present: Collection[str]
     ) -> bool:
