wire: answer a request whose reply cannot be sent

A reply larger than a frame of 8 MiB, or with text that is not valid Unicode, was dropped. The asking host waited for its time-out and took the peer for lost, or lost the whole link with all requests on it, and asked for the same again. The largest answers between fronts, tables with thousands of rows, can exceed a frame.

The peer now replies with an error at once and logs which message it could not send and why; the link stays open. Text that cannot be encoded raises ProtocolError, which all callers handle, in place of UnicodeEncodeError. A one-way message that cannot be sent is logged and no longer raises in its sender.

--- a/celerywharf/wire/_codec.py
+++ b/celerywharf/wire/_codec.py
@@ -97,7 +97,30 @@
         """Return the content of a frame.
 
         The time in the message is ``stamp``; ``envelope.stamp`` is not used.
+
+        Raises:
+            ProtocolError: a field has a value that a message cannot hold, such
+                as half of a surrogate pair.
+        """
+        try:
+            return self._encode(envelope, stamp)
+        except Exception as error:
+            raise ProtocolError(f'unsendable message: {error}') from error
+
+    def decode(self, content: bytes) -> Envelope:
+        """Return the message in the content of a frame.
+
+        Raises:
+            ProtocolError: the bytes are not a message of this version.
         """
+        try:
+            return self._decode(content)
+        except ProtocolError:
+            raise
+        except Exception as error:
+            raise ProtocolError(f'unreadable message: {error}') from error
+
+    def _encode(self, envelope: Envelope, stamp: Stamp) -> bytes:
         message = self.envelope.new_message()
         message.version = PROTOCOL_VERSION
         message.kind = int(envelope.kind)
@@ -113,19 +136,6 @@
             setattr(builder, field.wire_name, written)
         return message.to_bytes()
 
-    def decode(self, content: bytes) -> Envelope:
-        """Return the message in the content of a frame.
-
-        Raises:
-            ProtocolError: the bytes are not a message of this version.
-        """
-        try:
-            return self._decode(content)
-        except ProtocolError:
-            raise
-        except Exception as error:
-            raise ProtocolError(f'unreadable message: {error}') from error
-
     def _decode(self, content: bytes) -> Envelope:
         with self.envelope.from_bytes(
             content,
--- a/celerywharf/wire/_links.py
+++ b/celerywharf/wire/_links.py
@@ -10,7 +10,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -147,10 +147,16 @@
             ) from None
 
     def send(self, address: Address, message: Any) -> None:
-        """Send a message without waiting; it may be lost silently."""
+        """Send a message without waiting.
+
+        It may be lost silently; one that cannot be encoded is logged.
+        """
         link = self.outgoing.get(address)
         if link is not None and not link.stream.closed():
-            self._write(link, Envelope(Kind.one_way, 0, message))
+            try:
+                self._write(link, Envelope(Kind.one_way, 0, message))
+            except ProtocolError as error:
+                _log_unsendable(message, error)
             return
         self._spawn(self._send_later(address, message))
 
@@ -323,7 +329,13 @@
         if envelope.kind is not Kind.request:
             return
         body = Acknowledged() if reply_body is None else reply_body
-        self._write(link, Envelope(Kind.reply, envelope.correlation, body))
+        reply = Envelope(Kind.reply, envelope.correlation, body)
+        try:
+            self._write(link, reply)
+        except ProtocolError as error:
+            _log_unsendable(body, error)
+            failure = Failure.of(CelerywharfError('the reply cannot be sent'))
+            self._write(link, replace(reply, body=failure))
 
     def _write(self, link: Link, envelope: Envelope) -> None:
         if link.stream.closed():
@@ -366,6 +378,16 @@
     return Failure.of(CelerywharfError(f'{name} failed at the peer'))
 
 
+def _log_unsendable(message: Any, error: ProtocolError) -> None:
+    logger.error(
+        'inner message cannot be sent',
+        extra={
+            'inner_message': type(message).__name__,
+            'reason': error.message,
+        },
+    )
+
+
 def _on_written(link: Link, size: int, write: asyncio.Future) -> None:
     link.unwritten_bytes -= size
     if not write.cancelled():
--- a/tests/wire/links.feature
+++ b/tests/wire/links.feature
@@ -16,6 +16,25 @@
     Then CelerywharfError is raised with verdict "may_have_run"
     And host "b" still has the link open
 
+  Scenario Outline: a reply that cannot be sent fails only its request
+    Given a host "b" <when> replies with text that is <odd>
+    When host "a" sends it a request with code "x"
+    Then CelerywharfError is raised with verdict "may_have_run"
+    And host "b" still has the link open
+
+    Examples:
+      | when       | odd       |
+      | that       | too large |
+      | that       | unpaired  |
+      | that later | too large |
+      | that later | unpaired  |
+
+  Scenario: a one-way message that cannot be sent does not harm its sender
+    Given a host "b" that replies with row_conflict
+    And host "a" has a link to it
+    When host "a" sends it a one-way message that is too large
+    Then host "a" still gets replies from it
+
   Scenario: a host with another key is rejected
     Given a host "b" that replies with row_conflict
     When a host with another key sends it a request
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -25,6 +25,8 @@
 
 KEY = b'the inner key of tests'
 LOOPBACK = '127.0.0.1'
+TOO_LARGE = Failure('x', 'm' * FRAME_LIMIT_BYTES, 'not_run')
+UNPAIRED = Failure('x', '\ud800', 'not_run')
 
 
 class World:
@@ -99,12 +101,26 @@
     world.run(world.add('b', lambda _sender, _message: {}['missing']))
 
 
+@given(parsers.parse('a host "b" {when} replies with text that is {odd}'))
+def _unsendable(world, when, odd):
+    reply = TOO_LARGE if odd == 'too large' else UNPAIRED
+    is_late = when == 'that later'
+    world.run(
+        world.add('b', lambda *_: asyncio.sleep(0, reply) if is_late else reply)
+    )
+
+
 @given('host "a" has a link to it')
 @when(parsers.parse('host "{name}" sends it a request with code "{code}"'))
 def _request(world, name='a', code='first'):
     world.run(world.request(name, code))
 
 
+@when('host "a" sends it a one-way message that is too large')
+def _send_too_large(world):
+    world.links['a'].send(world.links['b'].identity.inner, TOO_LARGE)
+
+
 @then(parsers.parse('host "b" has an incoming link from {source_ip}'))
 def _incoming_from(world, source_ip):
     (stream,) = world.links['b'].incoming
