sharing: remember who has a large content while others spread beside it

The reader of a zone knew of four contents which hosts have them. With more in one answer, such as a configuration beside many large entries of servers, each was forgotten before the next host asked for it. So the reader gave all of them to all hosts itself, and without its limit of two hosts at once.

What is known of a content is now dropped when no host has asked for it for a minute.

Before, the first new test got the reader in place of the host that has the content after eight others had been asked for; the second found the old content kept.

--- a/celerywharf/sharing/_turns.py
+++ b/celerywharf/sharing/_turns.py
@@ -9,7 +9,8 @@
 HOST_GIVES = 1  # at once, of those that the reader sends there
 # A host that has not come back by then has failed or gone elsewhere.
 MAX_TURN_S = 2.0
-KEPT = 4
+# Longer than hosts that start together take to get all contents.
+KEPT_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,12 +50,14 @@
     Attributes:
         givers: who has it, with the most hosts that each gives it to at once.
         turns: the hosts that are getting it, by name.
+        asked_s: when a host last asked for it.
     """
 
     givers: dict[Giver, int] = field(
         default_factory=lambda: {OWN: READER_GIVES}
     )
     turns: dict[str, Turn] = field(default_factory=dict)
+    asked_s: float = 0
 
 
 class ContentTurns:
@@ -66,7 +69,7 @@
     doubles in the time of one transfer.
 
     Attributes:
-        spreads: by digest, in the order in which they were first asked for.
+        spreads: by digest, in the order in which they were last asked for.
     """
 
     def __init__(self) -> None:
@@ -74,7 +77,10 @@
 
     def ask(self, digest: bytes, host: str, now_s: float) -> Giver | None:
         """Return who gives a content to a host; None if all are busy."""
-        spread = self._spread(digest)
+        spread = self.spreads.pop(digest, None) or _Spread()
+        self.spreads[digest] = spread
+        spread.asked_s = now_s
+        self._drop_old(now_s)
         self._expire(spread, now_s)
         turn = spread.turns.pop(host, None)
         if turn is not None and turn.giver != OWN:
@@ -90,19 +96,22 @@
 
     def end(self, digest: bytes, host: str) -> None:
         """Record that a host has been given the last piece."""
-        self._spread(digest).turns.pop(host, None)
+        spread = self.spreads.get(digest)
+        if spread is not None:
+            spread.turns.pop(host, None)
 
     def has_whole(self, digest: bytes, host: str, giver: Giver) -> None:
         """Record that a host has the whole and gives it to others."""
-        spread = self._spread(digest)
-        spread.turns.pop(host, None)
-        spread.givers[giver] = HOST_GIVES
-
-    def _spread(self, digest: bytes) -> _Spread:
-        spread = self.spreads.setdefault(digest, _Spread())
-        while len(self.spreads) > KEPT:
-            self.spreads.pop(next(iter(self.spreads)))
-        return spread
+        spread = self.spreads.get(digest)
+        if spread is not None:
+            spread.turns.pop(host, None)
+            spread.givers[giver] = HOST_GIVES
+
+    def _drop_old(self, now_s: float) -> None:
+        for digest, spread in tuple(self.spreads.items()):
+            if now_s - spread.asked_s <= KEPT_S:
+                break
+            self.spreads.pop(digest)
 
     def _expire(self, spread: _Spread, now_s: float) -> None:
         for host, turn in tuple(spread.turns.items()):
--- a/tests/sharing/test_turns.py
+++ b/tests/sharing/test_turns.py
@@ -6,6 +6,7 @@
 
 from celerywharf.sharing._turns import (
     HOST_GIVES,
+    KEPT_S,
     MAX_TURN_S,
     OWN,
     READER_GIVES,
@@ -88,3 +89,25 @@
     turns = ContentTurns()
     for piece in range(20):
         assert turns.ask(DIGEST, 'slow', piece * MAX_TURN_S / 2) == OWN
+
+
+def test_contents_beside_it_do_not_return_a_content_to_the_reader_alone():
+    turns = ContentTurns()
+    assert turns.ask(DIGEST, 'f0', 0) == OWN
+    turns.has_whole(DIGEST, 'f0', giver_of(0))
+    for host in range(1, 50):
+        for other in range(8):
+            turns.ask(bytes([other]), str(host), 0)
+    assert turns.ask(DIGEST, 'f1', 0) == giver_of(0)
+    for host in range(2, 9):
+        for other in range(8):
+            turns.ask(bytes([other]), str(host), 0)
+        turns.ask(DIGEST, f'f{host}', 0)
+    check_limits(turns)
+
+
+def test_a_content_that_nobody_asks_for_is_forgotten():
+    turns = ContentTurns()
+    turns.ask(DIGEST, 'f0', 0)
+    turns.ask(b'other', 'f0', KEPT_S + 1)
+    assert list(turns.spreads) == [b'other']
