sharing: take in names as long as the entries of servers may have

The id of a server, its zone, service and software version may each have 200 characters, and the hosts use such servers. In messages between hosts names of more than 100 characters made the whole message or record count as malformed: - a reader refused every request to a server with a long id that had stated a request limit, each time with "ask again in 0.5 s", and logged nothing; - the losses of such a server were not shared, and one of them made the record of its trait unreadable for all hosts; - streams of a service or version with a long name were dropped by the reader, while the host that had told of them took them for known.

All of them now use one limit, which is above what an entry can hold.

--- a/celerywharf/sharing/_limit_messages.py
+++ b/celerywharf/sharing/_limit_messages.py
@@ -5,10 +5,9 @@
 import math
 
 from celerywharf.limits import LimitStatement
+from celerywharf.units import MAX_NAME_CHARACTERS
 from celerywharf.wire.sharing import ServerLimit
 
-MAX_NAME = 100
-
 
 def to_message(statement: LimitStatement) -> ServerLimit:
     """Convert a statement to a message."""
@@ -26,7 +25,7 @@
     names = (limit.incarnation, limit.availability_zone)
     numbers = (limit.at_s, limit.per_s)
     acceptable = (
-        max(map(len, names)) <= MAX_NAME
+        max(map(len, names)) <= MAX_NAME_CHARACTERS
         and all(map(math.isfinite, numbers))
         and limit.per_s >= 0
     )
--- a/celerywharf/sharing/_origin_messages.py
+++ b/celerywharf/sharing/_origin_messages.py
@@ -10,10 +10,9 @@
     OriginKnowledge,
     StreamOrigin,
 )
+from celerywharf.units import MAX_NAME_CHARACTERS
 from celerywharf.wire.origins import OriginAnswer, OriginEntry
 
-MAX_NAME = 100
-
 
 def to_entry(origin: StreamOrigin, now_s: float) -> OriginEntry:
     """Convert the origin of a stream to its message.
@@ -39,7 +38,7 @@
     """
     names = (entry.request_id, entry.service, entry.software_version)
     if not math.isfinite(entry.lifetime_s) or any(
-        len(name) > MAX_NAME for name in names
+        len(name) > MAX_NAME_CHARACTERS for name in names
     ):
         return None
     lifetime_s = min(entry.lifetime_s, MAX_LIFETIME_S)
@@ -54,7 +53,7 @@
         now_s: time on the clock of ``StreamOrigin.expires_s``, seconds.
     """
     versions = frozenset(reply.versions)
-    if any(len(version) > MAX_NAME for version in versions):
+    if any(len(version) > MAX_NAME_CHARACTERS for version in versions):
         versions = frozenset()
     for entry in reply.origins:
         origin = from_entry(entry, now_s)
--- a/celerywharf/sharing/_peer_exchange.py
+++ b/celerywharf/sharing/_peer_exchange.py
@@ -13,6 +13,7 @@
 from celerywharf.sharing._readers import ZoneReaders
 from celerywharf.sharing._store import SharedStore
 from celerywharf.structures import Address
+from celerywharf.units import MAX_NAME_CHARACTERS
 from celerywharf.wire import Sender
 from celerywharf.wire.peers import PeerAnswer, PeerEntry, PeerQuestion
 
@@ -21,7 +22,6 @@
 # Some of those that are known may be lost as well.
 ENOUGH_HOSTS = 3
 MAX_CUT_OFF = 64  # services that one host names
-MAX_NAME = 300
 
 
 class PeerExchange(PeerSource):
@@ -133,7 +133,7 @@
     for entry in entries:
         texts = (entry.name, entry.availability_zone, *entry.cut_off)
         if len(entry.cut_off) > MAX_CUT_OFF or any(
-            len(text) > MAX_NAME for text in texts
+            len(text) > MAX_NAME_CHARACTERS for text in texts
         ):
             continue
         try:
--- a/celerywharf/sharing/_quarantine_rows.py
+++ b/celerywharf/sharing/_quarantine_rows.py
@@ -10,11 +10,11 @@
 
 from celerywharf.platform import Row, StoreClient
 from celerywharf.quarantine import MAX_LOSSES, Loss, LossRecord
+from celerywharf.units import MAX_NAME_CHARACTERS
 from celerywharf.wire.quarantine import PartLoss, PartState
 
 # One row per trait, which is the key.  Running fleets know this name.
 LOSS_TABLE = 'prompt-parts'
-MAX_NAME = 100
 MAX_GENERATION = 1_000_000_000
 
 
@@ -22,8 +22,8 @@
     model_config = ConfigDict(extra='ignore')
 
     at_s: float = Field(allow_inf_nan=False)
-    instance: str = Field(max_length=MAX_NAME)
-    availability_zone: str = Field(max_length=MAX_NAME)
+    instance: str = Field(max_length=MAX_NAME_CHARACTERS)
+    availability_zone: str = Field(max_length=MAX_NAME_CHARACTERS)
     begun: bool
 
 
@@ -43,7 +43,7 @@
 
 def decode_record(row: Row) -> LossRecord | None:
     """Return the record in a row; None if it is unreadable."""
-    if row.content is None or len(row.key) > MAX_NAME:
+    if row.content is None or len(row.key) > MAX_NAME_CHARACTERS:
         return None
     try:
         entry = _Record.model_validate_json(row.content)
@@ -62,13 +62,13 @@
 def from_state(state: PartState) -> LossRecord | None:
     """Convert a message to a record; None if it exceeds a bound."""
     acceptable = (
-        len(state.part) <= MAX_NAME
+        len(state.part) <= MAX_NAME_CHARACTERS
         and 0 <= state.generation <= MAX_GENERATION
         and len(state.losses) <= MAX_LOSSES
         and all(
             math.isfinite(loss.at_s)
-            and len(loss.instance) <= MAX_NAME
-            and len(loss.availability_zone) <= MAX_NAME
+            and len(loss.instance) <= MAX_NAME_CHARACTERS
+            and len(loss.availability_zone) <= MAX_NAME_CHARACTERS
             for loss in state.losses
         )
     )
