limits: grant the limits of more than a thousand servers

The host that grants the request limits of a zone's servers kept 1,024 of them and forgot the one that was asked for longest ago. A server that was forgotten starts without a request to grant. With more servers that have a limit each was forgotten before it was asked for again, so none of them ever got a request, and every refusal said when to ask again.

It now keeps as many as a system of the planned size has servers.

--- a/celerywharf/limits/_pool.py
+++ b/celerywharf/limits/_pool.py
@@ -13,7 +13,7 @@
 # its limit.
 MIN_RATE_PER_S = 0.1
 MAX_WAIT_S = 1.0
-MAX_BUCKETS = 1024
+MAX_BUCKETS = 12_000  # servers of a system of the planned size
 
 
 @dataclass(frozen=True, slots=True)
