tables: end a page of rows before it exceeds a frame

A host that is behind pulls rows from a peer in pages of 5,000, whatever their size. Rows of servers with many models make such a page larger than a frame of 8 MiB. The peer could not send it, and each pull failed in the same way: the host fell back on the platform, and one that started while the platform was away never became ready.

A page now also ends at 4 MiB, but as before never within a revision.

--- a/celerywharf/tables/_messages.py
+++ b/celerywharf/tables/_messages.py
@@ -8,9 +8,12 @@
 from celerywharf.exceptions import ProtocolError
 from celerywharf.tables.changes import Delta
 from celerywharf.tables.rows import Row, RowKind
+from celerywharf.wire import FRAME_LIMIT_BYTES
 from celerywharf.wire.tables import TableDelta, TableRow
 
-PAGE_ROWS = 5000  # in one message
+# A page ends when it has so many rows, or so many bytes in their columns.
+PAGE_ROWS = 5000
+PAGE_BYTES = FRAME_LIMIT_BYTES // 2
 
 
 def encode_delta(delta: Delta) -> TableDelta:
@@ -23,7 +26,7 @@
     return TableDelta(
         since=delta.since,
         upto=delta.upto,
-        rows=[_encode_row(row) for row in rows],
+        rows=rows,
         more=len(rows) < len(delta.rows),
     )
 
@@ -41,11 +44,17 @@
     return Delta(message.since, message.upto, rows)
 
 
-def _first_page(rows: Sequence[Row]) -> Sequence[Row]:
-    end = PAGE_ROWS
-    while end < len(rows) and rows[end].revision == rows[end - 1].revision:
-        end += 1
-    return rows[:end]
+def _first_page(rows: Sequence[Row]) -> list[TableRow]:
+    page: list[TableRow] = []
+    size_bytes = 0
+    for row in rows:
+        is_full = len(page) >= PAGE_ROWS or size_bytes >= PAGE_BYTES
+        if is_full and row.revision != page[-1].revision:
+            break
+        encoded = _encode_row(row)
+        page.append(encoded)
+        size_bytes += len(encoded.key) + len(encoded.fields)
+    return page
 
 
 def _encode_row(row: Row) -> TableRow:
