sharing: refuse a table that is too large for an answer at once

The reader then put all rows into the answer, which exceeds a frame, and did so again for each host that asked. The hosts got nothing.

The reader now refuses before it encodes the rows and logs the size; the host that asked reads the store itself.

Before, the new test failed with "DID NOT RAISE PlatformUnavailableError".

--- a/celerywharf/sharing/_snapshots.py
+++ b/celerywharf/sharing/_snapshots.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from celerywharf.exceptions import ProtocolError
+from celerywharf.exceptions import PlatformUnavailableError, ProtocolError
 from celerywharf.platform import Row
 from celerywharf.sharing._contents import MIN_BYTES, ContentCache
 from celerywharf.sharing._mirror import Mirror
@@ -13,6 +14,8 @@
 from celerywharf.wire import Envelope, Kind, default_codec
 from celerywharf.wire.sharing import SharedRow, TableAnswer
 
+logger = logging.getLogger(__name__)
+
 # Smaller tables are encoded for each host in about a millisecond.
 MIN_TABLE_BYTES = SMALL_MESSAGE_BYTES
 # With more changes than this, as a share of the rows, a new one is made.
@@ -58,7 +61,11 @@
             cache: keeps the content of the snapshot.
 
         Returns:
-            None if the table is small, or too large for one content.
+            None if the table is small.
+
+        Raises:
+            PlatformUnavailableError: it is too large for one content, and so
+                for an answer, too.
         """
         newest = self.newest
         if newest is None or not _is_usable(newest, mirror, cache):
@@ -109,8 +116,10 @@
     if mirror.version is None:
         return None
     rows = [row for row in mirror.current_rows() if not _is_large(row)]
-    if _size_bytes(rows) < MIN_TABLE_BYTES:
+    size_bytes = _size_bytes(rows)
+    if size_bytes < MIN_TABLE_BYTES:
         return None
+    _check_size(size_bytes)
     shared = [
         SharedRow(
             row.key,
@@ -123,12 +132,17 @@
     ]
     answer = TableAnswer(shared, mirror.version, mirror.store_s)
     content = default_codec().encode(Envelope(Kind.reply, 0, answer))
-    if len(content) > DOCUMENT_BYTES:
-        return None
+    _check_size(len(content))
     digest = cache.pack(content).digest
     return Snapshot(digest, mirror.era, mirror.version, len(rows))
 
 
+def _check_size(size_bytes: int) -> None:
+    if size_bytes > DOCUMENT_BYTES:
+        logger.warning('table too large', extra={'size_bytes': size_bytes})
+        raise PlatformUnavailableError('the table is too large for an answer')
+
+
 def _size_bytes(rows: Iterable[Row]) -> int:
     return sum(len(row.content or b'') for row in rows)
 
--- a/tests/sharing/test_snapshots.py
+++ b/tests/sharing/test_snapshots.py
@@ -2,13 +2,16 @@
 
 import json
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from celerywharf.exceptions import PlatformUnavailableError
 from celerywharf.platform import ReadResult, Row
 from celerywharf.routing import AnswerTiming
 from celerywharf.sharing._answers import SharedTable, answer, decode_rows
 from celerywharf.sharing._contents import MIN_BYTES, ContentCache
+from celerywharf.units import DOCUMENT_BYTES
 from celerywharf.wire.sharing import WHOLE_TABLE, TableQuestion
 from tests.virtual_loop import run_virtually
 
@@ -89,6 +92,15 @@
     assert len(reply.rows) == ROWS
 
 
+def test_a_table_too_large_for_a_snapshot_is_refused_at_once():
+    table = Table(0)
+    rows = DOCUMENT_BYTES // MIN_BYTES + 50
+    content = b'x' * (MIN_BYTES - 1)
+    table.change(*((f'd{number}', content) for number in range(rows)))
+    with pytest.raises(PlatformUnavailableError, match='too large'):
+        table.ask()
+
+
 def test_a_snapshot_is_used_again_while_few_rows_change():
     table = Table()
     first = table.ask()
