sharing: don't offer a host for services that it could not name as cut off

A host names at most 64 services that it does not reach. One that was cut off from more named the first 64 by name and was taken to reach all the others. In a zone that is cut off from many services its hosts were so chosen for each other's requests, each send failed, and the readers of other zones were not asked, as enough hosts of the own zone seemed to reach the service.

A host that is cut off from more services than it can name announces nothing.

Before, the new test failed with 65 and 3,000 services: the host was chosen for 'service-9', the last of 65, and for all but 64 of 3,000.

--- a/celerywharf/sharing/_peer_exchange.py
+++ b/celerywharf/sharing/_peer_exchange.py
@@ -69,9 +69,15 @@
         return _from_entries(entries)
 
     def announcement(self) -> list[PeerEntry]:
-        """Return what the reader is told of this host."""
+        """Return what the reader is told of this host.
+
+        A host that reaches so few services is of little use to others, and
+        would be chosen for those that are not named.
+        """
         own = self.own()
-        return [] if own is None else [_to_entry(own)]
+        if own is None or len(own.cut_off) > MAX_CUT_OFF:
+            return []
+        return [_to_entry(own)]
 
     def on_announced(self, entries: Sequence[PeerEntry]) -> None:
         """Learn what another host tells of itself."""
