sharing: failing test of changes that are too large for a frame

A host that missed many changes of rows below 8 KiB asks for all of them at once. Beyond 8 MiB the answer cannot be sent.

The test fails with "DID NOT RAISE HistoryGoneError"; it is to pass with a change of celerywharf/sharing/_answers.py, where the size of the rows is known.

--- a/tests/sharing/test_snapshots.py
+++ b/tests/sharing/test_snapshots.py
@@ -7,11 +7,12 @@
 from hypothesis import strategies as st
 
 from celerywharf.exceptions import PlatformUnavailableError
-from celerywharf.platform import ReadResult, Row
+from celerywharf.platform import HistoryGoneError, ReadResult, Row
 from celerywharf.routing import AnswerTiming
 from celerywharf.sharing._answers import SharedTable, answer, decode_rows
 from celerywharf.sharing._contents import MIN_BYTES, ContentCache
 from celerywharf.units import DOCUMENT_BYTES
+from celerywharf.wire import Envelope, Kind, default_codec, frame
 from celerywharf.wire.sharing import WHOLE_TABLE, TableQuestion
 from tests.virtual_loop import run_virtually
 
@@ -47,11 +48,12 @@
         reading = self._reading(self.table.mirror.current_rows(), era=2)
         self.table.mirror.replace(reading)
 
-    def ask(self, *, by_snapshot=True):
+    def ask(self, after=WHOLE_TABLE, *, by_snapshot=True):
         question = TableQuestion(
             'servers',
-            WHOLE_TABLE,
+            after,
             0,
+            era=1,
             by_digest=True,
             by_snapshot=by_snapshot,
         )
@@ -167,3 +169,12 @@
         assert table.received(table.ask()) == table.current()
         table.change(*batch)
     assert table.received(table.ask()) == table.current()
+
+
+def test_changes_too_large_for_a_frame_are_refused_as_gone():
+    table = Table(1)
+    content = b'x' * (MIN_BYTES - 1)
+    table.change(*((f'd{number}', content) for number in range(1500)))
+    with pytest.raises(HistoryGoneError):
+        table.ask(after=1)
+    frame(default_codec().encode(Envelope(Kind.reply, 1, table.ask())))
