quarantine: begin with the store if the zone elects no reader

A host is ready only after its first exchange of quarantine records. Without a reader of its zone it waited for one, without end and without a log line. While the store answers readings but no writes, no host can become the reader: each has the configuration and the servers, yet none that has started becomes ready.

Four seconds after its start a host that has found no reader now reads the records from the store once, and says so in its log. A failure of that reading counts as the first exchange, as before.

Before, the new test failed with and without an answer of the store: `has_begun` was false ten seconds after the start.

--- a/celerywharf/sharing/_quarantine_exchange.py
+++ b/celerywharf/sharing/_quarantine_exchange.py
@@ -39,6 +39,8 @@
 READER_POLL_S = 1.5
 ANSWER_SLACK_S = 0.5
 NO_UPSTREAM_WAIT_S = 0.05
+# Without a reader for so long after the start, the store is read once.
+START_WAIT_S = 4.0
 BACKOFF_S = 0.5
 MAX_BACKOFF_S = 4.0
 # At most five transactions a second of a reader, for all fronts of its zone.
@@ -88,6 +90,8 @@
             table must be read.
         serial: last change of the reader that this front has received.
         has_begun: the first exchange has succeeded or failed.
+        alone_from_s: when to read the store once if no exchange has begun by
+            then, monotonic seconds.
         changed: set and replaced by a new event at each change.
     """
 
@@ -109,6 +113,7 @@
         self.position: Position | None = None
         self.serial = 0
         self.has_begun = False
+        self.alone_from_s = float('inf')
         self.changed = asyncio.Event()
         register.subscribers.append(self._on_change)
         if shared_store is not None:
@@ -117,6 +122,7 @@
     def start(self) -> None:
         """Start to exchange records."""
         super().start()
+        self.alone_from_s = time.monotonic() + START_WAIT_S
         self.spawn(self._repeat(self._pull))
         self.spawn(self._repeat(self._push))
 
@@ -140,6 +146,7 @@
 
     async def _pull(self) -> None:
         """Wait for changes upstream and apply them."""
+        is_alone = not self.has_begun and time.monotonic() > self.alone_from_s
         match self._find_upstream():
             case _Reader() as reader:
                 wait_s = READER_POLL_S if self.has_begun else 0
@@ -148,6 +155,9 @@
                 await self._read_rows()
             case _Store():
                 await self._watch_rows()
+            case None if is_alone:
+                logger.warning('no reader; quarantine read from the store')
+                await self._read_rows()
             case None:
                 await asyncio.sleep(NO_UPSTREAM_WAIT_S)
                 return
