origins: a table that cannot be read does not keep a reader from ready

The reader of a zone is ready once it has tried to record the software versions in the store. A failed write counts as tried, but if the table could not be read no write was tried. While the store failed only for this table, or an answer for it was unreadable, the reader was never ready, though it served all others.

With servers known a failed reading now counts as the attempt, too. It is repeated each second as before.

Before, the new test found `attempted` false after the failed update.

--- a/celerywharf/sharing/_origin_records.py
+++ b/celerywharf/sharing/_origin_records.py
@@ -117,6 +117,10 @@
                 'origins of streams not recorded',
                 extra={'reason': error.message},
             )
+            # A write needs what was read; it counts as tried with the reading.
+            self.write_attempted |= bool(
+                self.origins.software_versions.present()
+            )
             return False
         finally:
             self.read_attempted = True
--- a/tests/sharing/test_rejected_rows.py
+++ b/tests/sharing/test_rejected_rows.py
@@ -49,16 +49,27 @@
         """There is nothing to close."""
 
 
-@pytest.mark.parametrize('status', [400, 413])
-def test_a_rejected_row_of_versions_does_not_keep_others_from_the_store(status):
-    transport = RowLimits(status)
+class Unreadable(RowLimits):
+    """A store that cannot read the table."""
+
+    async def fetch(self, request):
+        """Refuse."""
+        return HttpResponse(503, {}, b'')
+
+
+def records_of(transport):
     store = StoreClient(transport, Address('127.0.0.1', 1))
     versions = SimpleNamespace(
         subscribers=[], present=lambda: PRESENT, recent=lambda *_: frozenset()
     )
     origins = SimpleNamespace(now=int, software_versions=versions)
-    rows = OriginRows(store, 'north-1')
-    records = OriginRecords(rows, origins, 'own', int)
+    return OriginRecords(OriginRows(store, 'north-1'), origins, 'own', int)
+
+
+@pytest.mark.parametrize('status', [400, 413])
+def test_a_rejected_row_of_versions_does_not_keep_others_from_the_store(status):
+    transport = RowLimits(status)
+    records = records_of(transport)
     records.add([StreamOrigin('r1', 'narrator', 'v1', 30)])
     for _ in range(3):
         assert asyncio.run(records.update())
@@ -68,3 +79,9 @@
     ]
     assert transport.rejected == 2
     assert not records.is_due()
+
+
+def test_a_table_that_cannot_be_read_does_not_keep_a_reader_from_ready():
+    records = records_of(Unreadable(503))
+    assert not asyncio.run(records.update())
+    assert records.attempted
