tables: ask other peers at each attempt to become ready

While the platform is away a host that starts asks up to 24 peers for the table, the first ones in the order in which it has learned of them. It tried again each half second, with the same 24. If those were starting as well, as when a zone is restarted, it never became ready, though other hosts had the table.

Each attempt now asks a random choice of the peers that are known.

--- a/celerywharf/tables/_service.py
+++ b/celerywharf/tables/_service.py
@@ -82,8 +82,10 @@
         self.host = host
         self.catalogue = Catalogue()
         self.replica = Replica()
-        self.synchronizer = Synchronizer(host, self.replica, self._on_delta)
         self.random = random.Random(host.identity.incarnation)
+        self.synchronizer = Synchronizer(
+            host, self.replica, self._on_delta, self.random
+        )
         local = ReplicaHost(
             str(host.identity.inner),
             host.identity.availability_zone,
--- a/celerywharf/tables/_synchronizer.py
+++ b/celerywharf/tables/_synchronizer.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable, Mapping
+from random import Random
 from typing import TYPE_CHECKING
 
 from celerywharf.exceptions import CelerywharfError, PlatformUnavailableError
@@ -35,6 +36,7 @@
             it came from, empty for the platform; applies it before it
             returns.
         freshness: whether the replica is ready, and its age.
+        random: chooses the peers that are asked at the start.
         poll_lock: held while the platform is read.
     """
 
@@ -43,10 +45,12 @@
         host: Host,
         replica: Replica,
         on_delta: DeltaCallback,
+        random: Random,
     ) -> None:
         self.host = host
         self.replica = replica
         self.on_delta = on_delta
+        self.random = random
         self.freshness = Freshness()
         self.poll_lock = asyncio.Lock()
 
@@ -66,14 +70,15 @@
     async def become_ready(self, addresses: Iterable[str]) -> None:
         """Read the platform or, if it does not answer, the newest peer.
 
-        The replica may still not be ready afterwards.
+        The replica may still not be ready afterwards.  Each call asks other
+        peers, since those asked before may be starting as well.
         """
         await self.poll()
         if self.freshness.ready:
             return
-        answers = await self.exchange_digests(
-            list(addresses)[:STARTUP_PEER_LIMIT],
-        )
+        known = list(addresses)
+        count = min(len(known), STARTUP_PEER_LIMIT)
+        answers = await self.exchange_digests(self.random.sample(known, count))
         ready = {
             address: digest.revision
             for address, digest in answers.items()
