--- a/celerywharf/sharing/_peer_exchange.py
+++ b/celerywharf/sharing/_peer_exchange.py
@@ -13,6 +13,7 @@
 from celerywharf.sharing._readers import ZoneReaders
 from celerywharf.sharing._store import SharedStore
 from celerywharf.structures import Address
+from celerywharf.units import MAX_NAME_CHARACTERS
 from celerywharf.wire import Sender
 from celerywharf.wire.peers import PeerAnswer, PeerEntry, PeerQuestion
 
@@ -21,7 +22,6 @@
 # Some of those that are known may be lost as well.
 ENOUGH_HOSTS = 3
 MAX_CUT_OFF = 64  # services that one host names
-MAX_NAME = 300
 
 
 class PeerExchange(PeerSource):
@@ -69,9 +69,15 @@
         return _from_entries(entries)
 
     def announcement(self) -> list[PeerEntry]:
-        """Return what the reader is told of this host."""
+        """Return what the reader is told of this host.
+
+        A host that reaches so few services is of little use to others, and
+        would be chosen for those that are not named.
+        """
         own = self.own()
-        return [] if own is None else [_to_entry(own)]
+        if own is None or len(own.cut_off) > MAX_CUT_OFF:
+            return []
+        return [_to_entry(own)]
 
     def on_announced(self, entries: Sequence[PeerEntry]) -> None:
         """Learn what another host tells of itself."""
@@ -133,7 +139,7 @@
     for entry in entries:
         texts = (entry.name, entry.availability_zone, *entry.cut_off)
         if len(entry.cut_off) > MAX_CUT_OFF or any(
-            len(text) > MAX_NAME for text in texts
+            len(text) > MAX_NAME_CHARACTERS for text in texts
         ):
             continue
         try:
