adapters: an answer with a malformed field line is no answer

Callers got a 200 with a head that is none of HTTP: an engine's line whose name held a blank, a tab, a control byte, a byte beyond ASCII, a quote or a slash was passed on, and so was a value with a control byte.

Cause: ResponseHead split each line at the first colon and checked only the fields that state the length. curl reports lines as they come, and tornado refuses line breaks only.

Each line of a head, of interim heads too, is now read by one pattern: a token, a colon, a value of visible characters, blanks, tabs and obs-text (RFC 9110, 5.1, 5.5 and 5.6.2). Status lines may hold no control byte either. Anything else ends the exchange before the sink has seen the head, as a malformed status does: the request may have run, so calls get 502, and only what may be repeated is sent again. This holds for engines, applications, other hosts and the store, which all use this transport.

What passes, and why: empty values, blanks around values, obs-text, any case (HTTP allows them); blanks before the colon, which are removed (RFC 9112, 5.1), except in the fields that state the length; folded lines, which curl joins (5.2), so that a line that begins with a blank belongs to the one before it, and as the first line of a head is malformed; trailers, which are discarded unread (RFC 9110, 6.5.1).

--- a/celerywharf/adapters/_response_head.py
+++ b/celerywharf/adapters/_response_head.py
@@ -15,7 +15,13 @@
 # with some hundred bytes more.
 MAX_HEAD_LINES = 500
 FIRST_FINAL_STATUS = 200  # 1xx responses are interim
-STATUS_LINE = re.compile(r'HTTP/\d(?:\.\d)? ([1-5]\d\d)(?: |$)')
+STATUS_LINE = re.compile(r'HTTP/\d(?:\.\d)? ([1-5]\d\d)(?: [\t -~\x80-\xff]*)?')
+# RFC 9110, 5.1 and 5.5.  Blanks before the colon are not part of the name; RFC
+# 9112, 5.1, has proxies remove them from responses.
+FIELD_LINE = re.compile(
+    r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+)([\t ]*):([\t -~\x80-\xff]*)"
+)
+BLANKS = ' \t'
 # Lengths beyond 63 bits are ignored by curl.
 LENGTH = re.compile(r'0*\d{1,18}')
 BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
@@ -31,8 +37,8 @@
         size_bytes: size of all status lines, headers and trailers received.
         line_count: number of these lines.
         is_begun: a status line has arrived and the blank line after it has not.
-        is_malformed: the status line is invalid, or the length of the body is
-            stated in a way that receivers read differently.
+        is_malformed: the status line or a field line is invalid, or the length
+            of the body is stated in a way that receivers read differently.
         is_complete: the final headers have arrived; what follows are trailers,
             which are ignored.
     """
@@ -59,11 +65,11 @@
 
     def add(self, line: bytes) -> None:
         """Read a line of a head that is not complete."""
-        text = line.decode('latin-1').strip()
+        text = _without_line_end(line.decode('latin-1'))
         if text and self.is_begun:
             self._add_header(text)
         elif text:
-            match = STATUS_LINE.match(text)
+            match = STATUS_LINE.fullmatch(text)
             self.status = int(match[1]) if match else 0
             self.is_malformed = match is None
             self.is_begun = True
@@ -83,11 +89,18 @@
         return not is_framed(self.headers)
 
     def _add_header(self, text: str) -> None:
-        name, _, value = text.partition(':')
-        key, value = name.rstrip().lower(), value.strip()
+        match = FIELD_LINE.fullmatch(text)
+        if match is None:
+            self.is_malformed = True
+            return
+        name, blanks, value = match.groups()
+        key, value = name.lower(), value.strip(BLANKS)
         self.headers[key] = value
-        is_spaced = name[-1:].isspace()
-        if key in FRAMING_HEADERS and is_spaced:
+        if key in FRAMING_HEADERS and blanks:
             self.is_malformed = True
         if key == 'content-length' and not LENGTH.fullmatch(value):
             self.is_malformed = True
+
+
+def _without_line_end(text: str) -> str:
+    return text.removesuffix('\n').removesuffix('\r')
--- a/standins/broken_answers.py
+++ b/standins/broken_answers.py
@@ -68,6 +68,25 @@
     status: f'{_SIGNED}Content-Length: 2\r\n\r\n{{}}'.replace('200', status)
     for status in ('000', '0', '099', '-01', '600', '999', '2000', '20')
 }
+# Lines that no head of HTTP has.
+MALFORMED_LINES = {
+    'blank in the name': 'Cache Control: x',
+    'tab in the name': 'Cache\tControl: x',
+    'control byte in the name': 'Cache\x01Control: x',
+    '7F in the name': 'Cache\x7fControl: x',
+    'name beyond ASCII': 'Caché: x',
+    'quote in the name': 'Cache"Control: x',
+    'slash in the name': 'Cache/Control: x',
+    'two blanks in the name': 'Content Length : 3',
+    'empty name': ': x',
+    'no colon': 'Cache-Control',
+    '01 in the value': 'Cache-Control: x\x01y',
+    '7F in the value': 'Cache-Control: x\x7fy',
+    'vertical tab before the value': 'Cache-Control: \x0bx',
+    'carriage return in the value': 'Cache-Control: x\ry',
+    'NUL in the value': 'Cache-Control: x\0y',
+}
+SHORT_LENGTH = 'Content-Length: 2'
 # Answers that end with their connection.
 UNFRAMED = {
     'HTTP/1.1': f'{_SIGNED}\r\n{{}}',
@@ -85,6 +104,12 @@
 }
 
 
+def signed_answer(*lines: str, body: str = '{}') -> str:
+    """Return an answer of status 200 with more lines at the end of its head."""
+    head = ''.join(f'{line}\r\n' for line in lines)
+    return f'{_SIGNED}{head}\r\n{body}'
+
+
 class BreakingServer:
     """Answers requests with given bytes on a port of its own.
 
--- /dev/null
+++ b/tests/adapters/test_malformed_heads.py
@@ -0,0 +1,80 @@
+"""Heads with malformed lines are failed sends; HTTP's odd forms are not."""
+
+import pytest
+
+from celerywharf.exceptions import TransportError
+from celerywharf.structures import Verdict
+from standins.broken_answers import (
+    MALFORMED_LINES,
+    SHORT_LENGTH,
+    BreakingServer,
+    signed_answer,
+)
+from tests.adapters.exchanges import fetch_once
+
+# What the response holds after a line that HTTP allows, or has a gateway mend.
+ALLOWED_LINES = {
+    'empty value': ('X-A:', ('x-a', '')),
+    'no blank before the value': ('X-A:b', ('x-a', 'b')),
+    'blanks around the value': ('X-A: \t b \t', ('x-a', 'b')),
+    'tab in the value': ('X-A: b\tc', ('x-a', 'b\tc')),
+    'value beyond ASCII': ('X-A: é', ('x-a', 'é'.encode().decode('latin-1'))),
+    'colon in the value': ('X-A: b:c', ('x-a', 'b:c')),
+    'upper case': ('X-UPPER: B', ('x-upper', 'B')),
+    'token of all kinds': (
+        "!#$%&'*+-.^_`|~0aZ: b",
+        ("!#$%&'*+-.^_`|~0az", 'b'),
+    ),
+    'blank before the colon': ('X-A : b', ('x-a', 'b')),
+    'folded line': ('X-A: b\r\n c', ('x-a', 'b c')),
+}
+
+
+def _assert_failed(answer):
+    with (
+        BreakingServer(answer) as server,
+        pytest.raises(TransportError) as failure,
+    ):
+        fetch_once(server.address, b'{}')
+    assert failure.value.verdict is Verdict.may_have_run
+    assert not failure.value.answer_begun
+
+
+@pytest.mark.parametrize('case', MALFORMED_LINES)
+def test_an_answer_with_a_malformed_field_line_fails(case):
+    line = MALFORMED_LINES[case]
+    _assert_failed(signed_answer(line, SHORT_LENGTH))
+    _assert_failed(signed_answer(SHORT_LENGTH, line))
+
+
+def test_an_answer_whose_first_field_line_begins_with_a_blank_fails():
+    _assert_failed(
+        signed_answer(SHORT_LENGTH).replace('Attempt-Id', ' Attempt-Id')
+    )
+
+
+def test_an_answer_whose_reason_has_a_control_byte_fails():
+    _assert_failed(signed_answer(SHORT_LENGTH).replace('OK', 'O\x01K'))
+
+
+def test_an_answer_after_an_interim_head_with_a_malformed_line_fails():
+    interim = 'HTTP/1.1 103 Hints\r\nCache Control: x\r\n\r\n'
+    _assert_failed(interim + signed_answer(SHORT_LENGTH))
+
+
+@pytest.mark.parametrize('case', ALLOWED_LINES)
+def test_an_answer_with_an_odd_line_that_http_allows_is_a_response(case):
+    line, (name, value) = ALLOWED_LINES[case]
+    with BreakingServer(signed_answer(SHORT_LENGTH, line)) as server:
+        response = fetch_once(server.address, b'{}')
+    assert response.body == b'{}'
+    assert response.headers[name] == value
+
+
+def test_malformed_trailers_are_discarded():
+    chunks = '2\r\n{}\r\n0\r\nCache Control: x\r\n\r\n'
+    chunked = signed_answer('Transfer-Encoding: chunked', body=chunks)
+    with BreakingServer(chunked) as server:
+        response = fetch_once(server.address, b'{}')
+    assert response.body == b'{}'
+    assert 'cache control' not in response.headers
--- /dev/null
+++ b/tests/fronts/test_malformed_answers.py
@@ -0,0 +1,49 @@
+"""Answers with malformed heads, as callers of a front see them."""
+
+import pytest
+
+from standins.broken_answers import (
+    MALFORMED_LINES,
+    BreakingServer,
+    signed_answer,
+)
+from standins.fronts import (
+    ASK_PATH,
+    ORDER_PATH,
+    STREAM_PATH,
+    PlatformRig,
+    request_headers,
+    send,
+)
+
+PATHS = (ASK_PATH, ORDER_PATH, STREAM_PATH)
+EVENT = 'id: 1\ndata: word-1\n\n'
+FAILED = 502
+LINES = ('blank in the name', 'control byte in the name', '01 in the value')
+
+
+@pytest.fixture
+def rig(fleet):
+    return PlatformRig(fleet)
+
+
+def _ask(rig, *lines):
+    """Return the answers of a call, an order and a stream."""
+    length = f'Content-Length: {len(EVENT)}'
+    with BreakingServer(signed_answer(length, *lines, body=EVENT)) as server:
+        rig.put('servers', 'b0', server.entry('narrator'))
+        address = rig.add_front('f1')
+        answers = [_send(address, path) for path in PATHS]
+    assert len(set(server.request_ids)) == len(PATHS)
+    return answers
+
+
+def _send(address, path):
+    tokens = {'Token_Count': '60,210'} if path == STREAM_PATH else {}
+    return send(address, path, headers=request_headers(**tokens))
+
+
+@pytest.mark.parametrize('case', LINES)
+def test_an_answer_with_a_malformed_field_line_reaches_no_caller(rig, case):
+    answers = _ask(rig, MALFORMED_LINES[case])
+    assert {answer.status for answer in answers} == {FAILED}
