forwarding: a signature that only concerns the connection does not count

Callers got a 200 without Server-Stamp when the engine's answer had `Connection: Server-Stamp`, and one without Attempt-Id likewise.

Cause: read_answer_headers looked for the signature and the id among all fields, but left the ones that Connection names out of what is forwarded (RFC 9110, 7.6.1). Both are now looked for among the forwarded fields, so what was checked is what the caller gets; without them the answer is lost, and the request may have run. A refusal is still told by the id as it was received: one that names another request says nothing about this one, whatever its Connection says.

Evidence, before: the three new cases with a front saw {200} in place of {502} for a call, an order and a stream. After: they pass.

--- a/celerywharf/forwarding/_peer_sends.py
+++ b/celerywharf/forwarding/_peer_sends.py
@@ -133,7 +133,7 @@
     if failure is not None:
         return failure
     headers = _answer_headers(response.headers)
-    if headers.request_id != request.headers.request_id:
+    if not headers.is_answer_to(request.headers.request_id):
         return Lost('answer to another request')
     _record_leaving(context, read_report(response.headers))
     return PeerAnswered(response, headers)
@@ -211,9 +211,8 @@
         self.framed = is_framed(headers)
         self.headers = _answer_headers(headers)
         outcome = _failure(status, headers)
-        if outcome is None and (
-            self.headers.request_id != self.request.headers.request_id
-        ):
+        request_id = self.request.headers.request_id
+        if outcome is None and not self.headers.is_answer_to(request_id):
             outcome = Lost('answer to another request')
         if outcome is not None:
             self.settle(outcome)
--- a/celerywharf/forwarding/_sends.py
+++ b/celerywharf/forwarding/_sends.py
@@ -190,7 +190,7 @@
     headers: AnswerHeaders,
 ) -> Lost | None:
     """Return the outcome if the answer must not be forwarded to the caller."""
-    if headers.request_id != request.headers.request_id:
+    if not headers.is_answer_to(request.headers.request_id):
         return Lost('answer to another request')
     if status < HTTPStatus.MULTIPLE_CHOICES and not headers.signed:
         return Lost('answer without signature')
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -96,7 +96,7 @@
     Attributes:
         request_id: id of the request that was answered; None if missing.
         signed: ``Server-Stamp`` is set, so a backend server produced the
-            response.
+            response, and is forwarded.
         not_run: the backend server guarantees that it did not run the request.
         encoded: a Content-Encoding other than ``identity`` is set, so the
             body is not as the backend server sent it.
@@ -126,6 +126,10 @@
     refusals_per_s: float | None
     forwarded: dict[str, str]
 
+    def is_answer_to(self, request_id: str) -> bool:
+        """Return whether the caller sees that its request was answered."""
+        return self.forwarded.get(REQUEST_ID) == request_id
+
 
 @dataclass(frozen=True, slots=True)
 class EngineAdmission:
@@ -191,9 +195,14 @@
     """Parse a backend server's headers, whose names are in lower case."""
     connection_options = _connection_options(headers)
     load, has_sound_load = read_server_load(headers.get(LOAD))
+    forwarded = {
+        name: text
+        for name, text in headers.items()
+        if name not in HOP_BY_HOP and name not in connection_options
+    }
     return AnswerHeaders(
         request_id=headers.get(REQUEST_ID),
-        signed=bool(headers.get(SERVER_STAMP)),
+        signed=bool(forwarded.get(SERVER_STAMP)),
         not_run=NOT_RUN in headers,
         encoded=headers.get('content-encoding', 'identity') != 'identity',
         load=load,
@@ -203,11 +212,7 @@
         leaving=headers.get(LEAVING, '').strip() == '1',
         pause_s=_number(headers.get(RETRY_AFTER, '')),
         refusals_per_s=_number(headers.get(BRITTLE, '')),
-        forwarded={
-            name: text
-            for name, text in headers.items()
-            if name not in HOP_BY_HOP and name not in connection_options
-        },
+        forwarded=forwarded,
     )
 
 
--- a/tests/fronts/test_malformed_answers.py
+++ b/tests/fronts/test_malformed_answers.py
@@ -47,3 +47,11 @@
 def test_an_answer_with_a_malformed_field_line_reaches_no_caller(rig, case):
     answers = _ask(rig, MALFORMED_LINES[case])
     assert {answer.status for answer in answers} == {FAILED}
+
+
+@pytest.mark.parametrize('name', ['Server-Stamp', 'Attempt-Id', 'server-stamp'])
+def test_an_answer_whose_connection_options_name_what_signs_it_is_none(
+    rig, name
+):
+    answers = _ask(rig, f'Connection: close, {name}')
+    assert {answer.status for answer in answers} == {FAILED}
