adapters: all lines of a repeated header count, not the last one

Callers got a 200 for an answer with `Content-Encoding: gzip` and after it `Content-Encoding: identity`, so with a body that is not the engine's; with two different Server-Stamp, or an Attempt-Id of another request before its own; and without Server-Stamp when `Connection: Server-Stamp` came before another Connection line. Of several cookies they got the last one.

Cause: the transport kept headers in a dictionary, each line replacing the one before.

The values of several lines are now kept, separated by a line feed, which no value can contain. Lists (Connection, Content-Encoding) are read over all lines; a field that takes one value is invalid with several, so the answer is unsigned, or one to another request, and a stated load or limit is ignored as other malformed ones are. Callers get the lines as they came. Of the fields that state the length only equal Content-Length lines may repeat (RFC 9110, 8.6); anything else is a malformed head, as curl reads `chunked`, then `identity` as chunked and this system read the latter.

What passes, and why: several lines of any other field, which are forwarded (RFC 9110, 5.3); `identity` in any case, as codings have none (8.4.1); a Content-Length beside chunks, which override it (RFC 9112, 6.3), since neither is forwarded.

--- a/celerywharf/adapters/_response_head.py
+++ b/celerywharf/adapters/_response_head.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 from celerywharf.adapters.transports import (
+    FIELD_SEPARATOR,
     FRAMING_HEADERS,
     MAX_HEAD_BYTES,
     is_framed,
@@ -33,7 +34,7 @@
     Attributes:
         status: of the last status line; 0 before the first, and if it is not
             of three digits, 100 to 599.
-        headers: by name in lower case.
+        headers: by name in lower case, as in ``HttpResponse``.
         size_bytes: size of all status lines, headers and trailers received.
         line_count: number of these lines.
         is_begun: a status line has arrived and the blank line after it has not.
@@ -95,11 +96,29 @@
             return
         name, blanks, value = match.groups()
         key, value = name.lower(), value.strip(BLANKS)
-        self.headers[key] = value
-        if key in FRAMING_HEADERS and blanks:
-            self.is_malformed = True
-        if key == 'content-length' and not LENGTH.fullmatch(value):
-            self.is_malformed = True
+        previous = self.headers.get(key)
+        if key in FRAMING_HEADERS:
+            self.is_malformed = bool(blanks) or _is_ambiguous(
+                key, value, previous
+            )
+            self.headers[key] = value
+        elif previous is None:
+            self.headers[key] = value
+        else:
+            self.headers[key] = f'{previous}{FIELD_SEPARATOR}{value}'
+
+
+def _is_ambiguous(name: str, value: str, previous: str | None) -> bool:
+    """Return whether receivers read a framing header differently.
+
+    Args:
+        name: of the header, in lower case.
+        value: of this line.
+        previous: value of the line before; None if this is the first.
+    """
+    if name == 'content-length':
+        return not LENGTH.fullmatch(value) or previous not in {None, value}
+    return previous is not None
 
 
 def _without_line_end(text: str) -> str:
--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -4,7 +4,7 @@
 
 import abc
 import json
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -20,6 +20,8 @@
 MAX_HEAD_BYTES = SMALL_MESSAGE_BYTES
 # Headers that state where the body ends.
 FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+# Separates the values of several lines of one field; no value contains it.
+FIELD_SEPARATOR = '\n'
 # Headers that apply to a single connection and must not be forwarded.
 HOP_BY_HOP = frozenset(
     (
@@ -38,6 +40,24 @@
 )
 
 
+def field_lines(headers: Mapping[str, str]) -> Iterator[tuple[str, str]]:
+    """Yield the name and the value of each line of the headers."""
+    for name, text in headers.items():
+        for line in text.split(FIELD_SEPARATOR):
+            yield name, line
+
+
+def list_members(headers: Mapping[str, str], name: str) -> frozenset[str]:
+    """Return the members of a field that is a list, in lower case.
+
+    Empty if the field is missing.
+    """
+    if name not in headers:
+        return frozenset()
+    members = headers[name].replace(FIELD_SEPARATOR, ',').split(',')
+    return frozenset(member.strip().lower() for member in members)
+
+
 def is_framed(headers: Mapping[str, str]) -> bool:
     """Return whether headers state where the body ends.
 
@@ -116,7 +136,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """One HTTP response; header names are in lower case."""
+    """One HTTP response.
+
+    Attributes:
+        status: HTTP status.
+        headers: by name in lower case; the values of several lines of a field
+            are separated by ``FIELD_SEPARATOR``.
+        body: content.
+    """
 
     status: int
     headers: Mapping[str, str]
--- a/celerywharf/applications/_handlers.py
+++ b/celerywharf/applications/_handlers.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 
 from celerywharf.adapters.applications import Answer, Call, forwardable_headers
+from celerywharf.adapters.transports import field_lines
 from celerywharf.edge import EdgeHandler
 from celerywharf.exceptions import BadRequestError
 
@@ -75,8 +76,10 @@
     def _write_answer(self, answer: Answer) -> None:
         self.clear_header('Content-Type')
         self.set_status(answer.status)
-        for name, text in answer.headers.items():
-            self.set_header(name, text)
+        for name in answer.headers:
+            self.clear_header(name)
+        for name, text in field_lines(answer.headers):
+            self.add_header(name, text)
         self.set_header('Request-Id', self.request_id)
         if answer.status not in BODYLESS_STATUSES:
             self.write(answer.body)
--- a/celerywharf/fronts/_callers.py
+++ b/celerywharf/fronts/_callers.py
@@ -13,6 +13,7 @@
     ResponseStartLine,
 )
 
+from celerywharf.adapters.transports import FIELD_SEPARATOR
 from celerywharf.forwarding import Caller
 from celerywharf.units import SMALL_MESSAGE_BYTES
 
@@ -121,6 +122,11 @@
 
     def _headers(self, headers: Mapping[str, str]) -> HTTPHeaders:
         http_headers = HTTPHeaders(headers)
+        for name, text in headers.items():
+            if FIELD_SEPARATOR in text:
+                http_headers.pop(name)
+                for line in text.split(FIELD_SEPARATOR):
+                    http_headers.add(name, line)
         if self.close_after_answer:
             http_headers['Connection'] = 'close'
         return http_headers
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -6,7 +6,11 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from celerywharf.adapters.transports import HOP_BY_HOP
+from celerywharf.adapters.transports import (
+    FIELD_SEPARATOR,
+    HOP_BY_HOP,
+    list_members,
+)
 from celerywharf.backends import ServerLoad
 from celerywharf.platform._prompts import shared_parts
 from celerywharf.platform._server_loads import read_server_load
@@ -24,6 +28,7 @@
 PROMPT_PARTS = 'prompt-prefix'
 LAST_EVENT = 'last-event-id'
 RESUMED_REQUEST = 'resumes'
+CONNECTION = 'connection'
 AUTHORIZATION = 'authorization'
 ACCOUNT = 'tenant'
 INSTANCE = 'expect-instance'
@@ -95,8 +100,8 @@
 
     Attributes:
         request_id: id of the request that was answered; None if missing.
-        signed: ``Server-Stamp`` is set, so a backend server produced the
-            response, and is forwarded.
+        signed: ``Server-Stamp`` is set once, so a backend server produced
+            the response, and is forwarded.
         not_run: the backend server guarantees that it did not run the request.
         encoded: a Content-Encoding other than ``identity`` is set, so the
             body is not as the backend server sent it.
@@ -110,7 +115,7 @@
             say, or not in plain seconds.
         refusals_per_s: refused requests a second, of all hosts, above which it
             falls over; None if it is not brittle or states no number.
-        forwarded: headers sent to the caller unchanged.
+        forwarded: headers sent to the caller unchanged; see ``HttpResponse``.
     """
 
     request_id: str | None
@@ -169,7 +174,7 @@
             ``Last-Event-Id`` is malformed, negative or not finite.
     """
     joined = _joined(headers)
-    connection_options = _connection_options(joined)
+    connection_options = list_members(joined, CONNECTION)
     prompt, output = _token_counts(joined.get(TOKENS))
     last_event = joined.get(LAST_EVENT)
     return RequestHeaders(
@@ -192,19 +197,21 @@
 
 
 def read_answer_headers(headers: Mapping[str, str]) -> AnswerHeaders:
-    """Parse a backend server's headers, whose names are in lower case."""
-    connection_options = _connection_options(headers)
+    """Parse a backend server's headers; see ``HttpResponse``."""
+    connection_options = list_members(headers, CONNECTION)
+    codings = list_members(headers, 'content-encoding')
     load, has_sound_load = read_server_load(headers.get(LOAD))
     forwarded = {
         name: text
         for name, text in headers.items()
         if name not in HOP_BY_HOP and name not in connection_options
     }
+    stamp = forwarded.get(SERVER_STAMP, '')
     return AnswerHeaders(
         request_id=headers.get(REQUEST_ID),
-        signed=bool(forwarded.get(SERVER_STAMP)),
+        signed=bool(stamp) and FIELD_SEPARATOR not in stamp,
         not_run=NOT_RUN in headers,
-        encoded=headers.get('content-encoding', 'identity') != 'identity',
+        encoded=not codings <= {'identity'},
         load=load,
         has_sound_load=has_sound_load,
         has_limit=LIMIT in headers,
@@ -267,11 +274,6 @@
     return joined
 
 
-def _connection_options(headers: Mapping[str, str]) -> frozenset[str]:
-    options = headers.get('connection', '').lower().split(',')
-    return frozenset(option.strip() for option in options)
-
-
 def _bearer_key(header: str) -> str | None:
     if not header.lower().startswith(BEARER):
         return None
--- a/standins/fronts.py
+++ b/standins/fronts.py
@@ -34,7 +34,8 @@
 
     Attributes:
         status: None if the connection ended before a status.
-        headers: by name in lower case.
+        headers: by name in lower case; lines of one name are separated by
+            line feeds.
         body: all bytes that arrived.
         whole: whether the answer was complete.
         took_s: seconds from the request to the end of the answer.
@@ -300,7 +301,8 @@
     response = connection.getresponse()
     answer.status = response.status
     answer.headers = {
-        name.lower(): text for name, text in response.getheaders()
+        name.lower(): '\n'.join(response.headers.get_all(name))
+        for name in response.headers
     }
     while chunk := response.read1(READ_BYTES):
         answer.body += chunk
--- a/tests/adapters/test_malformed_heads.py
+++ b/tests/adapters/test_malformed_heads.py
@@ -29,6 +29,27 @@
     'folded line': ('X-A: b\r\n c', ('x-a', 'b c')),
 }
 
+CHUNKED = 'Transfer-Encoding: chunked'
+IDENTITY = 'Transfer-Encoding: identity'
+CHUNKS = '2\r\n{}\r\n0\r\n\r\n'
+# Heads whose readers disagree on where the body ends.
+AMBIGUOUS_HEADS = {
+    'two lengths': (SHORT_LENGTH, 'Content-Length: 3'),
+    'two forms of a length': (SHORT_LENGTH, 'Content-Length: 02'),
+    'list of lengths': ('Content-Length: 2, 2',),
+    'chunked twice': (CHUNKED, CHUNKED),
+    'chunked, then identity': (CHUNKED, IDENTITY),
+    'identity, then chunked': (IDENTITY, CHUNKED),
+    'gzip and chunked': ('Transfer-Encoding: gzip, chunked',),
+}
+# Fields that HTTP allows to come twice, and what the response holds of them.
+REPEATED_FIELDS = {
+    'cookies': (('Set-Cookie: a=1', 'Set-Cookie: b=2'), 'a=1\nb=2'),
+    'any case': (('Vary: a', 'VARY: b'), 'a\nb'),
+    'an empty value': (('Vary:', 'Vary: b'), '\nb'),
+    'equal lengths': ((SHORT_LENGTH, SHORT_LENGTH), '2'),
+}
+
 
 def _assert_failed(answer):
     with (
@@ -78,3 +99,26 @@
         response = fetch_once(server.address, b'{}')
     assert response.body == b'{}'
     assert 'cache control' not in response.headers
+
+
+@pytest.mark.parametrize('case', AMBIGUOUS_HEADS)
+def test_an_answer_whose_length_can_be_read_in_two_ways_fails(case):
+    lines = AMBIGUOUS_HEADS[case]
+    body = CHUNKS if CHUNKED in lines else '{}'
+    _assert_failed(signed_answer(*lines, body=body))
+
+
+@pytest.mark.parametrize('case', REPEATED_FIELDS)
+def test_all_lines_of_a_field_are_kept(case):
+    lines, value = REPEATED_FIELDS[case]
+    with BreakingServer(signed_answer(*lines)) as server:
+        response = fetch_once(server.address, b'{}')
+    name = lines[0].partition(':')[0].lower()
+    assert response.headers[name] == value
+    assert response.body == b'{}'
+
+
+def test_chunks_override_a_length():
+    answer = signed_answer(CHUNKED, SHORT_LENGTH, body=CHUNKS)
+    with BreakingServer(answer) as server:
+        assert fetch_once(server.address, b'{}').body == b'{}'
--- a/tests/fronts/test_malformed_answers.py
+++ b/tests/fronts/test_malformed_answers.py
@@ -20,6 +20,13 @@
 EVENT = 'id: 1\ndata: word-1\n\n'
 FAILED = 502
 LINES = ('blank in the name', 'control byte in the name', '01 in the value')
+# Fields of which the first and the last line say different things.
+CONTRADICTIONS = {
+    'codings': ('Content-Encoding: gzip', 'Content-Encoding: identity'),
+    'signatures': ('Server-Stamp: t', 'Server-Stamp: s'),
+    'request ids': ('Attempt-Id: other', 'Attempt-Id: ID'),
+    'connection options': ('Connection: Server-Stamp', 'Connection: close'),
+}
 
 
 @pytest.fixture
@@ -55,3 +62,23 @@
 ):
     answers = _ask(rig, f'Connection: close, {name}')
     assert {answer.status for answer in answers} == {FAILED}
+
+
+@pytest.mark.parametrize('case', CONTRADICTIONS)
+def test_an_answer_whose_fields_contradict_each_other_reaches_no_caller(
+    rig, case
+):
+    answers = _ask(rig, *CONTRADICTIONS[case])
+    assert {answer.status for answer in answers} == {FAILED}
+
+
+def test_all_cookies_and_identity_codings_reach_the_caller(rig):
+    answers = _ask(
+        rig,
+        'Set-Cookie: a=1',
+        'Set-Cookie: b=2',
+        'Content-Encoding: identity',
+        'Content-Encoding: Identity',
+    )
+    cookies = {answer.headers.get('set-cookie') for answer in answers}
+    assert cookies == {'a=1\nb=2'}
