adapters: a body in another coding than chunks is no answer

A body could be other bytes than the engine's: with `Transfer-Encoding: identity` and `Content-Length: 2` curl reads to the end of the connection, so what a faulty engine sent after '{}' belonged to the answer (seen: b'{}extra'). An empty Transfer-Encoding passed likewise.

Transfer-Encoding is now `chunked`, in any case, or the head is malformed. HTTP/1.1 has no `identity` any more (RFC 9112, 7), a client that sends no TE gets no other coding (RFC 9110, 10.1.4), and curl refuses those itself.

Evidence, before: the two new cases were accepted (DID NOT RAISE TransportError). After: they fail as malformed, with a request that may have run.

--- a/celerywharf/adapters/_response_head.py
+++ b/celerywharf/adapters/_response_head.py
@@ -118,7 +118,7 @@
     """
     if name == 'content-length':
         return not LENGTH.fullmatch(value) or previous not in {None, value}
-    return previous is not None
+    return value.lower() != 'chunked' or previous is not None
 
 
 def _without_line_end(text: str) -> str:
--- a/tests/adapters/test_malformed_heads.py
+++ b/tests/adapters/test_malformed_heads.py
@@ -40,7 +40,9 @@
     'chunked twice': (CHUNKED, CHUNKED),
     'chunked, then identity': (CHUNKED, IDENTITY),
     'identity, then chunked': (IDENTITY, CHUNKED),
+    'identity and a length': (IDENTITY, SHORT_LENGTH),
     'gzip and chunked': ('Transfer-Encoding: gzip, chunked',),
+    'empty coding': ('Transfer-Encoding:',),
 }
 # Fields that HTTP allows to come twice, and what the response holds of them.
 REPEATED_FIELDS = {
