platform: a request's Connection can't hide what engines need

What callers saw: with `Connection: Token-Count` (or Model, Host) an engine ran a request that was not the caller's, without that header or with another host; with `Connection: Attempt-Id` engines refused it and the caller got 503 for each try. Two Attempt-Id, or two Model, reached the engine joined, so it ran an id that no caller sent. Two Host lines gave 404.

Cause: the headers that Connection names are left out (RFC 9110, 7.6.1), those that must reach the engine too; and lines of one name were joined where only one value makes sense.

Such requests now get 400 and reach no engine: a sender must not name there what is meant for all recipients (7.6.1), nor repeat a field that is no list (5.3), and a second Host is an error by itself (RFC 9112, 3.2). Headers that the front sets itself (Expect-Instance, Tenant, Deadline-Ms) are set after the others and were not affected; other headers are left out as before.

--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -22,6 +22,8 @@
 MS_PER_S = 1000
 BEARER = 'bearer '
 
+HOST = 'host'
+MODEL = 'model'
 REQUEST_ID = 'attempt-id'
 DEADLINE = 'deadline-ms'
 TOKENS = 'token-count'
@@ -60,6 +62,20 @@
         'expect-version',
     )
 )
+# Callers' headers that backend servers need as they are.
+END_TO_END = frozenset(
+    (
+        HOST,
+        MODEL,
+        REQUEST_ID,
+        TOKENS,
+        PROMPT_PARTS,
+        LAST_EVENT,
+        RESUMED_REQUEST,
+    )
+)
+# Those that a request may have once.
+SINGLE = END_TO_END - {PROMPT_PARTS}
 # curl adds these headers unless they are set to an empty value.
 ADDED_BY_CURL = ('accept', 'user-agent', 'content-type')
 
@@ -171,10 +187,14 @@
 
     Raises:
         ValueError: a number in ``Deadline-Ms``, ``Token-Count`` or
-            ``Last-Event-Id`` is malformed, negative or not finite.
+            ``Last-Event-Id`` is malformed, negative or not finite; a header of
+            ``SINGLE`` is repeated; or ``Connection`` names one of
+            ``END_TO_END``.
     """
     joined = _joined(headers)
     connection_options = list_members(joined, CONNECTION)
+    if not END_TO_END.isdisjoint(connection_options):
+        raise ValueError('Connection names a header of the request itself')
     prompt, output = _token_counts(joined.get(TOKENS))
     last_event = joined.get(LAST_EVENT)
     return RequestHeaders(
@@ -270,6 +290,8 @@
     for name, text in headers:
         lowered = name.lower()
         previous = joined.get(lowered)
+        if previous is not None and lowered in SINGLE:
+            raise ValueError(f'{lowered} is repeated')
         joined[lowered] = text if previous is None else f'{previous}, {text}'
     return joined
 
