--- a/celerywharf/adapters/_response_head.py
+++ b/celerywharf/adapters/_response_head.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 from celerywharf.adapters.transports import (
+    FIELD_SEPARATOR,
     FRAMING_HEADERS,
     MAX_HEAD_BYTES,
     is_framed,
@@ -15,7 +16,13 @@
 # with some hundred bytes more.
 MAX_HEAD_LINES = 500
 FIRST_FINAL_STATUS = 200  # 1xx responses are interim
-STATUS_LINE = re.compile(r'HTTP/\d(?:\.\d)? ([1-5]\d\d)(?: |$)')
+STATUS_LINE = re.compile(r'HTTP/\d(?:\.\d)? ([1-5]\d\d)(?: [\t -~\x80-\xff]*)?')
+# RFC 9110, 5.1 and 5.5.  Blanks before the colon are not part of the name; RFC
+# 9112, 5.1, has proxies remove them from responses.
+FIELD_LINE = re.compile(
+    r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+)([\t ]*):([\t -~\x80-\xff]*)"
+)
+BLANKS = ' \t'
 # Lengths beyond 63 bits are ignored by curl.
 LENGTH = re.compile(r'0*\d{1,18}')
 BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
@@ -27,12 +34,12 @@
     Attributes:
         status: of the last status line; 0 before the first, and if it is not
             of three digits, 100 to 599.
-        headers: by name in lower case.
+        headers: by name in lower case, as in ``HttpResponse``.
         size_bytes: size of all status lines, headers and trailers received.
         line_count: number of these lines.
         is_begun: a status line has arrived and the blank line after it has not.
-        is_malformed: the status line is invalid, or the length of the body is
-            stated in a way that receivers read differently.
+        is_malformed: the status line or a field line is invalid, or the length
+            of the body is stated in a way that receivers read differently.
         is_complete: the final headers have arrived; what follows are trailers,
             which are ignored.
     """
@@ -59,11 +66,11 @@
 
     def add(self, line: bytes) -> None:
         """Read a line of a head that is not complete."""
-        text = line.decode('latin-1').strip()
+        text = _without_line_end(line.decode('latin-1'))
         if text and self.is_begun:
             self._add_header(text)
         elif text:
-            match = STATUS_LINE.match(text)
+            match = STATUS_LINE.fullmatch(text)
             self.status = int(match[1]) if match else 0
             self.is_malformed = match is None
             self.is_begun = True
@@ -83,11 +90,36 @@
         return not is_framed(self.headers)
 
     def _add_header(self, text: str) -> None:
-        name, _, value = text.partition(':')
-        key, value = name.rstrip().lower(), value.strip()
-        self.headers[key] = value
-        is_spaced = name[-1:].isspace()
-        if key in FRAMING_HEADERS and is_spaced:
-            self.is_malformed = True
-        if key == 'content-length' and not LENGTH.fullmatch(value):
+        match = FIELD_LINE.fullmatch(text)
+        if match is None:
             self.is_malformed = True
+            return
+        name, blanks, value = match.groups()
+        key, value = name.lower(), value.strip(BLANKS)
+        previous = self.headers.get(key)
+        if key in FRAMING_HEADERS:
+            self.is_malformed = bool(blanks) or _is_ambiguous(
+                key, value, previous
+            )
+            self.headers[key] = value
+        elif previous is None:
+            self.headers[key] = value
+        else:
+            self.headers[key] = f'{previous}{FIELD_SEPARATOR}{value}'
+
+
+def _is_ambiguous(name: str, value: str, previous: str | None) -> bool:
+    """Return whether receivers read a framing header differently.
+
+    Args:
+        name: of the header, in lower case.
+        value: of this line.
+        previous: value of the line before; None if this is the first.
+    """
+    if name == 'content-length':
+        return not LENGTH.fullmatch(value) or previous not in {None, value}
+    return value.lower() != 'chunked' or previous is not None
+
+
+def _without_line_end(text: str) -> str:
+    return text.removesuffix('\n').removesuffix('\r')
--- a/celerywharf/platform/_headers.py
+++ b/celerywharf/platform/_headers.py
@@ -6,7 +6,11 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from celerywharf.adapters.transports import HOP_BY_HOP
+from celerywharf.adapters.transports import (
+    FIELD_SEPARATOR,
+    HOP_BY_HOP,
+    list_members,
+)
 from celerywharf.backends import ServerLoad
 from celerywharf.platform._prompts import shared_parts
 from celerywharf.platform._server_loads import read_server_load
@@ -18,12 +22,15 @@
 MS_PER_S = 1000
 BEARER = 'bearer '
 
+HOST = 'host'
+MODEL = 'model'
 REQUEST_ID = 'attempt-id'
 DEADLINE = 'deadline-ms'
 TOKENS = 'token-count'
 PROMPT_PARTS = 'prompt-prefix'
 LAST_EVENT = 'last-event-id'
 RESUMED_REQUEST = 'resumes'
+CONNECTION = 'connection'
 AUTHORIZATION = 'authorization'
 ACCOUNT = 'tenant'
 INSTANCE = 'expect-instance'
@@ -55,6 +62,20 @@
         'expect-version',
     )
 )
+# Callers' headers that backend servers need as they are.
+END_TO_END = frozenset(
+    (
+        HOST,
+        MODEL,
+        REQUEST_ID,
+        TOKENS,
+        PROMPT_PARTS,
+        LAST_EVENT,
+        RESUMED_REQUEST,
+    )
+)
+# Those that a request may have once.
+SINGLE = END_TO_END - {PROMPT_PARTS}
 # curl adds these headers unless they are set to an empty value.
 ADDED_BY_CURL = ('accept', 'user-agent', 'content-type')
 
@@ -95,8 +116,8 @@
 
     Attributes:
         request_id: id of the request that was answered; None if missing.
-        signed: ``Server-Stamp`` is set, so a backend server produced the
-            response.
+        signed: ``Server-Stamp`` is set once, so a backend server produced
+            the response, and is forwarded.
         not_run: the backend server guarantees that it did not run the request.
         encoded: a Content-Encoding other than ``identity`` is set, so the
             body is not as the backend server sent it.
@@ -110,7 +131,7 @@
             say, or not in plain seconds.
         refusals_per_s: refused requests a second, of all hosts, above which it
             falls over; None if it is not brittle or states no number.
-        forwarded: headers sent to the caller unchanged.
+        forwarded: headers sent to the caller unchanged; see ``HttpResponse``.
     """
 
     request_id: str | None
@@ -126,6 +147,10 @@
     refusals_per_s: float | None
     forwarded: dict[str, str]
 
+    def is_answer_to(self, request_id: str) -> bool:
+        """Return whether the caller sees that its request was answered."""
+        return self.forwarded.get(REQUEST_ID) == request_id
+
 
 @dataclass(frozen=True, slots=True)
 class EngineAdmission:
@@ -162,10 +187,14 @@
 
     Raises:
         ValueError: a number in ``Deadline-Ms``, ``Token-Count`` or
-            ``Last-Event-Id`` is malformed, negative or not finite.
+            ``Last-Event-Id`` is malformed, negative or not finite; a header of
+            ``SINGLE`` is repeated; or ``Connection`` names one of
+            ``END_TO_END``.
     """
     joined = _joined(headers)
-    connection_options = _connection_options(joined)
+    connection_options = list_members(joined, CONNECTION)
+    if not END_TO_END.isdisjoint(connection_options):
+        raise ValueError('Connection names a header of the request itself')
     prompt, output = _token_counts(joined.get(TOKENS))
     last_event = joined.get(LAST_EVENT)
     return RequestHeaders(
@@ -188,14 +217,21 @@
 
 
 def read_answer_headers(headers: Mapping[str, str]) -> AnswerHeaders:
-    """Parse a backend server's headers, whose names are in lower case."""
-    connection_options = _connection_options(headers)
+    """Parse a backend server's headers; see ``HttpResponse``."""
+    connection_options = list_members(headers, CONNECTION)
+    codings = list_members(headers, 'content-encoding')
     load, has_sound_load = read_server_load(headers.get(LOAD))
+    forwarded = {
+        name: text
+        for name, text in headers.items()
+        if name not in HOP_BY_HOP and name not in connection_options
+    }
+    stamp = forwarded.get(SERVER_STAMP, '')
     return AnswerHeaders(
         request_id=headers.get(REQUEST_ID),
-        signed=bool(headers.get(SERVER_STAMP)),
+        signed=bool(stamp) and FIELD_SEPARATOR not in stamp,
         not_run=NOT_RUN in headers,
-        encoded=headers.get('content-encoding', 'identity') != 'identity',
+        encoded=not codings <= {'identity'},
         load=load,
         has_sound_load=has_sound_load,
         has_limit=LIMIT in headers,
@@ -203,11 +239,7 @@
         leaving=headers.get(LEAVING, '').strip() == '1',
         pause_s=_number(headers.get(RETRY_AFTER, '')),
         refusals_per_s=_number(headers.get(BRITTLE, '')),
-        forwarded={
-            name: text
-            for name, text in headers.items()
-            if name not in HOP_BY_HOP and name not in connection_options
-        },
+        forwarded=forwarded,
     )
 
 
@@ -258,15 +290,12 @@
     for name, text in headers:
         lowered = name.lower()
         previous = joined.get(lowered)
+        if previous is not None and lowered in SINGLE:
+            raise ValueError(f'{lowered} is repeated')
         joined[lowered] = text if previous is None else f'{previous}, {text}'
     return joined
 
 
-def _connection_options(headers: Mapping[str, str]) -> frozenset[str]:
-    options = headers.get('connection', '').lower().split(',')
-    return frozenset(option.strip() for option in options)
-
-
 def _bearer_key(header: str) -> str | None:
     if not header.lower().startswith(BEARER):
         return None
