Tell which configuration stays when a newer one is unreadable

The log line 'configuration unreadable' had a reason only: it did not tell a front that goes on with the version before from one that has none and so never becomes ready, nor which row it was. It now has the version of the row and that of the configuration in force, and a counter, unreadable_configurations, shows the fault without the log.

--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -184,6 +184,7 @@
     """Updates the configuration from its table.
 
     Attributes:
+        metrics: counts the configurations that are unreadable.
         stored_version: version of the configuration that the store has; None
             before the first.
         row_subscribers: called with the other rows of the table that a reading
@@ -201,9 +202,11 @@
         store: TableSource,
         random: Random,
         configuration_cache: ConfigurationCache,
+        metrics: Metrics,
     ) -> None:
         super().__init__(store, random)
         self.configuration_cache = configuration_cache
+        self.metrics = metrics
         self.stored_version: int | None = None
         self.row_subscribers: list[RowSubscriber] = []
         self.decoded: tuple[bytes, Configuration] | None = None
@@ -248,7 +251,7 @@
     def _apply(self, reading: ReadResult, *, is_whole: bool) -> None:
         for row in reading.rows:
             if row.key == CONFIGURATION_KEY and row.content is not None:
-                self._apply_configuration(row.content)
+                self._apply_configuration(row.content, row.version)
         self._confirm(reading.timing)
         self._pass_on(reading, is_whole=is_whole)
 
@@ -278,14 +281,11 @@
             self.decoded = (content, decode_configuration(content))
         return self.decoded[1]
 
-    def _apply_configuration(self, content: bytes) -> None:
+    def _apply_configuration(self, content: bytes, row_version: int) -> None:
         try:
             configuration = self._decode(content)
         except ProtocolError as error:
-            logger.error(
-                'configuration unreadable',
-                extra={'reason': error.message},
-            )
+            self._report_unreadable(error.message, row_version)
             return
         self.stored_version = configuration.version
         if self.configuration_cache.offer(configuration):
@@ -298,6 +298,18 @@
                 },
             )
 
+    def _report_unreadable(self, reason: str, row_version: int) -> None:
+        known = self.configuration_cache.configuration
+        self.metrics.count('unreadable_configurations')
+        logger.error(
+            'configuration unreadable',
+            extra={
+                'reason': reason,
+                'row_version': row_version,
+                'in_force': known and known.version,
+            },
+        )
+
 
 class ServerWatcher(TableWatcher):
     """Updates the directory of backend servers from its table.
@@ -420,7 +432,7 @@
     """Return the watchers of the tables, of lost paths and of lost servers."""
     health = context.health
     configuration = ConfigurationWatcher(
-        source, random, context.configuration_cache
+        source, random, context.configuration_cache, context.metrics
     )
     orders = OrderReader(context.rollouts, context.configuration_cache)
     configuration.row_subscribers.append(orders.apply_rows)
--- a/tests/sharing/simulated_fleet.py
+++ b/tests/sharing/simulated_fleet.py
@@ -381,7 +381,7 @@
         self.directory = Directory()
         health = ServerHealth(self.directory, Loads())
         self.watchers = (
-            ConfigurationWatcher(self.shared, random, self.cache),
+            ConfigurationWatcher(self.shared, random, self.cache, Metrics()),
             ServerWatcher(
                 self.shared, random, health, TimerService(), Metrics()
             ),
