Read documents in which a value is nested too deep

Seen by callers: after a configuration with a malformed priority, or an unknown member, of 205 nested lists or more, running fronts went on with the version before, and no front that was started again became ready: 503, "this host does not know the current configuration", for good.

Cause: the parser of pydantic gives up a whole text at a depth of 200, so one member that is malformed, or not even known, made everything else unreadable. That goes for the entries of backend servers, reports and leases as well.

Now a text that the parser refuses is parsed once more, after lists and objects below level 100 have been replaced by null. No document has a member that deep, so that only the member that holds such a value is malformed, or is ignored if it is unknown. The reduction takes linear time and no recursion: strings are set aside, then runs of brackets are counted. Large configurations are reduced in steps between other work. What is replaced is checked for balanced brackets only.

--- a/celerywharf/platform/_documents.py
+++ b/celerywharf/platform/_documents.py
@@ -17,10 +17,14 @@
     WrapValidator,
 )
 from pydantic.alias_generators import to_camel
-from pydantic_core import from_json
 
 from celerywharf.backends import BackendServer, EngineReport
 from celerywharf.exceptions import ProtocolError
+from celerywharf.platform._json import (
+    is_syntax_error,
+    parse_json_in_steps,
+    validate_json,
+)
 from celerywharf.platform._store import CONFIGURATION_KEY, Row
 from celerywharf.routing import (
     ClientAccount,
@@ -45,7 +49,6 @@
 MAX_NAME = 200
 ROUTES_AT_ONCE = 100  # about a millisecond
 MAX_ERRORS = 3  # named for a malformed document
-NOT_JSON = 'json_invalid'  # type of pydantic's error
 MAX_SLOTS = 1_000_000
 MAX_WARM_UP_MS = 86_400_000
 MAX_LEASE_MS = 86_400_000
@@ -248,7 +251,7 @@
     """
     decoded: list[_Route] = []
     try:
-        document, routes = _split(text)
+        document, routes = _split(await parse_json_in_steps(text))
         for start in range(0, len(routes), ROUTES_AT_ONCE):
             batch = routes[start : start + ROUTES_AT_ONCE]
             decoded += ROUTES.validate_python(batch)
@@ -259,13 +262,12 @@
     return _listing(document, decoded).configuration()
 
 
-def _split(text: bytes) -> tuple[_Configuration, list[Any]]:
+def _split(members: Any) -> tuple[_Configuration, list[Any]]:
     """Return a configuration without routes, and the routes undecoded.
 
     Raises:
         ValueError: it is malformed.
     """
-    members = from_json(text)
     if not isinstance(members, dict):
         raise ValueError('not an object')
     routes = members.pop('routes', None)
@@ -304,9 +306,9 @@
         ProtocolError: the text is not JSON.
     """
     try:
-        _Configuration.model_validate_json(text)
+        validate_json(_Configuration, text)
     except ValidationError as error:
-        if any(details['type'] == NOT_JSON for details in error.errors()):
+        if is_syntax_error(error):
             raise ProtocolError(f'configuration: {_reason(error)}') from None
         return [
             (_place(details), details['msg'][:MAX_NAME])
@@ -333,7 +335,7 @@
     Also None if it is malformed.
     """
     try:
-        tenants = _KeyHolders.model_validate_json(text).tenants
+        tenants = validate_json(_KeyHolders, text).tenants
     except ValidationError:
         return None
     if tenants is None:
@@ -343,7 +345,7 @@
 
 def _version(text: bytes) -> int:
     try:
-        return _Versioned.model_validate_json(text).version
+        return validate_json(_Versioned, text).version
     except ValidationError:
         return 0
 
@@ -431,7 +433,7 @@
 
 def _validated(model: type[Model], text: bytes) -> Model:
     try:
-        return model.model_validate_json(text)
+        return validate_json(model, text)
     except ValidationError as error:
         raise ProtocolError(f'{model.__name__}: {_reason(error)}') from None
 
--- /dev/null
+++ b/tests/fronts/test_deep_configurations.py
@@ -0,0 +1,79 @@
+"""Configurations with deeply nested values, with real fronts."""
+
+import json
+import time
+
+import pytest
+
+from standins.calls import call
+from standins.fronts import KEY, LOOKUP_PATH, PlatformRig, request_headers, send
+
+FRONTS = {'f1': 'north-1', 'f2': 'north-1', 'f3': 'north-2'}
+NEW_KEY = 'key-of-the-next-version'
+OK = 200
+POLL_S = 0.1
+APPLIED_WITHIN_S = 2.5
+READY_WITHIN_S = 8
+DEPTH = 5000
+
+
+@pytest.fixture
+def rig(fleet):
+    rig = PlatformRig(fleet)
+    rig.add_server('d1', 'desk')
+    for name, zone in FRONTS.items():
+        rig.add_front(name, zone=zone, shares=True)
+    return rig
+
+
+def configure(rig, routes):
+    """Write a configuration with deep priorities and one more key."""
+    rig.version += 1
+    rig.keys = [KEY, NEW_KEY]
+    content = rig.configuration()
+    for number in range(routes):
+        name = f'more-{number}'
+        prefix = f'/{name}/'
+        more = {**content['routes'][2], 'name': name, 'prefix': prefix}
+        content['routes'].append(more)
+    content['routes'][-1]['priority'] = '[]'
+    content['tenants'][0]['priority'] = '[]'
+    nested = ''.join(('[' * DEPTH, ']' * DEPTH))
+    rig.put('op', 'config', json.dumps(content).replace('"[]"', nested))
+
+
+def serves(rig, name):
+    """Return whether a front accepts the new key."""
+    headers = request_headers(Authorization=f'Bearer {NEW_KEY}')
+    return send(rig.fronts[name], LOOKUP_PATH, headers=headers).status == OK
+
+
+def is_ready(rig, name):
+    try:
+        return call(rig.health[name], 'GET', '/api/ready')[0] == OK
+    except OSError:
+        return False
+
+
+def lacking(rig, check, within_s):
+    """Return the fronts for which a check does not hold in time."""
+    ends_s = time.monotonic() + within_s
+    names = set(FRONTS)
+    while names and time.monotonic() < ends_s:
+        names -= {name for name in names if check(rig, name)}
+        time.sleep(POLL_S)
+    return names
+
+
+@pytest.mark.parametrize('routes', [0, 600])
+def test_a_deep_priority_does_not_keep_fronts_from_the_configuration(
+    rig, routes
+):
+    configure(rig, routes)
+    not_in_force = lacking(rig, serves, APPLIED_WITHIN_S)
+    for name in FRONTS:
+        rig.fleet.kill(name)
+        rig.fleet.restart_front(name)
+    not_ready = lacking(rig, is_ready, READY_WITHIN_S)
+    assert (not_in_force, not_ready) == (set(), set())
+    assert not lacking(rig, serves, APPLIED_WITHIN_S)
