Read roll-out orders with an unknown member that is nested too deep

Seen by the operator: an order with an unknown member of 205 nested lists or more changed nothing, though unknown members are ignored.

They now go through the same function, which reduces such values.

Evidence: the new test failed at all four depths ("rollout/desk: Invalid JSON: recursion limit exceeded"), and passes.

--- a/celerywharf/platform/_rollouts.py
+++ b/celerywharf/platform/_rollouts.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from celerywharf.exceptions import ProtocolError
+from celerywharf.platform._json import validate_json
 from celerywharf.platform._store import Row
 from celerywharf.rollouts import RolloutOrder, RolloutStep
 
@@ -49,7 +50,7 @@
         ProtocolError: it is malformed.
     """
     try:
-        order = _Order.model_validate_json(row.content or b'')
+        order = validate_json(_Order, row.content or b'')
     except ValidationError as error:
         details = '; '.join(
             '{}: {}'.format('.'.join(map(str, each['loc'])), each['msg'])
--- a/tests/platform/test_deep_documents.py
+++ b/tests/platform/test_deep_documents.py
@@ -15,11 +15,13 @@
     decode_backend_server,
     decode_configuration,
     decode_large_configuration,
+    decode_order,
     decode_report,
     outlives_copy,
     read_api_keys,
 )
 from celerywharf.platform._json import RUNS_AT_ONCE, DepthReducer
+from celerywharf.rollouts import RolloutOrder
 from tests.configuration_checks.documents import document, route
 
 DEPTHS = (205, 5000, 40_000, 100_000)
@@ -165,6 +167,14 @@
     assert decode_report(report) == decode_report(json.dumps(REPORT).encode())
 
 
+@pytest.mark.parametrize('depth', DEPTHS)
+def test_a_deep_unknown_member_does_not_make_an_order_unreadable(depth):
+    content = {'service': 'desk', 'to': 'v2', 'periodS': 60}
+    text = holding(content, lists(depth), ('later',))
+    order = decode_order(Row('rollout/desk', text, removed=False, version=3), 1)
+    assert order == RolloutOrder('desk', 'v2', 60, version=3)
+
+
 @pytest.mark.parametrize('member', ENTRY)
 def test_a_deep_member_of_an_entry_is_malformed(member):
     text = holding(dict(ENTRY), lists(5000), (member,))
