Check files with deeply nested values without an uncaught error

Seen by the operator: `celerywharf config check-routes` ended with a traceback for a configuration that has an error beside a value of 5,000 nested lists, and for such values in files of orders or engines.

Cause: the checks parsed these files with the standard library, which raises RecursionError, not ValueError. Now they use the parser by which hosts decode the documents, so that the findings agree with what hosts do.

Evidence: the two new tests failed ("RecursionError: maximum recursion depth exceeded while decoding a JSON array"); all 78 of tests/configuration_checks pass.

--- a/celerywharf/configuration_checks/_checks.py
+++ b/celerywharf/configuration_checks/_checks.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-
 from celerywharf.configuration_checks._contradictions import (
     find_contradictions,
 )
@@ -13,7 +11,11 @@
 )
 from celerywharf.configuration_checks._findings import Finding, Kind
 from celerywharf.configuration_checks._unreachable import find_unreachable
-from celerywharf.platform import configuration_errors, list_configuration
+from celerywharf.platform import (
+    configuration_errors,
+    list_configuration,
+    parse_json,
+)
 
 
 def check_configuration(
@@ -58,7 +60,7 @@
     section, _, rest = place.partition('.')
     index, _, _ = rest.partition('.')
     if index.isdecimal():
-        entry = json.loads(document)[section][int(index)]
+        entry = parse_json(document)[section][int(index)]
         name = entry.get('name') if isinstance(entry, dict) else None
         if isinstance(name, str):
             message = f'{message} ({name})'
--- a/celerywharf/configuration_checks/_rollouts.py
+++ b/celerywharf/configuration_checks/_rollouts.py
@@ -21,6 +21,7 @@
     decode_order,
     list_configuration,
     order_key,
+    parse_json,
 )
 from celerywharf.rollouts import RolloutOrder
 
@@ -133,6 +134,6 @@
 
 def _parse(text: bytes, name: str) -> Any:
     try:
-        return json.loads(text)
+        return parse_json(text)
     except ValueError as error:
         raise ProtocolError(f'{name}: {error}') from None
--- a/celerywharf/platform/__init__.py
+++ b/celerywharf/platform/__init__.py
@@ -27,6 +27,7 @@
     read_request_headers,
     server_headers,
 )
+from celerywharf.platform._json import parse_json
 from celerywharf.platform._leases import (
     LEASE_PATH,
     lease_demand,
@@ -95,6 +96,7 @@
     'order_key',
     'ordered_service',
     'outlives_copy',
+    'parse_json',
     'peer_headers',
     'read_answer_headers',
     'read_api_keys',
--- a/tests/configuration_checks/test_configuration_checks.py
+++ b/tests/configuration_checks/test_configuration_checks.py
@@ -56,6 +56,15 @@
     assert place in {finding.entry for finding in findings}
 
 
+def test_an_error_beside_a_deep_value_is_reported_with_its_entry():
+    deep = ''.join(('[' * 5000, ']' * 5000))
+    content = document(route(kind='other', later='deep')).decode()
+    content = content.replace('"deep"', deep).encode()
+    (finding,) = check_configuration(content)
+    assert finding.entry == 'routes.0.kind'
+    assert finding.message.endswith('(r)')
+
+
 def test_a_refused_field_is_reported_with_the_name_of_its_entry():
     (finding,) = check_configuration(document(route('desk'), route(kind='x')))
 
--- a/tests/configuration_checks/test_rollout_checks.py
+++ b/tests/configuration_checks/test_rollout_checks.py
@@ -120,3 +120,12 @@
     found = main(['config', 'check-routes', str(paths['new']), *options])
 
     assert found == code
+
+
+def test_files_with_deep_values_are_checked_as_hosts_decode_them():
+    deep = b''.join((b'[' * 5000, b']' * 5000))
+    order = b'{"service": "desk", "to": "v2", "periodS": 9, "later": %s}' % deep
+    engines = b'{"i": {"service": %s}}' % deep
+    findings = check_rollouts(document(), order, engines)
+    codes = [finding.code for finding in findings]
+    assert codes == ['invalid_engine', 'rollout_without_engine']
