Read documents with half of a surrogate pair

Seen by callers: after a configuration with an API key of "\ud800", which the grammar of JSON allows, running fronts went on with the version before and fronts that were started again never became ready.

Cause: as for values that are nested too deep, the parser gives the whole text up. Such a half is now replaced by U+FFFD when a text is reduced. Headers are decoded as Latin-1, so that no caller can state the key; the other keys are accepted.

--- a/celerywharf/platform/_json.py
+++ b/celerywharf/platform/_json.py
@@ -1,8 +1,8 @@
-"""Parses JSON with values that are nested deeper than pydantic's parser goes.
+"""Parses JSON with values that pydantic's parser refuses.
 
-The parser refuses a text as a whole if one of its values is nested too deep.
-Here such a value loses its innermost levels instead, so that only the member
-that holds it is malformed, or ignored if it is unknown.
+The parser refuses a text as a whole if one of its values is nested too deep or
+a string has half of a surrogate pair.  Here such a value is replaced, so that
+only the member that holds it is malformed, or ignored if it is unknown.
 """
 
 from __future__ import annotations
@@ -30,6 +30,11 @@
     rb'|[^\[\]{}]++'
 )
 OPENING = re.compile(rb'[\[{]')
+HALF_PAIR = re.compile(
+    rb'\\u[dD][89abAB][\da-fA-F]{2}(?!\\u[dD][c-fC-F][\da-fA-F]{2})'
+    rb'|(?<!\\u[dD][89abAB][\da-fA-F]{2})\\u[dD][c-fC-F][\da-fA-F]{2}'
+)
+REPLACEMENT = '\ufffd'.encode()  # no header can hold it
 
 Model = TypeVar('Model', bound=BaseModel)
 
@@ -47,7 +52,7 @@
 
 
 async def parse_json_in_steps(text: bytes) -> Any:
-    """Parse a text; other work goes on while deep values are reduced.
+    """Parse a text; other work goes on while one is reduced.
 
     Raises:
         ValueError: it is not JSON.
@@ -55,7 +60,7 @@
     try:
         return from_json(text)
     except ValueError:
-        reducer = DepthReducer(text)
+        reducer = TextReducer(text)
     for _ in reducer.steps():
         await asyncio.sleep(0)
     return from_json(reducer.reduced())
@@ -81,13 +86,16 @@
 
 
 def _reduced(text: bytes) -> bytes:
-    reducer = DepthReducer(text)
+    reducer = TextReducer(text)
     deque(reducer.steps(), maxlen=0)
     return reducer.reduced()
 
 
-class DepthReducer:
-    """Replaces lists and objects below a certain depth by ``null``.
+class TextReducer:
+    """Reduces a JSON text to what the parser takes.
+
+    Lists and objects below a certain depth become ``null``, and each half of a
+    surrogate pair becomes another character.
 
     The time taken grows linearly with the text. What is replaced is only
     checked for as many closing brackets as opening ones.
@@ -110,6 +118,7 @@
         self.text = text
         self.max_depth = max_depth
         escaped = text.replace(rb'\\', BACKSLASH).replace(rb'\"', QUOTE)
+        escaped = HALF_PAIR.sub(REPLACEMENT, escaped)
         pieces = escaped.split(b'"')
         self.skeleton = b'"'.join(pieces[::2])
         self.strings = pieces[1::2]
--- a/tests/platform/test_deep_documents.py
+++ b/tests/platform/test_deep_documents.py
@@ -20,7 +20,7 @@
     outlives_copy,
     read_api_keys,
 )
-from celerywharf.platform._json import RUNS_AT_ONCE, DepthReducer
+from celerywharf.platform._json import RUNS_AT_ONCE, TextReducer
 from celerywharf.rollouts import RolloutOrder
 from tests.configuration_checks.documents import document, route
 
@@ -233,9 +233,9 @@
     content, depth, runs, is_ascii
 ):
     text = json.dumps(content, ensure_ascii=is_ascii).encode()
-    reducer = DepthReducer(text, depth)
+    reducer = TextReducer(text, depth)
     deque(reducer.steps(runs), maxlen=0)
     assert json.loads(reducer.reduced()) == cut(content, depth)
-    whole = DepthReducer(text, len(text) + 1)
+    whole = TextReducer(text, len(text) + 1)
     deque(whole.steps(), maxlen=0)
     assert whole.reduced() == text
