Read documents with numbers of too many digits

Seen by callers: after a configuration in which a malformed priority, or an unknown member, was a number of more than 4,300 digits, running fronts went on with the version before and fronts that were started again never became ready. Found while looking for other texts that the parser gives up.

Cause: as for values that are nested too deep, the parser refuses the whole text ("number out of range"). Numbers that are too long are now replaced by 1e999 when a text is reduced, which is infinite, and so malformed in every member of our documents. Digits in strings, fractions and exponents are left.

--- a/celerywharf/platform/_json.py
+++ b/celerywharf/platform/_json.py
@@ -1,8 +1,9 @@
 """Parses JSON with values that pydantic's parser refuses.
 
-The parser refuses a text as a whole if one of its values is nested too deep or
-a string has half of a surrogate pair.  Here such a value is replaced, so that
-only the member that holds it is malformed, or ignored if it is unknown.
+The parser refuses a text as a whole if one of its values is nested too deep, a
+string has half of a surrogate pair, or a number has too many digits.  Here such
+a value is replaced, so that only the member that holds it is malformed, or
+ignored if it is unknown.
 """
 
 from __future__ import annotations
@@ -34,6 +35,11 @@
     rb'\\u[dD][89abAB][\da-fA-F]{2}(?!\\u[dD][c-fC-F][\da-fA-F]{2})'
     rb'|(?<!\\u[dD][89abAB][\da-fA-F]{2})\\u[dD][c-fC-F][\da-fA-F]{2}'
 )
+# Of more than 4,300 digits, and no part of a fraction or an exponent.
+LONG_NUMBER = re.compile(
+    rb'(?<![\d.eE+])(?<![eE]-)[1-9]\d{4300,}(?:\.\d+)?(?:[eE][-+]?\d+)?'
+)
+INFINITE = b'1e999'
 REPLACEMENT = '\ufffd'.encode()  # no header can hold it
 
 Model = TypeVar('Model', bound=BaseModel)
@@ -94,8 +100,9 @@
 class TextReducer:
     """Reduces a JSON text to what the parser takes.
 
-    Lists and objects below a certain depth become ``null``, and each half of a
-    surrogate pair becomes another character.
+    Lists and objects below a certain depth become ``null``, each half of a
+    surrogate pair becomes another character, and numbers with too many digits
+    become infinite.
 
     The time taken grows linearly with the text. What is replaced is only
     checked for as many closing brackets as opening ones.
@@ -120,7 +127,8 @@
         escaped = text.replace(rb'\\', BACKSLASH).replace(rb'\"', QUOTE)
         escaped = HALF_PAIR.sub(REPLACEMENT, escaped)
         pieces = escaped.split(b'"')
-        self.skeleton = b'"'.join(pieces[::2])
+        outside = b'"'.join(pieces[::2])
+        self.skeleton = LONG_NUMBER.sub(INFINITE, outside)
         self.strings = pieces[1::2]
         self.used_strings = 0
         self.kept = bytearray()
