Read a table in which a key has half of a surrogate pair

Seen by callers: beside one row of `servers` with a key such as "engine\ud800" a front that was started never became ready.

Cause: an answer of the store is parsed as a whole, and the parser gives a text with half of a surrogate pair up, so that one row made the whole table unreadable, at each further attempt. Answers now go through the function that replaces such halves. The key then names no usable server, which is logged as for other odd keys.

Evidence: the new cases of tests/platform/test_store_pages.py failed ("lone leading surrogate in hex escape"), as did the new example of tests/fronts/odd_entries.feature ("waited for f1 to be ready"); all 8 and 24 tests of the two files pass.

--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -20,6 +20,7 @@
 )
 from celerywharf.exceptions import PlatformUnavailableError
 from celerywharf.platform._eras import Position, StoreEra, read_era
+from celerywharf.platform._json import validate_json
 from celerywharf.routing import AnswerTiming
 from celerywharf.structures import Address
 from celerywharf.units import DOCUMENT_BYTES, MEBIBYTE
@@ -363,7 +364,7 @@
         if response.status not in ACCEPTED_STATUSES:
             raise PlatformUnavailableError(f'{call}: {response.status}')
         try:
-            answer = _Answer.model_validate_json(response.body)
+            answer = validate_json(_Answer, response.body)
         except ValidationError as error:
             raise PlatformUnavailableError(f'{call}: {error}') from None
         store_s = answer.now_ms / MS_PER_S
--- a/tests/fronts/odd_entries.feature
+++ b/tests/fronts/odd_entries.feature
@@ -22,6 +22,7 @@
       | a name for a host                    |
       | a key outside ASCII                  |
       | a key with a line break              |
+      | a key with half of a surrogate pair  |
       | 5000 nested lists                    |
       | a number of 400 digits               |
       | a time of NaN                        |
--- a/tests/fronts/test_odd_entries.py
+++ b/tests/fronts/test_odd_entries.py
@@ -64,6 +64,7 @@
 KEYS = {
     'a key outside ASCII': 'engine-é',
     'a key with a line break': 'engine\r\nX: y',
+    'a key with half of a surrogate pair': 'engine\ud800',
 }
 
 
--- a/tests/platform/test_store_pages.py
+++ b/tests/platform/test_store_pages.py
@@ -83,3 +83,15 @@
 def test_changes_that_an_answer_holds_are_taken_over():
     assert len(_watch(LARGE_VALUE)) == 1
     assert len(_watch(LARGE_VALUE, 'AAAA')) == 2
+
+
+@pytest.mark.parametrize('key', ['\ud800', 'i-\udfff-\ud800'])
+def test_a_key_that_is_no_text_does_not_make_the_other_rows_unreadable(key):
+    rows = [*PAGES[0]['rows'], {'key': key}, *PAGES[1]['rows']]
+    store = StoreClient(
+        Pages([PAGES[1] | {'rows': rows}]), Address('127.0.0.1', 1)
+    )
+    reading = asyncio.run(store.read('servers'))
+    read = [row.key for row in reading.rows]
+    assert (read[0], read[-1]) == ('a', 'b')
+    assert '\ufffd' in read[1]
