Test halves of surrogate pairs with real fronts

One test more for the two fixes before: an API key and a key in `servers` with half of a surrogate pair, hosts that share what they read, and a restart of all.

--- a/tests/fronts/test_deep_configurations.py
+++ b/tests/fronts/test_deep_configurations.py
@@ -1,4 +1,4 @@
-"""Configurations with deeply nested values, with real fronts."""
+"""Configurations with values that the parser refuses, with real fronts."""
 
 import json
 import time
@@ -65,11 +65,8 @@
     return names
 
 
-@pytest.mark.parametrize('routes', [0, 600])
-def test_a_deep_priority_does_not_keep_fronts_from_the_configuration(
-    rig, routes
-):
-    configure(rig, routes)
+def check_restart(rig):
+    """Check that fronts take the configuration, also after a restart."""
     not_in_force = lacking(rig, serves, APPLIED_WITHIN_S)
     for name in FRONTS:
         rig.fleet.kill(name)
@@ -77,3 +74,20 @@
     not_ready = lacking(rig, is_ready, READY_WITHIN_S)
     assert (not_in_force, not_ready) == (set(), set())
     assert not lacking(rig, serves, APPLIED_WITHIN_S)
+
+
+@pytest.mark.parametrize('routes', [0, 600])
+def test_a_deep_priority_does_not_keep_fronts_from_the_configuration(
+    rig, routes
+):
+    configure(rig, routes)
+    check_restart(rig)
+
+
+def test_half_of_a_surrogate_pair_does_not_keep_fronts_from_the_configuration(
+    rig,
+):
+    rig.put('servers', 'desk\ud800', {})
+    rig.keys = [KEY, NEW_KEY, '\ud800']
+    rig.configure()
+    check_restart(rig)
