Bound the answers of the store's stand-in as the platform's store does

A soak and the tests of real fronts saw each table in one answer, however large: reading it in pages, and changes that one answer does not hold, were played by simulated pages only.

A read has at most 500 rows or 1 MB of values and says whether there are more. Changes are cut at 1 MB and do not say so, which is what StoreClient expects; the protocol states no bound for them. The system may write rows of 64 KiB and transactions of 1 MB at most, else 413. Rows written by the operator and by other writers (/rows) stay unbounded, as a configuration of thousands of routes is larger. The first key of a page was stripped of its end, so a page repeated the last row of the one before.

PYTHONHASHSEED=0 .venv/bin/python -m pytest tests/standins/test_store_limits.py

Before, 4 of its 5 cases failed: no `hasMore`, 501 rows in a page, 20 changes of 60 kB in one answer (12 fit), and 200 for a row of 65,537 bytes. Its cases and tests/platform/test_store_pages.py, sharing/test_large_tables.py, sharing/test_large_configurations.py and sharing/test_store_histories.py pass: 43.

--- a/standins/stores.py
+++ b/standins/stores.py
@@ -16,6 +16,9 @@
 CONDITION_FAILED = 412
 TOO_LARGE = 413
 MAX_ENTRIES = 100  # of one transaction
+MAX_CALL_BYTES = 1_000_000  # of one transaction or the values of an answer
+MAX_ROWS = 500  # of an answer
+MAX_ROW_BYTES = 65536  # that the system may write
 
 
 @dataclass(slots=True)
@@ -132,6 +135,19 @@
             'nowMs': time.monotonic() * control.MS_PER_S,
         }
 
+    def page(
+        self, rows: list[dict[str, Any]], max_rows: int | None = MAX_ROWS
+    ) -> dict[str, Any]:
+        """Return the body of an answer with the first of these rows."""
+        size_bytes = 0
+        page: list[dict[str, Any]] = []
+        for row in rows[:max_rows]:
+            size_bytes += len(row.get('value', ''))
+            if page and size_bytes > MAX_CALL_BYTES:
+                break
+            page.append(row)
+        return {**self.answer(page), 'hasMore': len(page) < len(rows)}
+
     def record(self) -> dict[str, Any]:
         """Return the version, the era and the number of calls."""
         return {
@@ -175,15 +191,15 @@
 class _GetHandler(_CallHandler):
     def get(self) -> None:
         self.standin.calls += 1
-        first = self.get_argument('from', '')
-        # A NUL in the argument arrives as a space; it must not be stripped.
+        # A NUL in an argument arrives as a space; it must not be stripped.
+        first = self.get_argument('from', '', strip=False)
         end = self.get_argument('to', None, strip=False)
         rows = [
             row
             for row in self.standin.rows(self.get_argument('table'))
             if row['key'] >= first and (end is None or row['key'] < end)
         ]
-        self.answer(OK, self.standin.answer(rows))
+        self.answer(OK, self.standin.page(rows))
 
 
 class _TransactionHandler(_CallHandler):
@@ -193,7 +209,14 @@
         store = self.standin
         store.calls += 1
         transaction = self.read_json()
-        if sum(map(len, transaction.values())) > MAX_ENTRIES:
+        values = [
+            base64.b64decode(entry['value']) for entry in transaction['setKeys']
+        ]
+        if (
+            sum(map(len, transaction.values())) > MAX_ENTRIES
+            or len(self.request.body) > MAX_CALL_BYTES
+            or max(map(len, values), default=0) > MAX_ROW_BYTES
+        ):
             self.answer(TOO_LARGE, {})
             return
         conditions = transaction['precondition']
@@ -256,7 +279,9 @@
                 return
         while store.switches.freeze:
             await store.changed.wait()
-        self.answer(OK, store.answer(store.changes_since(table, after)))
+        # An answer with changes does not tell whether there are more.
+        page = store.page(store.changes_since(table, after), max_rows=None)
+        self.answer(OK, {**page, 'hasMore': False})
 
 
 def make_store_application(store: Store) -> Application:
