adapters: a framing field after a malformed line does not clear the head

Found by reading: Content-Length or Transfer-Encoding set anew whether the head is malformed. No caller saw it, as the transport ends at the first malformed line; a caller of ResponseHead that reads on would have been told that the head is sound.

--- a/celerywharf/adapters/_response_head.py
+++ b/celerywharf/adapters/_response_head.py
@@ -98,7 +98,7 @@
         key, value = name.lower(), value.strip(BLANKS)
         previous = self.headers.get(key)
         if key in FRAMING_HEADERS:
-            self.is_malformed = bool(blanks) or _is_ambiguous(
+            self.is_malformed |= bool(blanks) or _is_ambiguous(
                 key, value, previous
             )
             self.headers[key] = value
