platform: reduce only documents that a replaced value can make readable

Entries of another writer that are no JSON at all were reduced and parsed again, too: 60 of 60 kB kept a front busy for 0.3 s at each whole reading, and a reader for longer, so that its zone took it for lost (seen once in the new test of real fronts, nested lists, load 18: 'did not answer within 1.3 s').

A document is now reduced only if the parser gave up for the depth, a surrogate or a number, and each pattern runs only where it can match.

--- a/celerywharf/platform/_json.py
+++ b/celerywharf/platform/_json.py
@@ -31,14 +31,18 @@
     rb'|[^\[\]{}]++'
 )
 OPENING = re.compile(rb'[\[{]')
+UNICODE_ESCAPE = re.compile(rb'\\u')
 HALF_PAIR = re.compile(
     rb'\\u[dD][89abAB][\da-fA-F]{2}(?!\\u[dD][c-fC-F][\da-fA-F]{2})'
     rb'|(?<!\\u[dD][89abAB][\da-fA-F]{2})\\u[dD][c-fC-F][\da-fA-F]{2}'
 )
 # Of more than 4,300 digits, and no part of a fraction or an exponent.
+# What the parser says of values that can be replaced; other errors stay.
+REDUCIBLE = ('recursion limit', 'hex escape', 'number out of range')
 LONG_NUMBER = re.compile(
     rb'(?<![\d.eE+])(?<![eE]-)[1-9]\d{4300,}(?:\.\d+)?(?:[eE][-+]?\d+)?'
 )
+LONG_DIGITS = re.compile(rb'\d{4300}')  # much faster to look for
 INFINITE = b'1e999'
 REPLACEMENT = '\ufffd'.encode()  # no header can hold it
 
@@ -53,8 +57,10 @@
     """
     try:
         return from_json(text)
-    except ValueError:
-        return from_json(_reduced(text))
+    except ValueError as error:
+        if not _is_reducible(str(error)):
+            raise
+    return from_json(_reduced(text))
 
 
 async def parse_json_in_steps(text: bytes) -> Any:
@@ -65,8 +71,10 @@
     """
     try:
         return from_json(text)
-    except ValueError:
-        reducer = TextReducer(text)
+    except ValueError as error:
+        if not _is_reducible(str(error)):
+            raise
+    reducer = TextReducer(text)
     for _ in reducer.steps():
         await asyncio.sleep(0)
     return from_json(reducer.reduced())
@@ -81,7 +89,8 @@
     try:
         return model.model_validate_json(text)
     except ValidationError as error:
-        if not is_syntax_error(error):
+        details = error.errors(include_input=False)[0]
+        if details['type'] != NOT_JSON or not _is_reducible(details['msg']):
             raise
     return model.model_validate_json(_reduced(text))
 
@@ -91,6 +100,10 @@
     return error.errors(include_input=False)[0]['type'] == NOT_JSON
 
 
+def _is_reducible(message: str) -> bool:
+    return any(part in message for part in REDUCIBLE)
+
+
 def _reduced(text: bytes) -> bytes:
     reducer = TextReducer(text)
     deque(reducer.steps(), maxlen=0)
@@ -125,10 +138,14 @@
         self.text = text
         self.max_depth = max_depth
         escaped = text.replace(rb'\\', BACKSLASH).replace(rb'\"', QUOTE)
-        escaped = HALF_PAIR.sub(REPLACEMENT, escaped)
+        if UNICODE_ESCAPE.search(escaped):
+            escaped = HALF_PAIR.sub(REPLACEMENT, escaped)
         pieces = escaped.split(b'"')
         outside = b'"'.join(pieces[::2])
-        self.skeleton = LONG_NUMBER.sub(INFINITE, outside)
+        has_digits = LONG_DIGITS.search(outside)
+        self.skeleton = (
+            LONG_NUMBER.sub(INFINITE, outside) if has_digits else outside
+        )
         self.strings = pieces[1::2]
         self.used_strings = 0
         self.kept = bytearray()
