sharing: read large entries that name no server once, not twice

The host that reads the store found an entry malformed, and its watcher again. The shared reading now has the entry without its content and with the reason, which the watcher logs. The hosts that it is passed on to are told only that the entry is unreadable, as before.

--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -406,6 +406,9 @@
         for row in rows:
             if row.removed:
                 continue
+            if row.fault:
+                self._drop_invalid(row.key, row.fault)
+                continue
             try:
                 server = decode_backend_server(row.key, row.content or b'')
             except ProtocolError as error:
--- a/celerywharf/platform/_store.py
+++ b/celerywharf/platform/_store.py
@@ -72,12 +72,14 @@
             decoded.
         removed: the row was deleted.
         version: version of the transaction that last wrote the row.
+        fault: why the content was left out; empty if it was not.
     """
 
     key: str
     content: bytes | None
     removed: bool
     version: int
+    fault: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/celerywharf/platform/_unusable_entries.py
+++ b/celerywharf/platform/_unusable_entries.py
@@ -22,6 +22,6 @@
         return row
     try:
         decode_backend_server(row.key, row.content)
-    except ProtocolError:
-        return replace(row, content=None)
+    except ProtocolError as error:
+        return replace(row, content=None, fault=error.message)
     return row
--- a/celerywharf/sharing/_answers.py
+++ b/celerywharf/sharing/_answers.py
@@ -8,7 +8,12 @@
 from dataclasses import dataclass, field, replace
 
 from celerywharf.exceptions import CelerywharfError, PlatformUnavailableError
-from celerywharf.platform import CONFIGURATION_KEY, HistoryGoneError, Row
+from celerywharf.platform import (
+    CONFIGURATION_KEY,
+    HistoryGoneError,
+    ReadResult,
+    Row,
+)
 from celerywharf.sharing._contents import MIN_BYTES, ContentCache
 from celerywharf.sharing._freshness import Freshness
 from celerywharf.sharing._mirror import Mirror
@@ -52,6 +57,7 @@
             that is not complete yet, or only just.
         removals: which API keys are gone since when.
         snapshots: for hosts that read the whole table.
+        condense: returns what is kept of a row; None if all of it is.
     """
 
     mirror: Mirror = field(default_factory=Mirror)
@@ -61,6 +67,7 @@
     received_s: float = float('-inf')
     removals: Removals = field(default_factory=Removals)
     snapshots: TableSnapshots = field(default_factory=TableSnapshots)
+    condense: Callable[[Row], Row] | None = None
 
     def on_store_answer(self, answered_s: float) -> None:
         """Record a complete answer of the store to this front.
@@ -70,6 +77,12 @@
         self.store_answer_s = answered_s
         self.freshness.confirm(answered_s)
 
+    def condensed(self, reading: ReadResult) -> ReadResult:
+        """Return a reading with what is kept of its rows."""
+        if self.condense is None:
+            return reading
+        return replace(reading, rows=tuple(map(self.condense, reading.rows)))
+
     def on_received(self, size_bytes: int, now_s: float) -> None:
         """Record how much of an answer of the store has arrived."""
         if size_bytes >= LARGE_ANSWER_BYTES:
--- a/celerywharf/sharing/_mirror.py
+++ b/celerywharf/sharing/_mirror.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import replace
 
 from celerywharf.platform import ReadResult, Row
@@ -18,7 +18,6 @@
     Attributes:
         outlives: returns whether a row that is known outlives another one, in
             which an older copy of the store has it; None if none does.
-        condense: returns what is kept of a row; None if all of it is.
         era: era of the store in which the table was read.
         rows: latest state by key, including removed rows.
         version: version of the latest reading; None before the first.
@@ -31,7 +30,6 @@
         self, outlives: Callable[[Row, Row | None], bool] | None = None
     ) -> None:
         self.outlives = outlives
-        self.condense: Callable[[Row], Row] | None = None
         self.era = 0
         self.rows: dict[str, Row] = {}
         self.version: int | None = None
@@ -41,7 +39,7 @@
 
     def replace(self, reading: ReadResult) -> None:
         """Replace all rows by a reading of the whole table."""
-        rows = {row.key: row for row in self._condensed(reading)}
+        rows = {row.key: row for row in reading.rows}
         if reading.timing.era != self.era:
             rows.update(self._outliving(rows, reading.version))
             self.era = reading.timing.era
@@ -89,7 +87,7 @@
     def _newest(self, reading: ReadResult) -> list[Row]:
         """Return the rows of a reading, or newer ones that are known."""
         newest = []
-        for row in self._condensed(reading):
+        for row in reading.rows:
             known = self.rows.get(row.key)
             if self.outlives is None or known is None:
                 newest.append(row)
@@ -99,11 +97,6 @@
                 newest.append(row)
         return newest
 
-    def _condensed(self, reading: ReadResult) -> Iterable[Row]:
-        if self.condense is None:
-            return reading.rows
-        return map(self.condense, reading.rows)
-
     def _record_versions(self, reading: ReadResult) -> None:
         self.version = max(self.version or 0, reading.version)
         versions = (row.version for row in reading.rows)
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -103,7 +103,7 @@
         self.metrics = metrics
         self.tables: dict[str, SharedTable] = defaultdict(SharedTable)
         self.tables[CONFIGURATION_TABLE].mirror.outlives = outlives_copy
-        self.tables[SERVER_TABLE].mirror.condense = without_unusable_content
+        self.tables[SERVER_TABLE].condense = without_unusable_content
         self.era.subscribers.append(self._on_store_restored)
         self.zone_row = ZoneRow(store, identity, election.candidate)
         self.calls = StoreCalls(store, election.random)
@@ -175,6 +175,7 @@
                 table, self.store.read(table), judged
             )
         if not reading.incomplete:
+            reading = self.tables[table].condensed(reading)
             self.tables[table].mirror.replace(reading)
             self.tables[table].notify()
         return reading
@@ -216,6 +217,7 @@
         if reading.timing.era != self.tables[table].mirror.era:
             raise HistoryGoneError('the store has come back from a copy')
         if not reading.incomplete:
+            reading = self.tables[table].condensed(reading)
             self.tables[table].mirror.update(reading)
             self.tables[table].notify()
         return reading
