sharing: refuse changes that are too large for a frame as gone

Found by the search for the incident's class: rows of less than 8 KiB that changed together and exceed the 8 MiB of a frame were put into one answer, which could not be sent; the host asked again for the same changes.

--- a/celerywharf/sharing/_answers.py
+++ b/celerywharf/sharing/_answers.py
@@ -25,6 +25,7 @@
     rows_beside,
 )
 from celerywharf.units import SMALL_MESSAGE_BYTES
+from celerywharf.wire import FRAME_LIMIT_BYTES
 from celerywharf.wire.sharing import (
     WHOLE_TABLE,
     SharedRow,
@@ -38,6 +39,8 @@
 MAX_STORE_ANSWER_AGE_S = 2.0
 # An answer of the store larger than this may keep a reader from the next one.
 LARGE_ANSWER_BYTES = SMALL_MESSAGE_BYTES
+# More changes are read as a whole table, large parts of which come apart.
+MAX_CHANGES_BYTES = FRAME_LIMIT_BYTES // 2
 # A large answer that has stopped coming says nothing.  After it the reader
 # waits for more changes, then calls the store again.
 RECEIVING_S = 0.8
@@ -251,9 +254,20 @@
         return rows_beside(snapshot, mirror)
     if question.after == WHOLE_TABLE:
         return mirror.current_rows()
-    if question.era == mirror.era and mirror.covers(question.after):
-        return mirror.changes_since(question.after)
-    raise HistoryGoneError('the reader no longer has these changes')
+    if question.era != mirror.era or not mirror.covers(question.after):
+        raise HistoryGoneError('the reader no longer has these changes')
+    changes = mirror.changes_since(question.after)
+    if _sent_bytes(changes, question) > MAX_CHANGES_BYTES:
+        raise HistoryGoneError('more changes than an answer holds')
+    return changes
+
+
+def _sent_bytes(rows: Iterable[Row], question: TableQuestion) -> int:
+    """Return the size of the contents that are sent inside an answer."""
+    sizes = (len(row.content or b'') for row in rows)
+    return sum(
+        size for size in sizes if not question.by_digest or size < MIN_BYTES
+    )
 
 
 def _snapshot(
