--- a/celerywharf/platform/_json.py
+++ b/celerywharf/platform/_json.py
@@ -36,9 +36,9 @@
     rb'\\u[dD][89abAB][\da-fA-F]{2}(?!\\u[dD][c-fC-F][\da-fA-F]{2})'
     rb'|(?<!\\u[dD][89abAB][\da-fA-F]{2})\\u[dD][c-fC-F][\da-fA-F]{2}'
 )
-# Of more than 4,300 digits, and no part of a fraction or an exponent.
 # What the parser says of values that can be replaced; other errors stay.
 REDUCIBLE = ('recursion limit', 'hex escape', 'number out of range')
+# Of more than 4,300 digits, and no part of a fraction or an exponent.
 LONG_NUMBER = re.compile(
     rb'(?<![\d.eE+])(?<![eE]-)[1-9]\d{4300,}(?:\.\d+)?(?:[eE][-+]?\d+)?'
 )
