Kill several fronts at once beside malformed documents in the soak

A series, drawn apart so that the other faults of a seed stay what they were:

- up to 80 entries that name no server, 100 bytes to 60 kB, nested up to 40,000 levels, cut off, bare, as text, under keys such as `a14%41`; a quarter of the series have all alike; kept, rewritten every second, growing or removed;
- an unknown member of up to 60 kB in the entries of sound servers;
- a priority that is a text, a list, or nested 150 or 40,000 levels deep, with or without a new API key in the same version;
- one to three kills of all fronts, of three, or of the zones' readers.

Lists that are closed have 30,000 levels at most in entries, as a row holds 64 KiB; deeper ones are cut off.

Twelve seconds after the last fault, RECOVERY_S as before, each front must be ready, and four seconds later still; a caller pinned to it must reach a server that was added when the faults had ended. The requests of pinned callers don't count for MIN_SERVED_RATIO, so that it is as strict as before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,7 @@
 from standins.serving import split_address
 
 MAX_PAUSE_S = 0.03
+KINDS = ('buy', 'buy', 'look', 'narrate')
 # By kind of request.
 DEADLINE_S = {'buy': 2.0, 'look': 2.0, 'narrate': 6.0}
 PATHS = {'buy': CALL_PATH, 'look': LOOKUP_PATH, 'narrate': STREAM_PATH}
@@ -37,6 +38,8 @@
     Attributes:
         fronts: address of each front by name.
         keys: API keys; the last is the newest and the only valid one.
+        probes_kind: kind of all requests if they test one front; None for
+            random kinds.
         attempts: all requests sent, with what was received.
         stopped: event that ends the caller after its current request.
     """
@@ -46,11 +49,13 @@
         seed: int,
         fronts: dict[str, str],
         keys: Sequence[str],
+        probes_kind: str | None = None,
     ) -> None:
         super().__init__(daemon=True)
         self.random = Random(seed)
         self.fronts = fronts
         self.keys = keys
+        self.probes_kind = probes_kind
         self.attempts: list[Attempt] = []
         self.stopped = threading.Event()
 
@@ -86,7 +91,7 @@
 
     def draw_attempt(self, front: str) -> Attempt:
         """Return a random request, not sent yet."""
-        kind = self.random.choice(('buy', 'buy', 'look', 'narrate'))
+        kind = self.probes_kind or self.random.choice(KINDS)
         events = self.random.randint(1, MAX_STREAM_EVENTS)
         return Attempt(
             request_id=secrets.token_hex(8),
@@ -96,6 +101,7 @@
             sent_s=time.monotonic(),
             deadline_s=DEADLINE_S[kind],
             events_wanted=events if kind == 'narrate' else 0,
+            is_probe=self.probes_kind is not None,
         )
 
     def draw_key(self) -> str:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -51,6 +51,10 @@
     findings.extend(_check_overlaps(evidence))
     findings.extend(_check_revocation(evidence))
     findings.extend(_check_recovery(evidence))
+    findings.extend(
+        f'not ready after recovery: {answer}' for answer in evidence.unready
+    )
+    findings.extend(_check_added_servers(evidence))
     return findings
 
 
@@ -176,6 +180,7 @@
         for attempt in evidence.attempts
         if attempt.sent_s > evidence.faults_ended_s + RECOVERY_S
         and attempt.key not in evidence.revoked_keys
+        and not attempt.is_probe
     ]
     served = sum(
         attempt.status == HTTPStatus.OK and attempt.whole for attempt in sent
@@ -189,6 +194,22 @@
         yield f'{served} of {len(sent)} served after recovery; {failed[:3]}'
 
 
+def _check_added_servers(evidence: Evidence) -> Iterable[str]:
+    ran = {
+        run.request_id
+        for run in evidence.runs
+        if run.server in evidence.added_servers
+    }
+    for front in evidence.fronts if evidence.added_servers else ():
+        sent = [
+            attempt.request_id
+            for attempt in evidence.attempts
+            if attempt.front == front and attempt.is_probe
+        ]
+        if ran.isdisjoint(sent):
+            yield f'{front} sent none of {len(sent)} calls to an added server'
+
+
 def _front_disrupted(evidence: Evidence, attempt: Attempt) -> bool:
     names = {attempt.front}
     return _disrupted(evidence, attempt.sent_s, attempt.ended_s, names)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from soak.entries import EnlargeEntries, MalformPriority, WriteEntries
 from standins.endless import ANSWERS
 
 
@@ -14,6 +15,18 @@
     front: str
 
 
+@dataclass(frozen=True, slots=True)
+class KillFronts:
+    """Kills fronts at the same moment and restarts them after the span."""
+
+    fronts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KillReaders:
+    """Kills the fronts that read the store for their zones, as `KillFronts`."""
+
+
 @dataclass(frozen=True, slots=True)
 class PauseFront:
     """Suspends a front with SIGSTOP for the span."""
@@ -106,6 +119,8 @@
 
 Fault = (
     KillFront
+    | KillFronts
+    | KillReaders
     | PauseFront
     | LeaveFront
     | ReloadFront
@@ -116,6 +131,9 @@
     | HarmLink
     | HarmStore
     | ChangeKey
+    | WriteEntries
+    | EnlargeEntries
+    | MalformPriority
 )
 
 # Switches of the stand-ins that a fault may set, with the value.
--- a/soak/records.py
+++ b/soak/records.py
@@ -23,6 +23,7 @@
         sent_s: time of sending, on the monotonic clock of this machine.
         deadline_s: seconds after sending at which the deadline passes.
         events_wanted: number of events requested; 0 if not a stream.
+        is_probe: whether it tests its front after the recovery time.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     sent_s: float
     deadline_s: float
     events_wanted: int = 0
+    is_probe: bool = False
 
     @property
     def ended_s(self) -> float:
@@ -88,6 +90,10 @@
         revoked_keys: revoked keys, each with the time at which the store
             acknowledged the revocation.
         faults_ended_s: time at which the last fault ended.
+        fronts: names of the fronts.
+        added_servers: servers that were added at that time.
+        unready: answers of fronts that were not ready after the recovery
+            time.
         exits: fronts that exited with an error code or ignored SIGTERM.
         errors: error lines in the logs of fronts, and failures of the soak
             itself to inject a fault.
@@ -98,6 +104,9 @@
     disruptions: list[Disruption] = field(default_factory=list)
     revoked_keys: dict[str, float] = field(default_factory=dict)
     faults_ended_s: float = 0
+    fronts: tuple[str, ...] = ()
+    added_servers: tuple[str, ...] = ()
+    unready: list[str] = field(default_factory=list)
     exits: list[str] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)
 
--- a/soak/rigs.py
+++ b/soak/rigs.py
@@ -3,20 +3,21 @@
 from __future__ import annotations
 
 import contextlib
-import secrets
 import signal
-import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from http import HTTPStatus
 
+from soak.entries import EnlargeEntries, MalformPriority, WriteEntries
 from soak.faults import (
     ChangeKey,
     DrainServer,
     HarmLink,
     HarmStore,
     KillFront,
+    KillFronts,
+    KillReaders,
     KillServer,
     LeaveFront,
     PauseFront,
@@ -26,7 +27,7 @@
 )
 from soak.records import Disruption, Evidence, read_runs
 from soak.schedules import Event, Targets
-from standins.fronts import PlatformRig
+from soak.writers import WritingRig
 from standins.launching import Fleet
 from standins.processes import ManagedProcess
 
@@ -73,14 +74,13 @@
             raise
 
 
-class SoakRig(PlatformRig):
+class SoakRig(WritingRig):
     """Fronts, backend servers and a store, with links between them.
 
     Each server in `SERVERS` is run by one process at a time. When a fault ends
     it, a new process with a new name, the next instance, replaces it.
 
     Attributes:
-        evidence: records of the faults and of failures seen so far.
         caller_addresses: address at which callers reach each front.
         current_instances: name of the current instance of each server.
         instances_started: number of instances started so far.
@@ -89,8 +89,7 @@
 
     def __init__(self, fleet: Fleet) -> None:
         super().__init__(fleet)
-        self.evidence = Evidence()
-        self.lock = threading.Lock()
+        self.evidence.fronts = tuple(FRONTS)
         # The system kills a process when the thread that started it ends, so
         # all restarts run on this thread, which outlives the faults.
         self.starter = ThreadPoolExecutor(1)
@@ -146,6 +145,16 @@
             case KillFront(name) | LeaveFront(name) | PauseFront(name):
                 self.apply_to_front(event)
                 return [name]
+            case KillFronts(fronts):
+                return self.kill_fronts(fronts, event.span_s)
+            case KillReaders():
+                return self.kill_fronts(self.find_readers(FRONTS), event.span_s)
+            case WriteEntries():
+                self.write_entries(event.fault, event.span_s)
+            case EnlargeEntries():
+                self.enlarge_entries(event.fault)
+            case MalformPriority():
+                self.malform_priority(event.fault)
             case ReloadFront(front):
                 self.signal(front, signal.SIGHUP)
             case ChangeKey():
@@ -170,6 +179,15 @@
             case PauseFront(front):
                 self.pause(front, event.span_s)
 
+    def kill_fronts(self, fronts: Iterable[str], span_s: float) -> list[str]:
+        """Kill fronts and restart them after a span; return their names."""
+        for front in fronts:
+            self.fleet.kill(front)
+        time.sleep(span_s)
+        for front in fronts:
+            self.restart_if_ended(front)
+        return list(fronts)
+
     def apply_to_server(self, event: Event) -> list[str]:
         """Apply a fault to the current instance of a server; return it."""
         name = self.current_instances[event.fault.server]
@@ -295,21 +313,12 @@
                 self.starter.submit(self.fleet.restart_front, front).result()
                 self.restarted_s[front] = time.monotonic()
 
-    def rotate_key(self) -> None:
-        """Revoke the newest API key and issue another one."""
-        with self.lock:
-            old_key = self.keys[-1]
-            self.keys.append(secrets.token_hex(8))
-            self.configure()
-            self.evidence.revoked_keys[old_key] = time.monotonic()
-
-    def configuration(self) -> dict[str, object]:
-        """Return the configuration; only the newest API key is valid."""
-        configuration = super().configuration()
-        configuration['tenants'] = [
-            {'name': 'lakeshore', 'apiKeys': self.keys[-1:]}
-        ]
-        return configuration
+    def add_servers(self) -> None:
+        """Add a server to each zone, which all fronts have yet to learn of."""
+        for zone in dict.fromkeys(FRONTS.values()):
+            name = f'added-{zone}'
+            self.add_server(name, 'desk', zone)
+            self.evidence.added_servers += (name,)
 
     def record_failed_exits(self) -> None:
         """Record fronts that have exited with an error."""
--- a/soak/soaks.py
+++ b/soak/soaks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import operator
 import shutil
 import threading
 import time
@@ -12,8 +13,10 @@
 from soak.callers import Caller
 from soak.checks import RECOVERY_S, collect_findings
 from soak.records import Evidence
-from soak.rigs import SoakRig
+from soak.rigs import FRONTS, SoakRig
 from soak.schedules import Event, draw_schedule
+from soak.series import draw_series
+from standins.calls import call
 from standins.launching import Fleet
 
 CALLER_COUNT = 8
@@ -43,7 +46,11 @@
 
 
 def run_soak(
-    seed: int, span_s: float, logs_folder: Path | None = None
+    seed: int,
+    span_s: float,
+    logs_folder: Path | None = None,
+    *,
+    has_series: bool = True,
 ) -> Outcome:
     """Run callers against fronts under the faults of a seed.
 
@@ -53,6 +60,8 @@
         logs_folder: folder that gets a subfolder with the logs, named after
             the seed, if there are findings or a process did not start in
             time; None drops the logs.
+        has_series: whether several fronts are killed at once beside
+            malformed and large documents.
 
     Raises:
         TimeoutError: a front was not ready in time.
@@ -64,6 +73,9 @@
             _save_logs(fleet, seed, logs_folder)
             raise
         schedule = draw_schedule(seed, span_s, rig.targets())
+        if has_series:
+            schedule += draw_series(seed, span_s, tuple(FRONTS))
+        schedule.sort(key=operator.attrgetter('at_s'))
         _run_schedule(rig, seed, schedule)
         evidence = rig.collect_evidence()
         findings = collect_findings(evidence)
@@ -85,6 +97,34 @@
     ]
     for caller in callers:
         caller.start()
+    _play(rig, schedule)
+    rig.add_servers()
+    rig.evidence.faults_ended_s = time.monotonic()
+    recovered_s = rig.evidence.faults_ended_s + RECOVERY_S
+    _watch_until(rig, recovered_s)
+    _record_unready(rig)
+    # The others stay at fronts that keep their connections.
+    probes = [
+        Caller(seed, {front: address}, rig.keys[-1:], probes_kind='look')
+        for front, address in rig.caller_addresses.items()
+    ]
+    for probe in probes:
+        probe.start()
+    _watch_until(rig, recovered_s + TRAFFIC_AFTER_RECOVERY_S)
+    _record_unready(rig)
+    rig.end_writing()
+    _stop_callers(rig, [*callers, *probes])
+
+
+def _stop_callers(rig: SoakRig, callers: list[Caller]) -> None:
+    for caller in callers:
+        caller.stopped.set()
+    for caller in callers:
+        caller.join()
+        rig.evidence.attempts.extend(caller.attempts)
+
+
+def _play(rig: SoakRig, schedule: list[Event]) -> None:
     started_s = time.monotonic()
     fault_threads = []
     for event in schedule:
@@ -94,15 +134,16 @@
         fault_threads.append(thread)
     for thread in fault_threads:
         thread.join()
-    rig.evidence.faults_ended_s = time.monotonic()
-    _watch_until(
-        rig, rig.evidence.faults_ended_s + RECOVERY_S + TRAFFIC_AFTER_RECOVERY_S
-    )
-    for caller in callers:
-        caller.stopped.set()
-    for caller in callers:
-        caller.join()
-        rig.evidence.attempts.extend(caller.attempts)
+
+
+def _record_unready(rig: SoakRig) -> None:
+    for front, health in rig.health.items():
+        try:
+            status, body = call(health, 'GET', '/api/ready')
+        except OSError as error:
+            status, body = None, repr(error)
+        if status != HTTPStatus.OK:
+            rig.evidence.unready.append(f'{front}: {status} {body}')
 
 
 def _watch_until(rig: SoakRig, until_s: float) -> None:
--- a/tests/soak/checks.feature
+++ b/tests/soak/checks.feature
@@ -24,6 +24,8 @@
       | four purchases ran and got no response         | ran and got no response status |
       | a quarter of requests fails after recovery     | served after recovery          |
       | no request is sent after recovery              | no request was sent            |
+      | a front is not ready after recovery            | not ready after recovery       |
+      | a front sends no call to an added server       | sent none of 1 calls           |
       | a front exits with an error                    | exited unexpectedly            |
       | a front logs an error                          | an error was logged            |
 
@@ -41,6 +43,7 @@
       | a stream is reset within an event                 |
       | a purchase runs 4 s after its key is revoked      |
       | a stream moves after its first run has ended      |
+      | a front sends a call to an added server           |
       | a stream moves while its suspended server runs it |
       | a resumed server starts a run and ends it at once |
       | an answer is late from a front that was suspended |
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -7,6 +7,7 @@
 from soak.checks import collect_findings
 from soak.records import Attempt, Disruption, Evidence, ServerRun
 from soak.schedules import Targets, draw_schedule
+from soak.series import draw_series
 
 scenarios('checks.feature')
 
@@ -33,7 +34,7 @@
     """Builds evidence without findings; its methods add to it."""
 
     def __init__(self):
-        self.evidence = Evidence(faults_ended_s=FAULTS_ENDED_S)
+        self.evidence = Evidence(faults_ended_s=FAULTS_ENDED_S, fronts=('f1',))
         for number in range(SUCCESSFUL_PURCHASES):
             self.buy(f'served-{number}', FAULTS_ENDED_S + 13 + number)
 
@@ -112,6 +113,12 @@
     builder.disrupt('f1', 10.0, 12.9)
 
 
+def _probe_added_server(builder, server):
+    builder.evidence.added_servers = ('added',)
+    body = json.dumps({'id': 'b', 'by': server}).encode()
+    builder.buy('b', server=server, body=body, is_probe=True)
+
+
 CHANGES = {
     'a purchase ran twice': lambda builder: builder.buy('b', runs=2),
     'a purchase refused with 503 ran': lambda builder: builder.buy(
@@ -153,6 +160,15 @@
         builder.evidence.attempts.clear(),
         builder.evidence.runs.clear(),
     ),
+    'a front is not ready after recovery': lambda builder: (
+        builder.evidence.unready.append('f1: 503')
+    ),
+    'a front sends no call to an added server': lambda builder: (
+        _probe_added_server(builder, 'd1')
+    ),
+    'a front sends a call to an added server': lambda builder: (
+        _probe_added_server(builder, 'added')
+    ),
     'a front exits with an error': lambda builder: (
         builder.evidence.exits.append('f1: 1')
     ),
@@ -222,3 +238,9 @@
     assert first == draw_schedule(7, 60, targets)
     assert first != draw_schedule(8, 60, targets)
     assert len(first) > 30
+
+
+def test_a_seed_always_draws_the_same_series():
+    fronts = ('f1', 'f2', 'f3', 'f4')
+    assert draw_series(7, 20, fronts) == draw_series(7, 20, fronts)
+    assert draw_series(7, 20, fronts) != draw_series(8, 20, fronts)
