--- a/tests/sharing/test_snapshots.py
+++ b/tests/sharing/test_snapshots.py
@@ -1,9 +1,10 @@
 """Snapshots of tables, with the changes since."""
 
 import json
+import time
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from celerywharf.exceptions import PlatformUnavailableError
@@ -17,6 +18,7 @@
 from tests.virtual_loop import run_virtually
 
 ROWS = 500
+EXAMPLE_S = 0.2
 CONTENT = json.dumps({'state': 'ready', 'notes': 'x' * 200}).encode()
 LARGE = b'y' * MIN_BYTES
 
@@ -162,13 +164,17 @@
 )
 
 
+# Hypothesis' deadline counts the time in which other processes run, too.
+@settings(deadline=None)
 @given(st.lists(changed_rows, max_size=4))
 def test_a_snapshot_and_what_it_lacks_are_the_table(batches):
+    began_s = time.thread_time()
     table = Table()
     for batch in batches:
         assert table.received(table.ask()) == table.current()
         table.change(*batch)
     assert table.received(table.ask()) == table.current()
+    assert time.thread_time() - began_s < EXAMPLE_S
 
 
 def test_changes_too_large_for_a_frame_are_refused_as_gone():
