fronts: a front that reads its servers again stays ready

Cause: a front counted as ready while it had a position in the table. When the store or its reader no longer has the changes since, the position is dropped, and the front was not ready until it had read the whole table again, which takes longer the more there is to read, and for good if it can't be read.

Change: what counts is that the table has been read since the start. A front that can't follow its servers for long is not ready for its configuration, which it gets the same way.

--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -187,7 +187,7 @@
         context = self.context
         return {
             'not stopping': lambda: not admission.draining,
-            'servers read': lambda: self.watchers[1].position is not None,
+            'servers read': lambda: self.watchers[1].has_read,
             'quarantine read': lambda: self.quarantine_exchange.has_begun,
             'stream origins read': context.origins.has_begun,
             'rollouts read': context.rollouts.has_begun,
--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -88,6 +88,7 @@
         position: position of the last reading; None if the whole table must
             be read.
         failures: number of consecutive failed calls.
+        has_read: the whole table has been read since the start.
     """
 
     table = ''
@@ -100,6 +101,7 @@
         self.random = random
         self.position: Position | None = None
         self.failures = 0
+        self.has_read = False
 
     def start(self) -> None:
         """Start to follow the table."""
@@ -153,6 +155,7 @@
         await self.prepare(reading)
         if position is None:
             self.apply_all(reading)
+            self.has_read = True
         else:
             self.apply_changes(reading)
         self.position = reading.position
