adapters: ignore empty members among transfer codings

HTTP has recipients ignore empty members of a list. Evidence: three cases of test_empty_list_members failed with 'malformed response head'; they pass, and those of malformed heads still do.

--- a/celerywharf/adapters/_response_head.py
+++ b/celerywharf/adapters/_response_head.py
@@ -118,7 +118,10 @@
     """
     if name == 'content-length':
         return not LENGTH.fullmatch(value) or previous not in {None, value}
-    return value.lower() != 'chunked' or previous is not None
+    # Empty members of a list are ignored (RFC 9110, 5.6.1.2).
+    members = [part.strip(BLANKS) for part in value.lower().split(',')]
+    codings = list(filter(None, members))
+    return codings != ['chunked'] or previous is not None
 
 
 def _without_line_end(text: str) -> str:
