sharing: drop contents of rows that are gone

What was seen in a review: after 30 entries of 60 kB had been written and removed two hosts kept 2.8 MB of their contents until another large content came. Cause: contents were dropped only when one was added. They are now dropped after each reading with rows, too. Evidence: test_removed_contents found 2,847,387 bytes where 480,000 are allowed; it passes.

--- a/celerywharf/sharing/_contents.py
+++ b/celerywharf/sharing/_contents.py
@@ -85,11 +85,13 @@
     def _keep(self, content: Content) -> Content:
         self.by_digest[content.digest] = content
         self.by_plain[content.plain] = content
-        if len(self.by_digest) > KEPT:
-            self._drop_unused()
+        self.drop_unused()
         return content
 
-    def _drop_unused(self) -> None:
+    def drop_unused(self) -> None:
+        """Drop contents that are not in use any more, but for the latest."""
+        if len(self.by_digest) <= KEPT:
+            return
         in_use = {digest for user in self.users for digest in user()}
         unused = [each for each in self.by_digest if each not in in_use]
         kept = max(KEPT - len(in_use), KEPT_UNUSED)
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -178,6 +178,7 @@
             reading = self.tables[table].condensed(reading)
             self.tables[table].mirror.replace(reading)
             self.tables[table].notify()
+            self.exchange.cache.drop_unused()
         return reading
 
     async def watch(
@@ -220,6 +221,8 @@
             reading = self.tables[table].condensed(reading)
             self.tables[table].mirror.update(reading)
             self.tables[table].notify()
+            if reading.rows:
+                self.exchange.cache.drop_unused()
         return reading
 
     async def _wait_for_first_check(self) -> None:
--- a/tests/sharing/test_many_large_rows.py
+++ b/tests/sharing/test_many_large_rows.py
@@ -129,7 +129,7 @@
 
 # A reader of an earlier build drops contents before they are asked for.
 def test_hosts_whose_reader_lacks_contents_read_the_store(monkeypatch):
-    monkeypatch.setattr(ContentCache, '_drop_unused', drop_all_but_four)
+    monkeypatch.setattr(ContentCache, 'drop_unused', drop_all_but_four)
     writer = Writer(20, 10 * KILOBYTE, 'sound')
     run_virtually(writer.play)
     assert writer.found_s is not None
