--- a/tests/backends/test_paces.py
+++ b/tests/backends/test_paces.py
@@ -152,8 +152,8 @@
 def test_a_placement_takes_microseconds_for_each_server():
     host = Host(make_servers(100))
     host.state([1.0 + number / 100 for number in range(100)])
-    started_s = time.perf_counter()
+    started_s = time.thread_time()
     for _ in range(20):
         host.choose()
-    each_s = (time.perf_counter() - started_s) / 20 / 100
+    each_s = (time.thread_time() - started_s) / 20 / 100
     assert each_s * 1e6 <= 50  # 4 on an idle machine
