--- a/standins/fronts.py
+++ b/standins/fronts.py
@@ -6,7 +6,7 @@
 import json
 import secrets
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from http import client
 from typing import Any
@@ -26,6 +26,8 @@
 TIMEOUT_S = 10
 READ_BYTES = 65536
 CONFIG_SETTLES_S = 0.3
+CHECK_PERIOD_S = 0.1
+OK = 200
 
 
 @dataclass(slots=True)
@@ -220,6 +222,29 @@
         self.fronts[name] = listen
         return listen
 
+    def is_ready(self, name: str) -> bool:
+        """Return whether a front's health check finds it ready."""
+        try:
+            return call(self.health[name], 'GET', '/api/ready')[0] == OK
+        except OSError:
+            return False
+
+    def lacking(
+        self, check: Callable[[str], bool], within_s: float
+    ) -> set[str]:
+        """Return the fronts for which a check does not hold in time.
+
+        Args:
+            check: returns whether it holds for a front; it held once if so.
+            within_s: time for all fronts together, seconds.
+        """
+        ends_s = time.monotonic() + within_s
+        names = set(self.fronts)
+        while names and time.monotonic() < ends_s:
+            names -= {name for name in names if check(name)}
+            time.sleep(CHECK_PERIOD_S)
+        return names
+
     def runs(self, name: str) -> list[dict[str, Any]]:
         """Return the runs of a backend server."""
         return self.fleet.record(name)['runs']
--- a/tests/fronts/test_deep_configurations.py
+++ b/tests/fronts/test_deep_configurations.py
@@ -1,17 +1,15 @@
 """Configurations with values that the parser refuses, with real fronts."""
 
+import functools
 import json
-import time
 
 import pytest
 
-from standins.calls import call
 from standins.fronts import KEY, LOOKUP_PATH, PlatformRig, request_headers, send
 
 FRONTS = {'f1': 'north-1', 'f2': 'north-1', 'f3': 'north-2'}
 NEW_KEY = 'key-of-the-next-version'
 OK = 200
-POLL_S = 0.1
 APPLIED_WITHIN_S = 2.5
 READY_WITHIN_S = 8
 DEPTH = 5000
@@ -48,32 +46,15 @@
     return send(rig.fronts[name], LOOKUP_PATH, headers=headers).status == OK
 
 
-def is_ready(rig, name):
-    try:
-        return call(rig.health[name], 'GET', '/api/ready')[0] == OK
-    except OSError:
-        return False
-
-
-def lacking(rig, check, within_s):
-    """Return the fronts for which a check does not hold in time."""
-    ends_s = time.monotonic() + within_s
-    names = set(FRONTS)
-    while names and time.monotonic() < ends_s:
-        names -= {name for name in names if check(rig, name)}
-        time.sleep(POLL_S)
-    return names
-
-
 def check_restart(rig):
     """Check that fronts take the configuration, also after a restart."""
-    not_in_force = lacking(rig, serves, APPLIED_WITHIN_S)
+    not_in_force = rig.lacking(functools.partial(serves, rig), APPLIED_WITHIN_S)
     for name in FRONTS:
         rig.fleet.kill(name)
         rig.fleet.restart_front(name)
-    not_ready = lacking(rig, is_ready, READY_WITHIN_S)
+    not_ready = rig.lacking(rig.is_ready, READY_WITHIN_S)
     assert (not_in_force, not_ready) == (set(), set())
-    assert not lacking(rig, serves, APPLIED_WITHIN_S)
+    assert not rig.lacking(functools.partial(serves, rig), APPLIED_WITHIN_S)
 
 
 @pytest.mark.parametrize('routes', [0, 600])
--- a/tests/fronts/test_large_entries.py
+++ b/tests/fronts/test_large_entries.py
@@ -1,11 +1,10 @@
 """Many large rows beside the entries of servers, with real fronts."""
 
+import functools
 import secrets
-import time
 
 import pytest
 
-from standins.calls import call
 from standins.fronts import LOOKUP_PATH, PlatformRig, request_headers, send
 
 FRONTS = {
@@ -14,10 +13,8 @@
     'f3': 'south-1',
     'f4': 'south-1',
 }
-OK = 200
 ROWS = 60
 ROW_BYTES = 60_000
-POLL_S = 0.1
 FOUND_WITHIN_S = 3
 READY_WITHIN_S = 12
 MEMORY_KB = 150_000
@@ -36,13 +33,6 @@
     return rig
 
 
-def is_ready(rig, name):
-    try:
-        return call(rig.health[name], 'GET', '/api/ready')[0] == OK
-    except OSError:
-        return False
-
-
 def peak_memory_kb(rig, name):
     process = rig.fleet.members[name].process
     with open(f'/proc/{process.pid}/status') as status:
@@ -62,16 +52,6 @@
     )
 
 
-def lacking(rig, check, within_s):
-    """Return the fronts for which a check does not hold in time."""
-    ends_s = time.monotonic() + within_s
-    names = set(FRONTS)
-    while names and time.monotonic() < ends_s:
-        names -= {name for name in names if check(rig, name)}
-        time.sleep(POLL_S)
-    return names
-
-
 # Fronts that read through another one never got the whole table of servers.
 @pytest.mark.parametrize('kind', CONTENTS)
 def test_fronts_beside_many_large_rows_stay_ready_and_start_again(rig, kind):
@@ -79,13 +59,17 @@
         content = CONTENTS[kind](secrets.token_hex(ROW_BYTES // 2))
         rig.put('servers', f'other-{number}', content)
     rig.add_server('d2', 'desk')
-    not_found = lacking(rig, uses_both_servers, FOUND_WITHIN_S)
+    not_found = rig.lacking(
+        functools.partial(uses_both_servers, rig), FOUND_WITHIN_S
+    )
     for name in FRONTS:
         rig.fleet.kill(name)
     for name in FRONTS:
         rig.fleet.restart_front(name)
-    not_ready = lacking(rig, is_ready, READY_WITHIN_S)
+    not_ready = rig.lacking(rig.is_ready, READY_WITHIN_S)
     assert (not_found, not_ready) == (set(), set())
-    assert not lacking(rig, uses_both_servers, FOUND_WITHIN_S)
+    assert not rig.lacking(
+        functools.partial(uses_both_servers, rig), FOUND_WITHIN_S
+    )
     peaks = {name: peak_memory_kb(rig, name) for name in FRONTS}
     assert max(peaks.values()) < MEMORY_KB, peaks
