--- a/celerywharf/sharing/_content_waits.py
+++ b/celerywharf/sharing/_content_waits.py
@@ -24,7 +24,7 @@
         missing: number of contents that are missing now.
         failures: transfers that have ended without their content.
         replacements: transfers that other contents have taken the place of.
-        reason: why the last of them did; empty before the first.
+        reason: why the last failed transfer ended; empty before the first.
         reported_s: when the wait was last reported; None before the first
             time.
     """
@@ -39,8 +39,8 @@
     def is_vain(self, now_s: float) -> bool:
         """Return whether the reader is not expected to give the contents.
 
-        Not as long as one transfer is under way, however long it takes: a
-        transfer that has stopped ends by itself.
+        Not while the first transfer is under way, however long it takes: one
+        that has stopped fails by itself.
         """
         waited_s = now_s - self.since_s
         if self.failures >= MAX_FAILURES and waited_s >= MAX_WAIT_S:
--- a/celerywharf/sharing/_reader_calls.py
+++ b/celerywharf/sharing/_reader_calls.py
@@ -186,7 +186,7 @@
             arrival.transfer.cancel()
 
     def read_elsewhere(self, table: str) -> None:
-        """Stop to wait for contents: the store has given the whole table."""
+        """Stop to wait for contents: the store has given the rows."""
         self.drop(table)
         self._end_wait(table)
 
