tests: second sends are played in virtual time

A trial that blocks the event loop at 0.1 s shows the failure: with 0.05 s all is as asked, with 0.11 and 0.2 s the call ends with its true 504 before the second send, so no caller leaves and the check is false. The call is right in both; the set-up needed a machine that never stands still for 80 ms.

All tests of this file now run on the virtual loop, with the same deadlines and checks, so the order of events is always the one that they are about.

--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -19,6 +19,7 @@
     build_context,
 )
 from tests.forwarding.test_relays import REQUEST_ID, _make_request
+from tests.virtual_loop import run_virtually
 
 DEADLINE_S = 0.2
 AFTER_S = 0.6 * DEADLINE_S
@@ -104,7 +105,7 @@
         rig.transport.when_sent[2] = lambda: rig.answer(number)
         return _status(await _run(rig)), rig
 
-    status, rig = asyncio.run(check())
+    status, rig = run_virtually(check)
     assert status == 200
     assert rig.retries.taken == 1
     assert rig.transport.answers[2 - number].cancelled()
@@ -123,7 +124,7 @@
         rig.transport.when_sent[2] = end
         return _status(await _run(rig))
 
-    assert asyncio.run(check()) == 200
+    assert run_virtually(check) == 200
 
 
 def test_a_silent_call_is_kept_if_no_retry_is_left():
@@ -135,7 +136,7 @@
         )
         return _status(await _run(rig)), rig
 
-    status, rig = asyncio.run(check())
+    status, rig = run_virtually(check)
     assert status == 200
     assert len(rig.transport.answers) == 1
     assert rig.log.kept == ['no retry left']
@@ -146,7 +147,7 @@
         rig = Rig(NonIdempotent())
         return _status(await _run(rig)), rig
 
-    status, rig = asyncio.run(check())
+    status, rig = run_virtually(check)
     assert status == 504
     assert len(rig.transport.answers) == 1
 
@@ -163,7 +164,7 @@
         rig.transport.when_sent[2] = end
         return _status(await _run(rig))
 
-    assert asyncio.run(check()) == 502
+    assert run_virtually(check) == 502
 
 
 def test_nothing_stays_in_progress_if_the_caller_of_a_call_leaves():
@@ -176,7 +177,7 @@
         await asyncio.sleep(0)
         return serving.cancelled() and rig.is_clean()
 
-    assert asyncio.run(check())
+    assert run_virtually(check)
 
 
 def test_a_call_answered_while_its_retry_is_taken_is_not_sent_again():
@@ -186,7 +187,7 @@
         rig.retries.waits = 0.01
         return _status(await _run(rig)), rig
 
-    status, rig = asyncio.run(check())
+    status, rig = run_virtually(check)
     assert status == 200
     assert len(rig.transport.answers) == 1
 
@@ -213,6 +214,6 @@
         rig.retries.while_waiting = speak
         return _status(await _run(rig)), rig
 
-    status, rig = asyncio.run(check())
+    status, rig = run_virtually(check)
     assert status == 504
     assert len(rig.transport.answers) == 1
