tests: a handover's deadlines are played in virtual time

In a trial in which each event loop stands still once for 0.1 s, "a race does not outlast the deadline" failed as the only one of tests/forwarding: its deadline is 0.1 s, so the call ended with its true time-out before the two servers were asked. Both tests with this deadline now run on the virtual loop, with the same bounds and checks.

--- a/tests/forwarding/test_handover.py
+++ b/tests/forwarding/test_handover.py
@@ -38,6 +38,7 @@
     RecordingCaller,
     _make_request,
 )
+from tests.virtual_loop import run_virtually
 
 THIRD = make_server('e3', address=Address('127.0.0.1', 3))
 TOKENS = 60
@@ -608,7 +609,7 @@
         async with asyncio.timeout(OVERLAP_S):
             return await rig.forwarding.run(), rig
 
-    step, rig = asyncio.run(check())
+    step, rig = run_virtually(check)
     assert step == rig.forwarding.plan.timed_out()
     assert rig.is_clean(FIRST, SECOND)
 
@@ -626,7 +627,7 @@
         async with asyncio.timeout(4 * SHORT_S):
             return await rig.forwarding.run(), rig
 
-    step, rig = asyncio.run(check())
+    step, rig = run_virtually(check)
     assert step == rig.forwarding.plan.timed_out()
     assert len(rig.transport.sinks) == 2
     assert rig.is_clean(FIRST, SECOND)
