fronts: a front that becomes its zone's reader stays ready

What callers saw: after the reader of a zone was lost, fronts that had been running and were sound answered the health check with 503 for seconds; new connections did not come to them.

Cause: "stream origins read" asks only readers whether they have read the rows of origins, so a follower that is elected turns not ready until it has read the whole table, rows of other writers included. Class: a condition of the start that is evaluated again at each change of roles; mended the same for the servers' table. Conditions of the start now count until the front has been ready once. A new reader needs no readiness to answer well: what it does not know yet of a stream it asks and waits for, as for callers on open connections.

Found by the review.

--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -185,16 +185,20 @@
         """Return what must hold for the front to get new connections."""
         admission = self.gateway.admission
         context = self.context
-        return {
-            'not stopping': lambda: not admission.draining,
-            'servers read': lambda: self.watchers[1].has_read,
-            'quarantine read': lambda: self.quarantine_exchange.has_begun,
-            'stream origins read': context.origins.has_begun,
-            'rollouts read': context.rollouts.has_begun,
-            'configuration current': lambda: (
-                self.configuration_cache.accepts_keys(boot_time_s())
-            ),
-        }
+        return Conditions(
+            at_start={
+                'servers read': lambda: self.watchers[1].has_read,
+                'quarantine read': lambda: self.quarantine_exchange.has_begun,
+                'stream origins read': context.origins.has_begun,
+                'rollouts read': context.rollouts.has_begun,
+            },
+            always={
+                'not stopping': lambda: not admission.draining,
+                'configuration current': lambda: (
+                    self.configuration_cache.accepts_keys(boot_time_s())
+                ),
+            },
+        )
 
     def _parts(self) -> tuple[Part, ...]:
         parts = (
--- a/celerywharf/fronts/_readiness.py
+++ b/celerywharf/fronts/_readiness.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from celerywharf.metrics import Metrics
 
@@ -11,16 +12,31 @@
 
 REPORT_PERIOD_S = 10.0
 
-Conditions = Mapping[str, Callable[[], bool]]
+Condition = Callable[[], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Conditions:
+    """What must hold for a front to get new connections.
+
+    Attributes:
+        at_start: return whether they are met, by name; they count until the
+            front has been ready once.
+        always: those that count at all times.
+    """
+
+    at_start: Mapping[str, Condition]
+    always: Mapping[str, Condition]
 
 
 class Readiness:
     """Checks the conditions of a front, and logs those that are not met.
 
     Attributes:
-        conditions: returns whether each is met, by name.
+        conditions: what must hold.
         now: a clock, in seconds.
         metrics: counts the checks at which each was not met.
+        has_been_ready: all conditions were met at a check.
         unmet: names of the conditions that were not met at the last check.
         since_s: when the front was last ready; when it was first checked if
             it has never been.
@@ -36,6 +52,7 @@
         self.conditions = conditions
         self.now = now
         self.metrics = metrics
+        self.has_been_ready = False
         self.unmet: tuple[str, ...] = ()
         self.since_s: float | None = None
         self.reported_s = float('-inf')
@@ -44,7 +61,7 @@
         """Return the names of the conditions that are not met."""
         now_s = self.now()
         unmet = tuple(
-            name for name, is_met in self.conditions.items() if not is_met()
+            name for name, is_met in self._counting().items() if not is_met()
         )
         for name in unmet:
             self.metrics.count('not_ready_checks', condition=name)
@@ -54,10 +71,16 @@
         if unmet != self.unmet or is_due:
             self._report(unmet, now_s)
         if not unmet:
+            self.has_been_ready = True
             self.since_s = now_s
         self.unmet = unmet
         return unmet
 
+    def _counting(self) -> Mapping[str, Condition]:
+        if self.has_been_ready:
+            return self.conditions.always
+        return {**self.conditions.at_start, **self.conditions.always}
+
     def _report(self, unmet: tuple[str, ...], now_s: float) -> None:
         self.reported_s = now_s
         logger.info(
