adapters: an empty member after chunked does not hide where a body ends

What callers saw: a stream of 200 without an event came as 502 if the server wrote `Transfer-Encoding: chunked,`, and the server counted as broken off; with `chunked` or `,chunked` it came as an empty answer.

Cause: let such a head pass, but what follows read the last member of the list, empty or not, and took the body for unframed. Now empty members are ignored here, too.

--- a/celerywharf/adapters/transports.py
+++ b/celerywharf/adapters/transports.py
@@ -67,7 +67,8 @@
     coding = headers.get('transfer-encoding')
     if coding is None:
         return 'content-length' in headers
-    return coding.rpartition(',')[2].strip().lower() == 'chunked'
+    codings = [each.strip() for each in coding.lower().split(',')]
+    return [each for each in codings if each][-1:] == ['chunked']
 
 
 @dataclass(frozen=True, slots=True)
