adapters: a head whose lines end differently is malformed

What callers saw: of an engine's answer with one byte of a line end replaced by a line feed, the rest of the head (`Content-Length: 12`, a blank line and the body) came to them as the body of a signed success. A 200 that was spoiled to 204 came without its body.

Cause: curl takes a bare line feed for the end of a line, so CR LF of which the CR is spoiled is two line ends, the second of which ends the head. The lines before it are valid, and what follows is the body of an answer without a stated length. ResponseHead dropped either line end unseen. A 204 that states a body was taken for one without it.

Change: all lines of the heads of an exchange must end like the first; heads of bare line feeds only are read as before. A 204 that states a body (RFC 9110, 8.6; RFC 9112, 6.1) is malformed.

--- a/celerywharf/adapters/_response_head.py
+++ b/celerywharf/adapters/_response_head.py
@@ -38,8 +38,10 @@
         size_bytes: size of all status lines, headers and trailers received.
         line_count: number of these lines.
         is_begun: a status line has arrived and the blank line after it has not.
-        is_malformed: the status line or a field line is invalid, or the length
-            of the body is stated in a way that receivers read differently.
+        line_end: of the first line; empty before it.
+        is_malformed: the status line or a field line is invalid, lines end
+            differently, or the length of the body is stated in a way that
+            receivers read differently.
         is_complete: the final headers have arrived; what follows are trailers,
             which are ignored.
     """
@@ -50,6 +52,7 @@
         self.size_bytes = 0
         self.line_count = 0
         self.is_begun = False
+        self.line_end = ''
         self.is_malformed = False
         self.is_complete = False
 
@@ -66,18 +69,20 @@
 
     def add(self, line: bytes) -> None:
         """Read a line of a head that is not complete."""
-        text = _without_line_end(line.decode('latin-1'))
+        text, line_end = _split_line_end(line.decode('latin-1'))
+        if line_end != self.line_end:
+            # A line feed that took the place of a carriage return would make
+            # the rest of the head a part of the body.
+            self.is_malformed |= bool(self.line_end)
+            self.line_end = line_end
         if text and self.is_begun:
             self._add_header(text)
         elif text:
-            match = STATUS_LINE.fullmatch(text)
-            self.status = int(match[1]) if match else 0
-            self.is_malformed = match is None
-            self.is_begun = True
-            self.headers = {}
+            self._begin(text)
         else:
             self.is_begun = False
             self.is_complete = self.status >= FIRST_FINAL_STATUS
+            self.is_malformed |= self._has_forbidden_body()
 
     def ends_with_connection(self, method: str) -> bool:
         """Return whether only the end of the connection ends the response.
@@ -89,6 +94,23 @@
             return False
         return not is_framed(self.headers)
 
+    def _begin(self, text: str) -> None:
+        match = STATUS_LINE.fullmatch(text)
+        self.status = int(match[1]) if match else 0
+        self.is_malformed |= match is None
+        self.is_begun = True
+        self.headers = {}
+
+    def _has_forbidden_body(self) -> bool:
+        """Return whether a body is stated that the status does not allow.
+
+        See RFC 9110, 8.6, and RFC 9112, 6.1.
+        """
+        if self.status != HTTPStatus.NO_CONTENT:
+            return False
+        length = self.headers.get('content-length', '0')
+        return 'transfer-encoding' in self.headers or bool(int(length))
+
     def _add_header(self, text: str) -> None:
         match = FIELD_LINE.fullmatch(text)
         if match is None:
@@ -124,5 +146,7 @@
     return codings != ['chunked'] or previous is not None
 
 
-def _without_line_end(text: str) -> str:
-    return text.removesuffix('\n').removesuffix('\r')
+def _split_line_end(line: str) -> tuple[str, str]:
+    """Return a line without its end, and the end."""
+    text = line.removesuffix('\n').removesuffix('\r')
+    return text, line[len(text) :]
--- a/tests/fronts/test_malformed_answers.py
+++ b/tests/fronts/test_malformed_answers.py
@@ -37,7 +37,11 @@
 def _ask(rig, *lines):
     """Return the answers of a call, an order and a stream."""
     length = f'Content-Length: {len(EVENT)}'
-    with BreakingServer(signed_answer(length, *lines, body=EVENT)) as server:
+    return _ask_for(rig, signed_answer(length, *lines, body=EVENT))
+
+
+def _ask_for(rig, sound):
+    with BreakingServer(sound) as server:
         rig.put('servers', 'b0', server.entry('narrator'))
         address = rig.add_front('f1')
         answers = [_send(address, path) for path in PATHS]
@@ -56,6 +60,14 @@
     assert {answer.status for answer in answers} == {FAILED}
 
 
+# The rest of the head came to callers as the body of a signed success.
+def test_a_bare_line_feed_in_a_head_makes_no_part_of_it_a_body(rig):
+    sound = signed_answer(f'Content-Length: {len(EVENT)}', body=EVENT)
+    spoiled = sound.replace('Server-Stamp: s\r', 'Server-Stamp: s\n')
+    answers = _ask_for(rig, spoiled)
+    assert {answer.status for answer in answers} == {FAILED}
+
+
 @pytest.mark.parametrize('name', ['Server-Stamp', 'Attempt-Id', 'server-stamp'])
 def test_an_answer_whose_connection_options_name_what_signs_it_is_none(
     rig, name
