routing: log how well an answer tells the store's clock

Logs could not tell apart whether the zone's reader relayed old answers, its removals came late, or the front misjudged what it was told.

Change: a line `clock of the store estimated` for each new estimate, with the time for which its answer was on its way or unread.

--- a/celerywharf/routing/_configuration_cache.py
+++ b/celerywharf/routing/_configuration_cache.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Collection
 from dataclasses import dataclass, replace
 
 from celerywharf.routing._configurations import Configuration
 
+logger = logging.getLogger(__name__)
+
 # Covers the error of converting the store's clock to this host's clock.
 LEASE_MARGIN_S = 0.4
 # After the store has come back from an older copy, the operator has written
@@ -83,6 +86,13 @@
         offset_s = timing.received_s - timing.store_s
         if self.clock_offset_s is None or offset_s < self.clock_offset_s:
             self.clock_offset_s = offset_s
+            logger.info(
+                'clock of the store estimated',
+                extra={
+                    'offset_s': round(offset_s, 3),
+                    'error_s': round(timing.received_s - timing.sent_s, 3),
+                },
+            )
 
     def confirm(
         self, timing: AnswerTiming, *, is_complete: bool = True
