routing: keys are dated by the bound of the store's clock that is safe for them

Cause: the cache took the time from the store's clock to the arrival of the fastest answer for the difference of the clocks. That is too much by as long as this answer was on its way or unread. A front that is not its zone's reader calls the store once, so one late answer stayed for its whole life; a margin of 0.4 s covered part of it. The class: an error that has a known bound is kept as a constant margin instead of being carried with what it belongs to.

Change: StoreClock keeps the least and the most that the difference can be, by the moments of sending and receiving; the bounds of all answers are joined, widen with drift, and end with the era of the store. Keys and tables are dated by the bound that makes them older (AnswerClock, the second estimate, is gone). The zone's reader tells its bounds with its answers, NTP's way, so the others learn the clock without a call; whoever has no reader reads the clock again while its bounds are wide. A host that has confirmed nothing in an era no longer tells the time of the era before: a host that had just started converted it with the new clock (found by the property).

Why it works: no time that a message or process was held up can make the bound that is used later than the answer.

--- a/celerywharf/fronts/_front.py
+++ b/celerywharf/fronts/_front.py
@@ -31,10 +31,10 @@
 from celerywharf.routing import ConfigurationCache
 from celerywharf.settings import FrontSettings
 from celerywharf.sharing import (
+    ClockKeeper,
     LimitExchange,
     QuarantineExchange,
     TrialSchedule,
-    ZoneReaders,
 )
 from celerywharf.sockets import bind
 from celerywharf.tasks import Part
@@ -62,8 +62,8 @@
             address for other fronts is set.
         relay_gateway: serves requests that other fronts pass on; None if no
             address for that is set.
-        zone_readers: links to the readers of other zones; None like
-            ``shared_store``.
+        sharing_parts: share the store with other fronts; without
+            ``shared_store``, what reads its clock.
         quarantine_exchange: shares what requests crash engines with the other
             fronts.
         watchers: follow the tables of the store; first the watcher of the
@@ -96,31 +96,44 @@
         self.shared_store = build_shared_store(
             settings, self.store, self.context, self.timers, random
         )
-        self.zone_readers: ZoneReaders | None = None
         self.relay_gateway: RelayGateway | None = None
+        self.sharing_parts: tuple[Part, ...] = (
+            ClockKeeper(
+                self.store,
+                self.configuration_cache,
+                settings.front.availability_zone,
+                random,
+            ),
+        )
         if self.shared_store is not None:
-            self.zone_readers = build_zone_readers(
+            zone_readers = build_zone_readers(
                 settings, self.store, self.shared_store
             )
             self.context.limits.lender = LimitExchange(
-                self.context.limits.stated, self.shared_store, self.zone_readers
+                self.context.limits.stated, self.shared_store, zone_readers
             )
             self.relay_gateway = build_relay_gateway(
                 settings,
                 self.gateway,
                 self.shared_store,
-                self.zone_readers,
+                zone_readers,
                 random,
             )
             self.context.rollouts.source = build_rollout_exchange(
                 settings,
                 self.context,
                 self.shared_store,
-                self.zone_readers,
+                zone_readers,
                 random,
             )
             self.context.origins.source = build_origin_exchange(
-                settings, self.context, self.shared_store, self.zone_readers
+                settings, self.context, self.shared_store, zone_readers
+            )
+            self.sharing_parts = (
+                self.shared_store,
+                zone_readers,
+                self.context.origins.source,
+                self.context.rollouts.source,
             )
         self.quarantine_exchange = QuarantineExchange(
             self.context.quarantine.register,
@@ -201,20 +214,12 @@
         )
 
     def _parts(self) -> tuple[Part, ...]:
-        parts = (
+        return (
+            *self.sharing_parts,
             *self.watchers,
             self.quarantine_exchange,
             self.settings_watcher,
         )
-        if self.shared_store is None:
-            return parts
-        return (
-            self.shared_store,
-            self.zone_readers,
-            self.context.origins.source,
-            self.context.rollouts.source,
-            *parts,
-        )
 
     def _build_server(self, gateway: Gateway) -> HTTPServer:
         return HTTPServer(
--- a/celerywharf/routing/__init__.py
+++ b/celerywharf/routing/__init__.py
@@ -2,7 +2,6 @@
 
 from celerywharf.routing._configuration_cache import (
     REWRITE_S,
-    AnswerTiming,
     ConfigurationCache,
 )
 from celerywharf.routing._configurations import (
@@ -23,6 +22,11 @@
     ResumableStream,
     SingleStream,
 )
+from celerywharf.routing._store_clock import (
+    AnswerTiming,
+    ClockOffset,
+    StoreClock,
+)
 from celerywharf.routing._urgencies import Urgencies, collect_urgencies
 
 __all__ = (
@@ -30,6 +34,7 @@
     'AnswerTiming',
     'ClientAccount',
     'ClientLimits',
+    'ClockOffset',
     'Configuration',
     'ConfigurationCache',
     'ConfigurationListing',
@@ -41,6 +46,7 @@
     'Route',
     'Service',
     'SingleStream',
+    'StoreClock',
     'Urgencies',
     'WeightedService',
     'by_host',
--- a/celerywharf/routing/_configuration_cache.py
+++ b/celerywharf/routing/_configuration_cache.py
@@ -3,40 +3,20 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Collection
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from celerywharf.routing._configurations import Configuration
+from celerywharf.routing._store_clock import AnswerTiming, StoreClock
 
 logger = logging.getLogger(__name__)
 
-# Covers the error of converting the store's clock to this host's clock.
+# The store may state its clock this long after it has read the rows.
 LEASE_MARGIN_S = 0.4
 # After the store has come back from an older copy, the operator has written
 # again what the copy lacks within this time.
 REWRITE_S = 2.0
-# Relayed answers are this old at most.
-MAX_RELAY_AGE_S = 4.0
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerTiming:
-    """When a call to the store was sent and answered.
-
-    Attributes:
-        sent_s: when the call was sent, in seconds of CLOCK_BOOTTIME.
-        received_s: when the answer was received, same clock.
-        store_s: the store's monotonic clock as stated in the answer, seconds.
-        era: era of the store in which it answered; 0 if unknown.
-        relayed: another host made the call and relayed the answer, so
-            ``sent_s`` does not bound the age of the answer.
-    """
-
-    sent_s: float
-    received_s: float
-    store_s: float
-    relayed: bool = False
-    era: int = 0
 
 
 class ConfigurationCache:
@@ -56,11 +36,8 @@
         unconfirmed_until_s: answers of the store before this time do not show
             that a configuration is current, seconds of CLOCK_BOOTTIME.
         confirmed_store_s: time of the store at which the configuration was
-            last known current, seconds.
-        clock_offset_s: this host's clock minus the store's clock, estimated
-            from the fastest answer; None until an answer was not relayed.
-        clock_dropped: the offset was dropped in a new era, and no answer has
-            told it since.
+            last known current, seconds; ``-inf`` before that in its era.
+        clock: converts the store's clock.
     """
 
     def __init__(self, lease_s: float) -> None:
@@ -69,30 +46,23 @@
         self.current_at_s: float | None = None
         self.era = 0
         self.unconfirmed_until_s = float('-inf')
-        self.confirmed_store_s = float('-inf')
-        self.clock_offset_s: float | None = None
-        self.clock_dropped = False
+        self.confirmed_store_s = -math.inf
+        self.clock = StoreClock()
 
     def synchronize(self, timing: AnswerTiming) -> None:
-        """Update the clock offset from an answer that was not relayed.
-
-        Relayed answers are ignored: the time they spent at the other host is
-        unknown.
-        """
+        """Learn from an answer what the store's clock and its era are."""
         self._enter_era(timing)
-        if timing.relayed:
+        if not self.clock.learn(timing):
             return
-        self.clock_dropped = False
-        offset_s = timing.received_s - timing.store_s
-        if self.clock_offset_s is None or offset_s < self.clock_offset_s:
-            self.clock_offset_s = offset_s
-            logger.info(
-                'clock of the store estimated',
-                extra={
-                    'offset_s': round(offset_s, 3),
-                    'error_s': round(timing.received_s - timing.sent_s, 3),
-                },
-            )
+        offset = self.clock.offset
+        logger.info(
+            'clock of the store learned',
+            extra={
+                'offset_s': round(offset.least_s, 3),
+                'error_s': round(offset.width_s, 3),
+                'relayed': timing.relayed,
+            },
+        )
 
     def confirm(
         self, timing: AnswerTiming, *, is_complete: bool = True
@@ -107,14 +77,11 @@
         self.synchronize(timing)
         if timing.received_s < self.unconfirmed_until_s:
             return
-        if self.clock_offset_s is None:
+        current_at_s = self.clock.date(timing)
+        if current_at_s is None:
             return
         if is_complete:
             self.confirmed_store_s = timing.store_s
-        current_at_s = timing.store_s + self.clock_offset_s
-        if not timing.relayed:
-            current_at_s = max(current_at_s, timing.sent_s)
-        current_at_s = min(current_at_s, timing.received_s)
         if self.current_at_s is None or current_at_s > self.current_at_s:
             self.current_at_s = current_at_s
 
@@ -132,20 +99,19 @@
         if self.era:
             self.store_restored(timing.received_s)
         self.era = timing.era
-        if self.clock_offset_s is None:
-            return
         # The store's clock may have been set back with its rows.
-        age_s = self.store_time_s(timing.received_s) - timing.store_s
-        if not -LEASE_MARGIN_S <= age_s <= MAX_RELAY_AGE_S:
-            self.clock_offset_s = None
-            self.clock_dropped = True
+        self.confirmed_store_s = -math.inf
 
     def store_time_s(self, now_s: float) -> float:
-        """Convert a time of this host to the store's clock, in seconds.
+        """Return the earliest time that the store's clock may have, in seconds.
 
         Before the first answer of the store this host's own clock is used.
         """
-        return now_s - (self.clock_offset_s or 0)
+        return self.clock.store_bounds_s(now_s)[0]
+
+    def latest_store_time_s(self, now_s: float) -> float:
+        """Return the latest time that the store's clock may have, likewise."""
+        return self.clock.store_bounds_s(now_s)[1]
 
     def has_service(self, name: str) -> bool:
         """Return whether the configuration has a service."""
--- a/celerywharf/sharing/__init__.py
+++ b/celerywharf/sharing/__init__.py
@@ -23,10 +23,12 @@
 from celerywharf.sharing._rollout_exchange import RolloutExchange
 from celerywharf.sharing._rollout_rows import read_steps
 from celerywharf.sharing._store import SharedStore
+from celerywharf.sharing._store_clock import ClockKeeper
 from celerywharf.sharing._stored_steps import StoredSteps
 from celerywharf.sharing._trials import TrialSchedule
 
 __all__ = (
+    'ClockKeeper',
     'ElectionStep',
     'Lending',
     'LimitExchange',
--- a/celerywharf/sharing/_freshness.py
+++ b/celerywharf/sharing/_freshness.py
@@ -10,8 +10,6 @@
 import math
 from dataclasses import dataclass
 
-from celerywharf.routing import AnswerTiming
-
 # Changes have 2.5 s to take effect.  The difference is for the call by which a
 # host replaces what may be outdated.
 MAX_AGE_S = 2.2
@@ -28,30 +26,6 @@
 MAX_HOLD_S = 3.0
 
 
-class AnswerClock:
-    """Dates answers of the store by its clock, on the clock of this host.
-
-    An answer may have been ready long before it was received, if this host or
-    the connection was held up.
-
-    Attributes:
-        offset_s: this host's clock minus the store's clock, at most; None
-            before the first answer.
-    """
-
-    def __init__(self) -> None:
-        self.offset_s: float | None = None
-
-    def answered_s(self, timing: AnswerTiming) -> float:
-        """Return a time, not later than the answer, of this host's clock."""
-        least_s = timing.sent_s - timing.store_s
-        most_s = timing.received_s - timing.store_s
-        offset_s = self.offset_s
-        if offset_s is None or not least_s <= offset_s <= most_s:
-            self.offset_s = least_s
-        return timing.store_s + self.offset_s
-
-
 @dataclass(slots=True)
 class Freshness:
     """As of when a table is known.
--- a/celerywharf/sharing/_store.py
+++ b/celerywharf/sharing/_store.py
@@ -35,7 +35,10 @@
 from celerywharf.sharing._limit_messages import to_message
 from celerywharf.sharing._reader_calls import ReaderCalls
 from celerywharf.sharing._store_calls import StoreCalls
-from celerywharf.sharing._store_clock import keep_clock_known
+from celerywharf.sharing._store_clock import (
+    keep_clock_known,
+    with_store_clock,
+)
 from celerywharf.sharing._zone_row import ZoneRow
 from celerywharf.structures import HostIdentity
 from celerywharf.tasks import Part
@@ -282,8 +285,12 @@
                 reader, 'it hears no store, but this front does'
             )
         self.inquiries.read_elsewhere(table)
-        answered_s = self.calls.answer_clock.answered_s(reading.timing)
-        self.tables[table].on_store_answer(answered_s)
+        timing = reading.timing
+        self.configuration_cache.synchronize(timing)
+        answered_s = self.configuration_cache.clock.date(timing)
+        self.tables[table].on_store_answer(
+            timing.sent_s if answered_s is None else answered_s
+        )
         self.metrics.count('table_readings', source='store')
         return reading
 
@@ -370,6 +377,8 @@
         if question.table == CONFIGURATION_TABLE:
             confirmed_s = self.configuration_cache.confirmed_store_s
             reply = replace(reply, store_s=confirmed_s)
+            clock = self.configuration_cache.clock
+            reply = with_store_clock(reply, clock, arrived_s, boot_time_s())
         now_s = self.configuration_cache.store_time_s(boot_time_s())
         return replace(
             reply,
--- a/celerywharf/sharing/_store_calls.py
+++ b/celerywharf/sharing/_store_calls.py
@@ -19,7 +19,6 @@
 )
 from celerywharf.sharing._freshness import (
     IMMEDIATE_POLL,
-    AnswerClock,
     Poll,
     plan_poll,
 )
@@ -41,14 +40,12 @@
         store: client of the store.
         reachable: the store answered the last call.
         backoff: spaces calls to a store that does not answer.
-        answer_clock: dates the store's answers.
     """
 
     def __init__(self, store: StoreClient, random: Random) -> None:
         self.store = store
         self.reachable = True
         self.backoff = StoreBackoff(random)
-        self.answer_clock = AnswerClock()
 
     def check_due(self) -> None:
         """Raise if the store failed and must not be called again yet."""
--- a/celerywharf/wire/schemas/sharing.capnp
+++ b/celerywharf/wire/schemas/sharing.capnp
@@ -46,6 +46,9 @@
   removalsKnown @8 :Bool;
   removedKeys @9 :List(Text);
   snapshot @10 :Data;
+  clockKnown @11 :Bool;
+  latestArrivalS @12 :Float64;
+  earliestReplyS @13 :Float64;
 }
 
 struct ServerLimit {
--- a/celerywharf/wire/sharing.py
+++ b/celerywharf/wire/sharing.py
@@ -97,6 +97,11 @@
         removed_keys: API keys that are not accepted any more.
         snapshot: digest of a content with the older rows, to be asked for by a
             ``ContentQuestion``; empty if all are in ``rows``.
+        clock_known: the reader knows the store's clock in ``era``.
+        latest_arrival_s: the latest time that the store's clock may have had
+            when the question arrived, seconds.
+        earliest_reply_s: the earliest time that it may have had when the
+            answer was sent.
     """
 
     rows: list[SharedRow]
@@ -110,6 +115,9 @@
     removals_known: bool = False
     removed_keys: list[str] = field(default_factory=list)
     snapshot: bytes = b''
+    clock_known: bool = False
+    latest_arrival_s: float = 0
+    earliest_reply_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
