sharing: steps of roll-outs are not confirmed by a misjudged clock

What callers would see: a host whose first answer of the store was read late takes a step of a roll-out for as much newer, and after a stop moves requests to a version by a step that may have been replaced.

The age of an answer was counted by the estimate of the store's clock that makes it younger.

Change: the answer is dated as keys are (StoreClock.date).

The moments of roll-outs (move_s, deadline_s) are compared with the earliest time, too: a host whose clock is known to 0.2 s moves up to that much late; not changed.

--- a/celerywharf/sharing/_rollout_exchange.py
+++ b/celerywharf/sharing/_rollout_exchange.py
@@ -182,10 +182,11 @@
 
         Its clock tells, within the time between the call and now.
         """
-        now_s = self.register.now()
-        age_s = self.register.store_time_s() - timing.store_s
-        age_s = min(age_s, now_s - timing.sent_s)
-        return max(age_s, now_s - timing.received_s)
+        clock = self.shared_store.configuration_cache.clock
+        answered_s = clock.date(timing)
+        if answered_s is None:
+            answered_s = timing.sent_s
+        return self.register.now() - answered_s
 
     def _is_reader(self) -> bool:
         return self.shared_store.is_reader
--- a/tests/rollouts/test_stale_confirmations.py
+++ b/tests/rollouts/test_stale_confirmations.py
@@ -10,7 +10,7 @@
 from celerywharf.metrics import Metrics
 from celerywharf.platform import Position, ReadResult
 from celerywharf.rollouts import RolloutRegister
-from celerywharf.routing import AnswerTiming
+from celerywharf.routing import AnswerTiming, ConfigurationCache
 from celerywharf.sharing import RolloutExchange, StoredSteps
 from tests.rollouts.fleets import BOUNDS, Version
 from tests.rollouts.test_rollout_register import (
@@ -24,21 +24,31 @@
 from tests.virtual_loop import run_virtually
 
 STOP_S = 5
+LEASE_S = 5
 REQUESTS = 50
 STEP = replace(MOVING, started_s=0, period_s=60, move_s=2, share=0)
 
 
 class StoppedReader:
-    """A reader that reads an answer of the store long after it was given."""
+    """A reader that reads an answer of the store long after it was given.
 
-    def __init__(self):
+    Attributes:
+        register: follows the steps.
+        exchange: reads them from this store.
+    """
+
+    def __init__(self, late_s=0):
+        # The only answer so far, which told the clock, was read this late.
+        now_s = time.monotonic()
+        cache = ConfigurationCache(LEASE_S)
+        cache.synchronize(AnswerTiming(now_s - late_s, now_s, now_s - late_s))
         directory = Directory()
         for number, version in enumerate(('v1', 'v1', 'v2', 'v2')):
             directory.update(_server(number, version), 0)
         self.register = RolloutRegister(
             directory,
             time.monotonic,
-            time.monotonic,
+            lambda: cache.store_time_s(time.monotonic()),
             Random(1),
             is_enabled=True,
         )
@@ -50,7 +60,9 @@
             forget_counts=int,
         )
         shared_store = SimpleNamespace(
-            server=SimpleNamespace(subscribe=lambda *_: None), is_reader=True
+            server=SimpleNamespace(subscribe=lambda *_: None),
+            is_reader=True,
+            configuration_cache=cache,
         )
         self.exchange = RolloutExchange(control, shared_store, Random(1))
 
@@ -78,6 +90,12 @@
     assert not served['v2']
 
 
+# The step was taken for as old as the clock's first answer was late.
+def test_a_clock_told_by_a_late_answer_confirms_no_step_after_a_stop():
+    served = run_virtually(lambda: StoppedReader(late_s=STOP_S).follow())
+    assert not served['v2']
+
+
 def _decided_by(control):
     stored = control.steps.rows[SERVICE]
     return stored.step.host
--- a/tests/rollouts/test_unknown_services.py
+++ b/tests/rollouts/test_unknown_services.py
@@ -14,13 +14,14 @@
 from celerywharf.metrics import Metrics
 from celerywharf.platform import Row
 from celerywharf.rollouts import RolloutRegister, RolloutStep
-from celerywharf.routing import AnswerTiming
+from celerywharf.routing import AnswerTiming, ConfigurationCache
 from celerywharf.sharing import RolloutExchange, StoredSteps
 from celerywharf.wire.rollouts import RolloutAnswer
 from tests.rollouts.fleets import BOUNDS, SERVICE
 from tests.virtual_loop import run_virtually
 
 WATCHED_S = 60
+LEASE_S = 5
 ORDER = {'service': SERVICE, 'to': 'v2', 'periodS': 10}
 ROW = Row(f'rollout/{SERVICE}', json.dumps(ORDER).encode(), False, 7)
 
@@ -70,6 +71,7 @@
                     share=types.SimpleNamespace(zone_hosts=20)
                 ),
                 is_reader=is_reader,
+                configuration_cache=ConfigurationCache(LEASE_S),
             ),
             Random(1),
         )
