sharing: an uncertain clock of the store is read rarely while nobody tells it

Change: a host whose clock is uncertain tries again after 30 to 60 s; one whose clock may have been set tries each second, as before. Bounds also widen towards the past, by less than a millisecond for a question that waited.

--- a/celerywharf/routing/_store_clock.py
+++ b/celerywharf/routing/_store_clock.py
@@ -27,8 +27,8 @@
         return self.most_s - self.least_s
 
     def widened(self, elapsed_s: float) -> ClockOffset:
-        """Return the bounds some time later, in seconds."""
-        drift_s = MAX_DRIFT * max(elapsed_s, 0)
+        """Return the bounds some time later, or earlier, in seconds."""
+        drift_s = MAX_DRIFT * abs(elapsed_s)
         return ClockOffset(self.least_s - drift_s, self.most_s + drift_s)
 
     def within(self, other: ClockOffset) -> ClockOffset | None:
--- a/celerywharf/sharing/_store_clock.py
+++ b/celerywharf/sharing/_store_clock.py
@@ -24,8 +24,8 @@
 MAX_WIDTH_S = 0.2
 # A reader answers each question for the configuration within this time.
 TOLD_S = 3.0
-# Another answer of a slow store would tell no more.
-PAUSE_S = 5.0
+# Until the next try if the store is slow or does not answer.
+PAUSE_S = 30.0
 
 
 class ClockKeeper(Part):
@@ -77,10 +77,10 @@
             logger.info(
                 "store's clock not read", extra={'reason': error.message}
             )
-            continue
-        configuration_cache.synchronize(reading.timing)
-        if needs_reading(clock, boot_time_s()):
-            await asyncio.sleep(PAUSE_S)
+        else:
+            configuration_cache.synchronize(reading.timing)
+        if needs_reading(clock, boot_time_s()) and not clock.is_outdated:
+            await asyncio.sleep(PAUSE_S * random.uniform(1, 2))
 
 
 def needs_reading(clock: StoreClock, now_s: float) -> bool:
