routing, sharing: plainer names for the bounds of the store's clock

Names only: relayed_offset, offset_bounds, relayed_s; a method that nothing used is gone. The tests of routing, clock readings, freshness and stale confirmations pass.

--- a/celerywharf/routing/_configuration_cache.py
+++ b/celerywharf/routing/_configuration_cache.py
@@ -109,10 +109,6 @@
         """
         return self.clock.store_bounds_s(now_s)[0]
 
-    def latest_store_time_s(self, now_s: float) -> float:
-        """Return the latest time that the store's clock may have, likewise."""
-        return self.clock.store_bounds_s(now_s)[1]
-
     def has_service(self, name: str) -> bool:
         """Return whether the configuration has a service."""
         configuration = self.configuration
--- a/celerywharf/routing/_store_clock.py
+++ b/celerywharf/routing/_store_clock.py
@@ -49,8 +49,8 @@
         era: era of the store in which it answered; 0 if unknown.
         relayed: another host made the call and relayed the answer, so
             ``sent_s`` does not bound the age of the answer.
-        offset: what a relayed answer tells of the store's clock; None if
-            nothing.
+        offset: bounds that the other host stated in a relayed answer; None if
+            it stated none.
     """
 
     sent_s: float
@@ -60,17 +60,17 @@
     era: int = 0
     offset: ClockOffset | None = None
 
-    def told_offset(self) -> ClockOffset | None:
-        """Return what the answer tells of the store's clock, if anything.
+    def offset_bounds(self) -> ClockOffset | None:
+        """Return the bounds that the answer sets; None if it sets none.
 
         The store's clock was read at some moment of the call.
         """
-        told = self.offset
+        bounds = self.offset
         if not self.relayed:
-            told = ClockOffset(
+            bounds = ClockOffset(
                 self.sent_s - self.store_s, self.received_s - self.store_s
             )
-        return told and told.widened(self.received_s - self.sent_s)
+        return bounds and bounds.widened(self.received_s - self.sent_s)
 
 
 class StoreClock:
@@ -84,16 +84,16 @@
         era: newest era of the store that an answer has named.
         offset: as known at ``learned_s``; None before the first answer.
         learned_s: seconds of CLOCK_BOOTTIME.
-        told_s: when another host has told it, same clock.
-        is_outdated: an era has begun in which no answer has told the clock,
-            so it may have been set.
+        relayed_s: when another host has last stated it, same clock.
+        is_outdated: no answer of the newest era has set bounds, and the store's
+            clock may have been set.
     """
 
     def __init__(self) -> None:
         self.era = 0
         self.offset: ClockOffset | None = None
         self.learned_s: float = 0
-        self.told_s = -math.inf
+        self.relayed_s = -math.inf
         self.is_outdated = False
 
     def offset_at(self, now_s: float) -> ClockOffset | None:
@@ -114,17 +114,17 @@
         if timing.era > self.era:
             self.era = timing.era
             self.is_outdated = self.offset is not None
-        told = timing.told_offset()
-        if told is None or 0 < timing.era < self.era:
+        bounds = timing.offset_bounds()
+        if bounds is None or 0 < timing.era < self.era:
             return False
         now_s = max(timing.received_s, self.learned_s)
-        told = told.widened(now_s - timing.received_s)
+        bounds = bounds.widened(now_s - timing.received_s)
         known = self.offset_at(now_s)
-        both = known and known.within(told)
-        self.offset = both or told
+        both = known and known.within(bounds)
+        self.offset = both or bounds
         self.learned_s = now_s
         if timing.relayed:
-            self.told_s = timing.received_s
+            self.relayed_s = timing.received_s
         self.is_outdated = False
         return both is None
 
@@ -146,8 +146,8 @@
     def store_bounds_s(self, now_s: float) -> tuple[float, float]:
         """Return the earliest and the latest time that the store may have.
 
-        An outdated clock is used for want of a better one; before the first
-        answer, this host's own.
+        Outdated bounds are used until there are new ones; before the first
+        answer, this host's own clock is.
         """
         if self.offset is None:
             return now_s, now_s
--- a/celerywharf/sharing/_reader_calls.py
+++ b/celerywharf/sharing/_reader_calls.py
@@ -29,7 +29,7 @@
 from celerywharf.sharing._freshness import Inquiry, plan_inquiry
 from celerywharf.sharing._limit_messages import from_message
 from celerywharf.sharing._replies import ReplyCheck
-from celerywharf.sharing._store_clock import told_offset
+from celerywharf.sharing._store_clock import relayed_offset
 from celerywharf.wire.sharing import WHOLE_TABLE, TableAnswer, TableQuestion
 
 logger = logging.getLogger(__name__)
@@ -213,7 +213,7 @@
             reply.store_s,
             relayed=True,
             era=reply.era,
-            offset=told_offset(reply, sent_s, received_s),
+            offset=relayed_offset(reply, sent_s, received_s),
         )
         return DatedAnswer(reply, timing, known_s)
 
--- a/celerywharf/sharing/_store_clock.py
+++ b/celerywharf/sharing/_store_clock.py
@@ -23,7 +23,7 @@
 # Keys are accepted for less time by as much as the clock is uncertain.
 MAX_WIDTH_S = 0.2
 # A reader answers each question for the configuration within this time.
-TOLD_S = 3.0
+RELAYED_S = 3.0
 # Until the next try if the store is slow or does not answer.
 PAUSE_S = 30.0
 
@@ -63,8 +63,8 @@
     """Read the store's clock whenever too little is known of it.
 
     A configuration is known to be current as of a time on that clock.  An
-    answer that was on its way or unread for long says little of it, and none
-    says anything after it may have been set.
+    answer that was on its way or unread for long sets wide bounds, and those
+    of an earlier era do not hold.
     """
     clock = configuration_cache.clock
     while True:
@@ -86,7 +86,7 @@
 def needs_reading(clock: StoreClock, now_s: float) -> bool:
     """Return whether this host has to read the store's clock itself.
 
-    What the zone's reader tells is as good as the reader's own knowledge.
+    The zone's reader states all that it knows itself.
 
     Args:
         clock: what is known of it.
@@ -97,13 +97,13 @@
     offset = clock.offset_at(now_s)
     if offset is None:
         return True
-    return offset.width_s > MAX_WIDTH_S and now_s - clock.told_s > TOLD_S
+    return offset.width_s > MAX_WIDTH_S and now_s - clock.relayed_s > RELAYED_S
 
 
 def with_store_clock(
     reply: TableAnswer, clock: StoreClock, arrived_s: float, now_s: float
 ) -> TableAnswer:
-    """Return an answer to another host that tells the store's clock, too.
+    """Return an answer to another host with the store's clock in it.
 
     Args:
         reply: the answer.
@@ -121,10 +121,10 @@
     )
 
 
-def told_offset(
+def relayed_offset(
     reply: TableAnswer, sent_s: float, received_s: float
 ) -> ClockOffset | None:
-    """Return what a reader's answer tells of the store's clock.
+    """Return the bounds that a reader's answer sets.
 
     Args:
         reply: the answer.
--- a/tests/routing/test_store_clock.py
+++ b/tests/routing/test_store_clock.py
@@ -11,7 +11,7 @@
 
 from celerywharf.routing import AnswerTiming, ConfigurationCache, StoreClock
 from celerywharf.routing._store_clock import MAX_DRIFT
-from celerywharf.sharing._store_clock import told_offset, with_store_clock
+from celerywharf.sharing._store_clock import relayed_offset, with_store_clock
 from celerywharf.wire.sharing import TableAnswer
 
 DIFFERENCE_S = 500.0  # this host's clock minus the store's clock
@@ -133,7 +133,7 @@
             reply.store_s,
             relayed=True,
             era=reply.era,
-            offset=told_offset(reply, sent_s, received_s),
+            offset=relayed_offset(reply, sent_s, received_s),
         )
         if reply.era and reply.era >= follower.cache.era:
             follower.confirm(timing, reader.known_s)
--- a/tests/sharing/test_clock_readings.py
+++ b/tests/sharing/test_clock_readings.py
@@ -1,6 +1,6 @@
 """When a host reads the store's clock itself, in virtual time.
 
-A host that had only one late answer kept what it told for its whole life.
+A host that had only one late answer kept its estimate for its whole life.
 """
 
 import asyncio
@@ -42,7 +42,7 @@
         return ReadResult((), 1, AnswerTiming(sent_s, boot_time_s(), sent_s))
 
 
-async def play(store, *, told_each_s=None, is_set=False):
+async def play(store, *, relayed_each_s=None, is_set=False):
     """Follow the clock after one late answer; return the cache."""
     cache = ConfigurationCache(LEASE_S)
     now_s = boot_time_s()
@@ -54,13 +54,13 @@
     )
     ends_s = now_s + PLAYED_S
     while boot_time_s() < ends_s:
-        if told_each_s is not None:
+        if relayed_each_s is not None:
             now_s = boot_time_s()
-            told = ClockOffset(-LATE_S, LATE_S)
+            bounds = ClockOffset(-LATE_S, LATE_S)
             cache.synchronize(
-                AnswerTiming(now_s, now_s, 0, relayed=True, offset=told)
+                AnswerTiming(now_s, now_s, 0, relayed=True, offset=bounds)
             )
-        await asyncio.sleep(told_each_s or PLAYED_S)
+        await asyncio.sleep(relayed_each_s or PLAYED_S)
     task.cancel()
     return cache
 
@@ -73,9 +73,9 @@
     assert cache.clock.offset.width_s <= MAX_WIDTH_S
 
 
-def test_a_host_that_is_told_the_clock_does_not_read_it():
+def test_a_host_whose_reader_states_the_clock_does_not_read_it():
     store = Store()
-    run_virtually(lambda: play(store, told_each_s=1))
+    run_virtually(lambda: play(store, relayed_each_s=1))
     assert store.calls == 0
 
 
