standins: engines that are being replaced are mended, too

A fault of the stand-in; no check changes.

Change: the switches are changed while no engine is being replaced.

--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -22,6 +22,7 @@
             seconds.
         started: number of engines started so far.
         stopped: event that ends the replacement of engines.
+        replacing: held while an engine is replaced.
     """
 
     def __init__(self, rig: PlatformRig, service: str, **switches: str) -> None:
@@ -33,6 +34,7 @@
         self.crashes: dict[str, float] = {}
         self.started = 0
         self.stopped = threading.Event()
+        self.replacing = threading.Lock()
 
     def add(self, zone: str) -> None:
         """Start and register an engine."""
@@ -51,11 +53,14 @@
                 if not members[name].is_running
             ]
             for name in ended:
-                self._replace(name, self.zones.pop(name))
+                with self.replacing:
+                    self._replace(name, self.zones.pop(name))
 
     def mend(self) -> None:
         """Let no engine crash any more; return when all are running."""
-        self.switches = dict.fromkeys(self.switches, '')
+        # An engine that is being started has the former switches.
+        with self.replacing:
+            self.switches = dict.fromkeys(self.switches, '')
         while self.count_running() < len(self.zones):
             time.sleep(POLL_S)
         for name in tuple(self.zones):
