Keep a reader that has confirmed nothing in a new era of the store

What callers saw: after the store came back from an older copy, a front of a zone replaced a sound reader.

Cause: since a reader states no time of the store (-inf) until it has confirmed its configuration in the new era. ReplyCheck compared that with the time of the era before, as a follower's first reply of the new era shows in its log: reader lost, "the store's clock was restarted".

Change: a reply without a time is not compared, nor are times of two eras, also if this front has heard of the era elsewhere (fails before, too).

--- a/celerywharf/sharing/_replies.py
+++ b/celerywharf/sharing/_replies.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from celerywharf.exceptions import PeerUnreachableError
 from celerywharf.platform import StoreEra
 from celerywharf.wire.sharing import TableAnswer
@@ -16,26 +18,33 @@
 
     Attributes:
         era: the newest era of the store that this front knows.
+        replied_era: the newest era that a reply has named.
         newest_store_s: the latest time of the store's clock in a reply of
-            this era, seconds.
+            that era, seconds; ``-inf`` before the first.
     """
 
     def __init__(self, era: StoreEra) -> None:
         self.era = era
-        self.newest_store_s = float('-inf')
+        self.replied_era = 0
+        self.newest_store_s = -math.inf
 
     def check(self, reply: TableAnswer) -> None:
         """Record what a reply says of the store.
 
+        A reader that has confirmed nothing yet in its era states no time.
+
         Raises:
             PeerUnreachableError: it speaks for an earlier store.
         """
         if reply.era and reply.era < self.era.current:
             raise PeerUnreachableError('an era of the store has ended')
-        if reply.era > self.era.current:
-            self.newest_store_s = float('-inf')
         self.era.observe(reply.era)
+        if reply.era > self.replied_era:
+            self.replied_era = reply.era
+            self.newest_store_s = -math.inf
+        if math.isinf(reply.store_s):
+            return
         if reply.store_s < self.newest_store_s - MAX_CLOCK_DECREASE_S:
-            self.newest_store_s = float('-inf')
+            self.newest_store_s = -math.inf
             raise PeerUnreachableError("the store's clock was restarted")
         self.newest_store_s = max(self.newest_store_s, reply.store_s)
--- a/tests/sharing/test_store_histories.py
+++ b/tests/sharing/test_store_histories.py
@@ -242,6 +242,29 @@
     run_virtually(lambda: play(history))
 
 
+@pytest.mark.parametrize('lost', [0, 1, 50])
+def test_a_restored_store_replaces_no_reader(lost):
+    """Followers took a reader that had confirmed nothing for a lost one."""
+
+    async def compare():
+        fleet = SimulatedFleet(PLACES)
+        fleet.start()
+        await asyncio.sleep(COUNTED_S)
+        fleet.configure()
+        await asyncio.sleep(COUNTED_S)
+        before = {
+            name: front.shared.election.reader
+            for name, front in fleet.fronts.items()
+        }
+        fleet.restore(lost)
+        await asyncio.sleep(COUNTED_S)
+        for name, front in fleet.fronts.items():
+            assert front.shared.election.reader is before[name], name
+        await fleet.stop()
+
+    run_virtually(compare)
+
+
 @pytest.mark.parametrize('lost', [0, 1, 50])
 def test_a_new_era_takes_at_most_twice_the_calls_of_a_start(lost):
     async def count():
