Give an order a time if the reader has confirmed nothing in its era

What callers would see: a roll-out that a front learned of from such a reader has begun at -inf for it. If that front then becomes the reader that decides the first step, the period is over at once. Found by reading, for the same time that is not stated; no run has shown it at whole fronts.

Change: the watcher takes the earliest time that the store may have, by the clock that the reader states.

Evidence: the new test failed before ([-inf]); tests/rollouts pass.

--- a/celerywharf/fronts/_watchers.py
+++ b/celerywharf/fronts/_watchers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
@@ -262,10 +263,19 @@
         others = [
             other for other in reading.rows if other.key != CONFIGURATION_KEY
         ]
+        store_s = self._answered_s(reading.timing)
         for subscriber in self.row_subscribers:
-            subscriber(
-                others, is_whole=is_whole, store_s=reading.timing.store_s
-            )
+            subscriber(others, is_whole=is_whole, store_s=store_s)
+
+    def _answered_s(self, timing: AnswerTiming) -> float:
+        """Return when the store answered, on its clock, in seconds.
+
+        A reader that has confirmed nothing yet in an era does not state it;
+        then it is the earliest time that the store may have now.
+        """
+        if math.isfinite(timing.store_s):
+            return timing.store_s
+        return self.configuration_cache.store_time_s(timing.received_s)
 
     def _confirm(
         self, timing: AnswerTiming, *, is_complete: bool = True
