--- a/celerywharf/wire/sharing.py
+++ b/celerywharf/wire/sharing.py
@@ -83,7 +83,8 @@
     Attributes:
         rows: all rows, or those that changed.
         version: version to use as ``after`` in the next request.
-        store_s: the store's clock at the last successful read, seconds.
+        store_s: the store's clock at the last successful read, seconds;
+            ``-inf`` if the reader has confirmed nothing yet in ``era``.
         zone_hosts: number of hosts that read from this reader, itself
             included; 0 if unknown.
         limits: the request limits that servers have stated lately.
